--- /dev/null
+++ b/api.go
@@ -0,0 +1,255 @@
+// Package clayladder makes the decisions of a load-balancing proxy for fleets of
+// HTTP servers: which upstream gets a request, whether it is sent again, held,
+// refused or failed, and how the upstream list is followed. It does no I/O.
+//
+// # Contract
+//
+// One Balancer is one proxy instance. Its owner calls a method per event, from
+// one goroutine at a time, with now on any monotonic origin and never going
+// back. The Balancer answers by calling its Host during that call, never
+// outside it. It reads no clock, starts no goroutine and shares no state with
+// other Balancers; the same events with the same seed give the same actions.
+//
+// Events arrive in order: a request's Request first, then one Outcome for each
+// Send, at most one Gone. An Outcome may follow the request's final answer.
+// Ids that are not held are passed over. Memory is bounded by what the owner
+// has open: requests, attempts and listed upstreams.
+//
+// Every request gets exactly one final answer: a successful Outcome, Refuse or
+// Fail. Refuse promises the client that another try is harmless.
+package clayladder
+
+import "time"
+
+// RequestID names one try of a client's request; ids are never reused.
+type RequestID uint64
+
+// UpstreamID names an upstream. It carries no meaning and survives restarts.
+type UpstreamID uint32
+
+// Repeat says whether a class may run more than once, safest first.
+type Repeat uint8
+
+// The repeat kinds.
+const (
+	Safe   Repeat = iota // may run any number of times
+	Keyed                // a group of upstreams drops repeats for Class.Memory
+	Unsafe               // must never run twice
+)
+
+// Group says which upstreams drop a keyed request's repeats.
+type Group uint8
+
+// The groups.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Class is one kind of request.
+type Class struct {
+	Name      string
+	Aim       time.Duration // answers within it earn full worth
+	Deadline  time.Duration // the client's total wait
+	Repeat    Repeat
+	Group     Group         // for Keyed
+	Memory    time.Duration // for Keyed: how long repeats are dropped
+	Stream    bool
+	Worth     float64
+	LateWorth float64 // fraction of Worth between Aim and Deadline
+}
+
+// Tenant is a customer with a share of the service.
+type Tenant struct {
+	Name  string
+	Quota float64 // requests a second over all balancers
+}
+
+// Limits is what the site permits.
+type Limits struct {
+	Cancel       bool
+	Probes       bool
+	SecondCopies bool
+	RetryAfter   bool
+	MaxRetry     time.Duration // longest wait a client honours
+	MaxAttempts  int
+}
+
+// Rules holds the figures of the drain and cold-start rules.
+type Rules struct {
+	AskWithin    time.Duration // discovery on request: ask at least this often
+	ColdFrom     float64       // an upstream starts at this share of capacity or more
+	RampTime     time.Duration // and is warm no later than this
+	TipMultiple  float64       // sent more than this multiple of present capacity
+	TipAfter     time.Duration // for this long, a cold upstream falls over
+	DrainGrace   time.Duration // sends to a draining upstream must cease within this
+	AnswerWithin time.Duration // slack of a final answer after the client's deadline
+}
+
+// WeightKind says what Upstream.Weight means.
+type WeightKind uint8
+
+// The weight kinds.
+const (
+	WeightNone    WeightKind = iota // always one
+	WeightNominal                   // size
+	WeightRough                     // size, approximately
+	WeightLive                      // size lowered by load some time ago
+)
+
+// ReportVia says how load reports arrive.
+type ReportVia uint8
+
+// The ways of reporting.
+const (
+	ReportNone    ReportVia = iota
+	ReportAnswers           // within outcomes and probe results
+	ReportProbes            // within probe results only
+)
+
+// Settings is what a Balancer is told at its start.
+type Settings struct {
+	Zone           string
+	Balancers      int // instances in this tier
+	Rank           int // of this instance among them, from 0
+	Classes        []Class
+	Tenants        []Tenant
+	OverShareWorth float64 // worth of traffic over a tenant's quota
+	WorthByWork    bool    // worth counts per unit of work, not per request
+	WarmKeys       bool    // an upstream serves keys it met lately with less work
+	Limits         Limits
+	Rules          Rules
+	OnRequest      bool // discovery answers only when asked
+	Weights        WeightKind
+	Reports        ReportVia
+	Granularity    time.Duration // least spacing of event batches
+}
+
+// State is what discovery says of an upstream.
+type State uint8
+
+// The states.
+const (
+	Active State = iota
+	Draining
+	Gone
+)
+
+// Upstream is one entry of a discovery list.
+type Upstream struct {
+	ID        UpstreamID
+	Zone      string
+	Cell      int
+	Weight    float64
+	StartedAt time.Duration // latest start on the owner's clock; 0: long past
+	State     State
+}
+
+// ListMode says how a list relates to the one held.
+type ListMode uint8
+
+// The list modes.
+const (
+	ListDelta  ListMode = iota // changed entries only
+	ListFull                   // the whole list; what it lacks is gone
+	ListCached                 // the whole list as last held, maybe stale
+	ListFailed                 // the call failed or the watch dropped; no entries
+)
+
+// Request is a client's request.
+type Request struct {
+	ID     RequestID
+	Budget time.Duration // the client gives up this try after it
+	Class  string        // a name from Settings.Classes
+	Tenant string        // a name from Settings.Tenants, or empty
+	Key    uint64        // subject of the request, if HasKey
+	HasKey bool
+	Retry  bool
+	Cost   time.Duration // hint: work on a standard core; 0: unknown
+}
+
+// Status is how an attempt or probe ended.
+type Status uint8
+
+// The statuses. Those marked * prove that the request never ran.
+const (
+	OK            Status = iota
+	Error                // the upstream answered with an error
+	Full                 // * turned away unseen
+	Timeout              // no answer in time
+	ConnectFailed        // * no connection in time
+	Reset                // connection lost
+	Cancelled            // stopped by Cancel
+	Moot                 // * never sent
+)
+
+// LoadField is a bit for each value that a Load holds.
+type LoadField uint8
+
+// The load fields.
+const (
+	HasUtil LoadField = 1 << iota
+	HasInflight
+	HasQueue
+	HasService
+	HasRate
+	HasErrors
+)
+
+// Load is an upstream's load report; Fields tells which values it holds.
+type Load struct {
+	Fields   LoadField
+	Util     float64 // share of CPU busy
+	Inflight float64 // requests held
+	Queue    float64 // requests waiting
+	Service  float64 // recent service time, ms
+	Rate     float64 // requests served a second
+	Errors   float64 // errors a second
+}
+
+// Outcome is the end of one attempt.
+type Outcome struct {
+	ID       RequestID
+	Upstream UpstreamID
+	Attempt  int // order of the request's Sends, from 0
+	Latency  time.Duration
+	Status   Status
+	Closed   bool // the request is finished, now or earlier
+	Load     Load
+}
+
+// ProbeResult is the end of one probe.
+type ProbeResult struct {
+	Upstream UpstreamID
+	Latency  time.Duration
+	Status   Status
+	Load     Load
+}
+
+// Host carries out a Balancer's actions.
+type Host interface {
+	Send(id RequestID, up UpstreamID, timeout time.Duration) // timeout 0: until the client quits
+	Refuse(id RequestID, retryAfter time.Duration)           // retryAfter 0: no advice
+	Fail(id RequestID)
+	Cancel(id RequestID, attempt int)
+	Probe(up UpstreamID)
+	Disconnect(up UpstreamID) // close idle connections
+	Watch(on bool)            // subscribe to discovery
+	Fetch()                   // ask discovery for the whole list once
+	SetTimer(after time.Duration, token uint64)
+	Log(text string)
+}
+
+// Events is the set of methods by which an owner drives a Balancer.
+type Events interface {
+	Members(now time.Duration, mode ListMode, list []Upstream)
+	Request(now time.Duration, r Request)
+	Started(now time.Duration, id RequestID, attempt int) // a stream's answer has begun
+	Outcome(now time.Duration, o Outcome)
+	Gone(now time.Duration, id RequestID) // the client left, nothing more is owed
+	Probed(now time.Duration, p ProbeResult)
+	Timer(now time.Duration, token uint64)
+}
+
+var _ Events = (*Balancer)(nil)
--- /dev/null
+++ b/balancer.go
@@ -0,0 +1,594 @@
+// The decisions of clayladder: every rule and every constant is in this file. Its interface (types, events,
+// actions) is in api.go, what it keeps in state.go; docs/design.md gives the reasons.
+
+package clayladder
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Constants. Those without a unit are ratios.
+const (
+	bandWindow            = 8           // N: readings in an upstream's moving window
+	bandAlpha             = 2.0         // α: half the band gap in standard deviations, as usual for these bands
+	bandPeriod            = time.Second // the band gap is integrated over it, then shares move
+	areaFloor             = 0.4         // areas below it are noise: a deviation of a tenth of full use
+	areaRatio             = 1.25        // saturated: an area over this multiple of the fleet's median
+	fullUse               = 0.8         // mean use over which more attempts out bring no more
+	levelFloor            = 0.5         // use below it never counts as excess level
+	cutMost               = 0.8         // the deepest cut in one period: reports lag, so steps are small
+	restoreStep           = 1.04        // shares come back more slowly than they go
+	shareFloor            = 0.1         // a share is never cut below this part of its start
+	debtRounds            = 1.0         // turns missed beyond this many rounds are forgotten
+	smoothing             = 0.1         // weight of a new sample in running means
+	sharers               = 4.0         // balancers that share an upstream, where there are enough
+	subsetLeast           = 2           // upstreams that a balancer uses at least
+	boundStart            = 3.0         // attempts out at one upstream, over all balancers, at first
+	boundLeast            = 0.25        // over all balancers: with pauses, so that a crowded server can rest
+	boundCut              = 0.8         // on a crowded answer; twice on a full queue or a time-out
+	boundGrowth           = 0.02        // on an answer while turns are short, times the square of its spare aims
+	easy                  = 1.5         // latency for the work, in multiples of its least: no queue
+	crowded               = 1.6         // over this multiple: the upstream is crowded or sick
+	crowdedShare          = 0.5         // and it takes this part of the aim: far under it crowding hurts nobody
+	leastDrift            = 0.005       // how fast the least latency is unlearnt
+	patienceDevs          = 5.0         // deviations over its usual latency before an upstream is silent
+	tipMargin             = 0.6         // part of the cold budget that is used
+	sendSpare             = 2.33        // latencies left to the aim of a held request sent, less its late worth
+	budgetNoise           = 16          // a budget shorter by one in this many is a client's later try
+	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
+	waitGrowth            = 2           // trials, failed connects and discovery calls are spaced by this growth
+	logEvery              = 5 * time.Second
+	tickToken, watchToken = 1, 2
+)
+
+// New returns a Balancer, or an error that names the setting that is wrong.
+func New(s Settings, seed uint64, now time.Duration, host Host) (*Balancer, error) {
+	if err := s.validate(host); err != nil {
+		return nil, err
+	}
+	b := &Balancer{s: s, host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
+		tenants: map[string]*tenant{}, safest: Unsafe, requests: map[RequestID]*request{},
+		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now}
+	shortest := s.Classes[0].Aim
+	for _, c := range s.Classes {
+		b.classes[c.Name] = &class{Class: c}
+		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
+	}
+	for _, t := range s.Tenants {
+		b.tenants[t.Name] = &tenant{rate: t.Quota / float64(s.Balancers), at: now.Seconds()}
+	}
+	b.gather(now)
+	b.lat = float64(shortest) / 4 // until answers tell
+	b.tick = max(s.Granularity, shortest/ticksPerAim, time.Millisecond)
+	host.SetTimer(b.tick, tickToken)
+	if s.OnRequest {
+		host.Watch(true)
+	}
+	return b, nil
+}
+
+// --- Request ledger ---
+
+// maySend alone decides whether r may be sent (again), and whether u may take it.
+func (b *Balancer) maySend(r *request, u *upstream, now time.Duration) bool {
+	if r.done || now >= r.deadline || u.State != Active ||
+		len(r.attempts) >= b.s.Limits.MaxAttempts || (r.out > 0 && !b.s.Limits.SecondCopies) {
+		return false
+	}
+	for _, a := range r.attempts {
+		if !a.neverRan && (r.class.Repeat == Unsafe || (r.class.Repeat == Keyed &&
+			(now-a.sentAt >= r.class.Memory-b.tick || (r.class.Group == GroupZone && a.up.Zone != u.Zone) ||
+				(r.class.Group == GroupCell && a.up.Cell != u.Cell)))) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse alone decides whether the client may be told that a retry is harmless.
+func (b *Balancer) mayRefuse(r *request) bool {
+	return r.class.Repeat == Safe || (r.class.Repeat == Keyed && r.class.Group == GroupAll) ||
+		!slices.ContainsFunc(r.attempts, func(a *attempt) bool { return !a.neverRan })
+}
+
+// Request takes a client's request.
+func (b *Balancer) Request(now time.Duration, q Request) {
+	c := b.classes[q.Class]
+	if c == nil { // a class that the settings lack; never sent, so a retry is harmless
+		b.host.Refuse(q.ID, 0)
+		return
+	}
+	r := &request{Request: q, class: c, units: cmp.Or(c.lat/b.lat, 1), deadline: now + q.Budget, worth: c.Worth}
+	if q.Cost > 0 {
+		follow(&b.cost, float64(q.Cost), smoothing*smoothing)
+		r.units = max(float64(q.Cost)/b.cost, smoothing)
+	}
+	if !b.s.WorthByWork {
+		r.worth /= r.units
+	}
+	if t := b.tenants[q.Tenant]; t != nil && t.over(now) {
+		r.worth *= b.s.OverShareWorth
+	}
+	// A later try shows its age by a short budget. Past the aim such once took the turns of those in time.
+	spare := time.Duration((sendSpare - c.LateWorth) * cmp.Or(c.lat, b.lat))
+	c.budget = max(c.budget, q.Budget)
+	if q.Budget < c.budget-c.budget/budgetNoise && c.Aim-(c.Deadline-q.Budget) < spare {
+		r.worth *= c.LateWorth
+	}
+	// Held requests are looked at once a tick: without one in hand a short budget ran out unseen.
+	r.sendBy = now + min(c.Aim, q.Budget) - max(spare, b.tick) - b.tick
+	b.requests[r.ID] = r
+	if r.worth == 0 && now-b.tightAt < time.Duration(b.lat) { // turns are short
+		b.giveUp(r)
+	} else {
+		b.place(r, now)
+	}
+}
+
+// place sends r if a turn allows it, holds it if one may come free in time, and otherwise ends it.
+func (b *Balancer) place(r *request, now time.Duration) {
+	switch u, legal := b.pick(r, now); {
+	case u != nil:
+		b.send(r, u, now)
+	case (legal || len(r.attempts) == 0) && now < r.sendBy: // most worth first, then the newest
+		r.held, b.tightAt = true, now
+		b.held = slices.Insert(b.held, 0, r)
+		slices.SortStableFunc(b.held, func(x, y *request) int { return cmp.Compare(y.worth, x.worth) })
+	default:
+		b.giveUp(r)
+	}
+}
+
+func (b *Balancer) send(r *request, u *upstream, now time.Duration) {
+	timeout := time.Duration(0) // until the client quits: work half done is worth more than work begun anew
+	if u.silent {
+		u.trialAt = now + u.wait
+		u.wait *= waitGrowth
+		if r.class.Repeat != Unsafe { // a trial leaves time for another attempt
+			timeout = b.patience(u, r.units)
+		}
+	}
+	a := &attempt{r: r, up: u, sentAt: now}
+	r.attempts, r.out, r.held = append(r.attempts, a), r.out+1, false
+	u.outs, u.carried, u.spent = append(u.outs, a), u.carried+r.units, u.spent+max(1, r.units)
+	b.host.Send(r.ID, u.ID, timeout)
+}
+
+// giveUp gives the final answer to a request that is not served.
+func (b *Balancer) giveUp(r *request) {
+	if b.finish(r, -1); b.mayRefuse(r) {
+		b.host.Refuse(r.ID, 0)
+	} else {
+		b.host.Fail(r.ID)
+	}
+}
+
+// finish notes that r has its answer, or its stream from attempt n, and stops what else is out.
+func (b *Balancer) finish(r *request, n int) {
+	for i, a := range r.attempts {
+		if i != n && !a.ended && !r.done && b.s.Limits.Cancel {
+			b.host.Cancel(r.ID, i)
+		}
+	}
+	if r.done = true; r.out == 0 {
+		delete(b.requests, r.ID)
+	}
+}
+
+// Gone drops a request whose client has left.
+func (b *Balancer) Gone(now time.Duration, id RequestID) {
+	if r := b.requests[id]; r != nil && !r.done {
+		b.finish(r, -1)
+	}
+}
+
+// Started marks a request as served by a stream that has begun.
+func (b *Balancer) Started(now time.Duration, id RequestID, n int) {
+	if r := b.requests[id]; r != nil && !r.done && n >= 0 && n < len(r.attempts) {
+		b.answered(r.attempts[n].up, now)
+		b.finish(r, n)
+	}
+}
+
+// Outcome takes the end of an attempt.
+func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+	r := b.requests[o.ID]
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].ended {
+		return
+	}
+	a := r.attempts[o.Attempt]
+	a.ended, a.neverRan = true, o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
+	r.out--
+	a.up.outs = slices.DeleteFunc(a.up.outs, func(x *attempt) bool { return x == a })
+	b.learn(a, o.clean(), now)
+	switch {
+	case r.done || o.Closed || o.Status == OK:
+		b.finish(r, o.Attempt)
+	case r.out == 0 && !r.held: // else another copy may still answer, or a turn may come free
+		b.place(r, now)
+	}
+	b.dispatch(now)
+}
+
+// --- Bands and shares ---
+
+// learn draws from an outcome what it tells about its upstream.
+func (b *Balancer) learn(a *attempt, o Outcome, now time.Duration) {
+	u, r := a.up, a.r
+	if o.Status == OK || o.Status == Error || o.Status == Full {
+		b.answered(u, now)
+	}
+	switch o.Status {
+	case OK:
+		w := max(smoothing, 1-u.bound)                           // the rarer its answers, the more each one tells
+		follow(&u.latDev, math.Abs(float64(o.Latency)-u.lat), w) // at first as large as the mean
+		follow(&u.lat, float64(o.Latency), w)
+		follow(&u.units, max(r.units, 0.5), w) // small ones have a fixed part too
+		follow(&b.lat, float64(o.Latency), smoothing)
+		follow(&r.class.lat, float64(o.Latency), smoothing)
+		per, aim := u.lat/u.units, float64(r.class.Aim)
+		follow(&u.slow, per, smoothing)
+		follow(&u.least, per, leastDrift)
+		follow(&u.calm, u.slow, leastDrift)
+		u.least, u.calm = min(u.least, per), min(u.calm, u.slow)
+		// One met crowded knows no better of itself. Cuts go by the least of a slow mean, since single answers
+		// once counted as crowding. Growth goes by the least, or by readings where one answer outweighs the mean.
+		least, calm := min(u.least, cmp.Or(b.least, u.least)), min(u.calm, cmp.Or(b.calm, u.calm))
+		thin := w > 0.5 && u.readings > 0
+		if per > max(crowded*calm, crowdedShare*aim) && !(thin && u.mean < fullUse) {
+			b.shrink(u, now, boundCut)
+		} else if u.bound < b.start { // it has had its rest
+			u.bound = b.start
+		} else if (thin || per < easy*least) && u.mean < fullUse && now-b.tightAt < time.Duration(b.lat) {
+			spare := aim/float64(o.Latency) - 1
+			u.bound = max(u.bound, min(u.bound+min(1, boundGrowth*spare*spare), u.most))
+		}
+	case Full, Timeout:
+		b.shrink(u, now, boundCut*boundCut)
+	case ConnectFailed, Reset: // down, or its connection table is full: ask less often
+		u.freeAt = now + u.wait
+		u.wait = min(u.wait*waitGrowth, b.s.Rules.RampTime)
+	}
+	p := b.pause(u) // one left idle has an attempt in hand: requests come by chance
+	u.freeAt = max(u.freeAt, min(now, max(u.freeAt, a.sentAt-p)+now-a.sentAt)+p)
+	if b.s.Reports != ReportProbes {
+		b.read(u, o.Load, o.Status == OK, float64(o.Latency)/float64(r.class.Aim), now)
+	}
+}
+
+// pause is the wait between attempts at u when its bound is under one.
+func (b *Balancer) pause(u *upstream) time.Duration {
+	return time.Duration(max(0, 1/u.bound-1) * cmp.Or(u.lat, b.lat))
+}
+
+// shrink lowers the bound, once for what was out together.
+func (b *Balancer) shrink(u *upstream, now time.Duration, by float64) {
+	if now-u.cutAt >= time.Duration(u.lat) {
+		u.bound, u.cutAt = max(b.start*boundLeast/boundStart, min(u.bound, float64(len(u.outs)+1))*by), now
+	}
+}
+
+// read takes a load report as a reading of utilisation. Stand-ins: what is held or waits, and at sites
+// without reports the latency as a part of the aim.
+func (b *Balancer) read(u *upstream, l Load, ok bool, late float64, now time.Duration) {
+	x := l.Util
+	switch {
+	case l.Fields&HasUtil != 0:
+	case l.Fields&(HasInflight|HasQueue) != 0:
+		x = 1 - 1/(1+l.Inflight+l.Queue)
+	case b.s.Reports == ReportNone && ok:
+		x = min(1, late)
+	}
+	if (l.Fields != 0 && l == u.last) || (l.Fields == 0 && x == 0) { // not refreshed: no new reading
+		return
+	}
+	b.integrate(u, now)
+	u.window[u.readings%bandWindow] = x
+	u.last, u.readings = l, u.readings+1
+	u.mean, u.dev = bands(u.window[:min(u.readings, bandWindow)])
+}
+
+// bands returns the moving average and the population standard deviation.
+func bands(xs []float64) (mean, dev float64) {
+	for _, x := range xs {
+		mean += x / float64(len(xs))
+	}
+	for _, x := range xs {
+		dev += (x - mean) * (x - mean) / float64(len(xs))
+	}
+	return mean, math.Sqrt(dev)
+}
+
+// integrate adds the band gap. A server pinned at full load reads flat, so its level over the fleet's counts.
+func (b *Balancer) integrate(u *upstream, now time.Duration) {
+	gap := 2 * bandAlpha * (u.dev + max(0, u.mean-max(levelFloor, b.ceiling)))
+	u.area, u.readAt = u.area+gap*(now-u.readAt).Seconds()/bandPeriod.Seconds(), now
+}
+
+// rank is the value over one in n of the upstreams that have readings: the median for n = 2.
+func (b *Balancer) rank(n int, of func(*upstream) float64) float64 {
+	xs := make([]float64, 0, len(b.near)+1)
+	for _, u := range b.near {
+		if u.member && u.readings > 0 {
+			xs = append(xs, of(u))
+		}
+	}
+	slices.Sort(xs)
+	return append(xs, 0)[len(xs)/n]
+}
+
+// step closes the period: saturated upstreams lose share by degrees, the others regain it. The threshold
+// follows the fleet's median, so a rise on all servers cuts nobody.
+func (b *Balancer) step(now time.Duration) {
+	var work, size float64
+	for _, u := range b.near {
+		b.integrate(u, now)
+		u.work, u.carried = u.work+smoothing*(u.carried-u.work), 0
+		if u.member && !u.cold && !u.silent && u.work > 0 {
+			work, size = work+u.work/min(max(cmp.Or(u.mean, 1), levelFloor), 1), size+u.weight
+		}
+	}
+	b.carry = cmp.Or(work/max(size, math.SmallestNonzeroFloat32), b.carry) // with nobody to judge by, as before
+	threshold := max(areaFloor, areaRatio*b.rank(2, func(u *upstream) float64 { return u.area }))
+	for _, u := range b.near {
+		if u.readings >= bandWindow/2 && u.area > threshold {
+			u.factor = max(shareFloor, u.factor*max(cutMost, threshold/u.area))
+		} else {
+			u.factor = min(1, u.factor*restoreStep)
+		}
+		u.area, u.most = 0, max(2*u.bound, boundStart) // or it grew tenfold before a reading told of full use
+	}
+	b.stepAt, b.ceiling = now, b.rank(2, func(u *upstream) float64 { return u.mean })
+	b.least = b.rank(4, func(u *upstream) float64 { return u.least })
+	b.calm = b.rank(4, func(u *upstream) float64 { return u.calm })
+	b.ups = slices.DeleteFunc(b.ups, func(u *upstream) bool { // forget what is gone and owes nothing
+		gone := u.State == Gone && len(u.outs) == 0
+		if gone {
+			delete(b.byID, u.ID)
+		}
+		return gone
+	})
+	b.gather(now)
+}
+
+// share is u's part of the traffic, not scaled.
+func (b *Balancer) share(u *upstream, now time.Duration) float64 {
+	return u.weight * u.factor * b.ramp(u, now)
+}
+
+// --- Eligibility ---
+
+// ramp is the share of its capacity that u is sure to have.
+func (b *Balancer) ramp(u *upstream, now time.Duration) float64 {
+	if u.cold && now-u.coldAt < b.s.Rules.RampTime {
+		from := b.s.Rules.ColdFrom
+		return from + (1-from)*max(0, float64(now-u.coldAt)/float64(b.s.Rules.RampTime))
+	}
+	u.cold = false
+	return 1
+}
+
+// chill treats u as freshly started: nothing learnt before holds.
+func (b *Balancer) chill(u *upstream, at time.Duration) {
+	u.cold, u.coldAt, u.lat, u.latDev, u.units, u.slow = true, at, 0, 0, 0, 0
+	u.readings, u.mean, u.dev, u.area, u.bound, u.least, u.calm = 0, 0, 0, 0, b.start, 0, 0
+}
+
+// coldRoom reports whether r fits this balancer's part of what a cold u may get over TipAfter, judged by what
+// warm ones carry. No request counts less than the mean: many small ones once pushed a server over.
+func (b *Balancer) coldRoom(u *upstream, r *request, now time.Duration) bool {
+	if b.carry == 0 { // no warm upstream to judge by: one at a time
+		return len(u.outs) == 0
+	}
+	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * b.carry / bandPeriod.Seconds()
+	u.spent, u.spentAt = max(0, u.spent-rate/2*(now-u.spentAt).Seconds()), now
+	return u.spent <= max(0, rate/2*b.s.Rules.TipAfter.Seconds()-max(1, r.units))
+}
+
+// patience is how long u may owe every answer before it counts as silent.
+func (b *Balancer) patience(u *upstream, units float64) time.Duration {
+	usual := max(u.lat+patienceDevs*u.latDev, (1+patienceDevs/2)*b.lat) // one lucky answer is no measure
+	return time.Duration(usual*max(1, units)) + b.tick
+}
+
+// quiet looks whether u has fallen silent: attempts are out and nothing has come back for longer than its
+// patience. Its turns are skipped, it gets one trial at a time, and what may run twice starts elsewhere.
+func (b *Balancer) quiet(u *upstream, now time.Duration) {
+	if u.silent || len(u.outs) == 0 {
+		return
+	}
+	since, p := now-max(u.outs[0].sentAt, u.answeredAt), b.patience(u, u.outs[0].r.units)
+	if since <= p {
+		return
+	}
+	u.silent, u.wait, u.trialAt = true, p, now+p
+	b.log(now, "silent", "upstream %d owes every answer for %v: turns skipped, trials only", u.ID, since)
+	for _, a := range slices.Clone(u.outs) {
+		if r := a.r; r.class.Repeat == Unsafe || r.done || r.out > 1 {
+			continue
+		} else if v, _ := b.pick(r, now); v != nil {
+			b.send(r, v, now) // a second copy
+		} else if !b.s.Limits.SecondCopies && b.s.Limits.Cancel {
+			b.host.Cancel(r.ID, slices.Index(r.attempts, a))
+		}
+	}
+}
+
+// answered notes a sign of life.
+func (b *Balancer) answered(u *upstream, now time.Duration) {
+	u.silent, u.answeredAt, u.wait = false, now, b.tick
+}
+
+// eligible reports whether u may take r at this turn. The bound is a guard: shares decide below it.
+func (b *Balancer) eligible(u *upstream, r *request, now time.Duration) bool {
+	ok := now >= u.freeAt && float64(len(u.outs)) < max(1, math.Floor(u.bound))
+	if u.silent { // the safest class goes first as a trial
+		ok = now >= u.trialAt && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
+	}
+	return ok && (b.ramp(u, now) == 1 || b.coldRoom(u, r, now))
+}
+
+// --- The pick ---
+
+// pick gives the turn to the upstream due first, an even interleave by shares; legal: any may ever take r.
+func (b *Balancer) pick(r *request, now time.Duration) (best *upstream, legal bool) {
+	var total float64
+	for _, u := range b.near {
+		if !u.member {
+			continue
+		}
+		total += b.share(u, now)
+		may := b.maySend(r, u, now)
+		legal = legal || may
+		if may && (best == nil || u.due < best.due) && b.eligible(u, r, now) {
+			best = u
+		}
+	}
+	if best != nil {
+		b.turn = max(b.turn, best.due)
+		length := total / b.share(best, now)
+		best.due = max(best.due, b.turn-debtRounds*length) + length
+	}
+	return best, legal
+}
+
+// --- Admission ---
+
+// dispatch sends held requests while turns come free, and ends those that could not be answered in time. A
+// first try that fits nowhere shows that no later one fits.
+func (b *Balancer) dispatch(now time.Duration) {
+	kept, blocked := b.held[:0], false
+	for _, r := range b.held {
+		if !r.done && now >= r.sendBy {
+			b.log(now, "shed", "%d held, no turn free within the aim: refusing", len(b.held))
+			b.giveUp(r)
+		} else if !r.done && !blocked {
+			if u, _ := b.pick(r, now); u != nil {
+				b.send(r, u, now)
+				continue
+			}
+			blocked = len(r.attempts) == 0
+		}
+		if !r.done {
+			kept = append(kept, r)
+		}
+	}
+	clear(b.held[len(kept):])
+	b.held = kept
+}
+
+// --- Discovery ---
+
+// Members takes what discovery says of the upstreams.
+func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
+	if mode == ListFailed { // ask again, later each time and never all instances at once
+		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/2)
+		wait := b.watchWait/2 + time.Duration(b.rng.Int64N(int64(b.watchWait)+1))
+		b.host.SetTimer(wait, watchToken)
+		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
+		return
+	}
+	b.watchWait = 0
+	named := make(map[UpstreamID]bool, len(list))
+	for _, e := range list {
+		named[e.ID] = true
+		b.member(e.clean(), now)
+	}
+	for _, u := range b.ups {
+		if mode != ListDelta && !named[u.ID] {
+			u.State = Gone
+		}
+	}
+	b.gather(now)
+	b.dispatch(now)
+}
+
+// member applies one list entry.
+func (b *Balancer) member(e Upstream, now time.Duration) {
+	u := b.byID[e.ID]
+	if u == nil && e.State == Gone {
+		return
+	} else if u == nil {
+		u = &upstream{weight: e.Weight, factor: 1, most: boundStart, wait: b.tick, spentAt: now, answeredAt: now,
+			cutAt: now, freeAt: now, place: mixed(uint64(e.ID))}
+		b.byID[e.ID], b.ups = u, append(b.ups, u)
+	}
+	if e.StartedAt > u.StartedAt { // new, or restarted under the same id
+		u.silent, u.freeAt = false, now
+		if now-e.StartedAt < b.s.Rules.RampTime {
+			b.chill(u, e.StartedAt)
+		}
+	}
+	u.Upstream = e
+	if b.s.Weights == WeightLive { // late and the same for all: only its slow mean is safe to follow
+		e.Weight = u.weight + smoothing*(e.Weight-u.weight)
+	}
+	u.weight = max(e.Weight, math.SmallestNonzeroFloat32)
+}
+
+// gather chooses the upstreams that this balancer uses. Where balancers are many each upstream serves some of
+// them, or its connections run out and no balancer sees enough of it. All see the same ring of upstreams and
+// take a stretch from a place of their own; the golden ratio spreads these evenly for any run of ranks. Cold
+// and silent ones stay in the stretch, which then goes on to as many more.
+func (b *Balancer) gather(now time.Duration) {
+	ring := slices.DeleteFunc(slices.Clone(b.ups), func(u *upstream) bool { return u.State != Active })
+	slices.SortFunc(ring, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
+	n, all := float64(len(ring)), float64(b.s.Balancers)
+	want := max(1, min(n, max(subsetLeast, math.Ceil(n*sharers/max(sharers, all-sharers)))))
+	b.start = boundStart * max(n, 1) / want / all
+	_, at := math.Modf(float64(b.s.Rank) * math.Phi)
+	good, chosen := 0.0, map[*upstream]bool{}
+	for i := 0; i < min(len(ring), int(2*want)) && good < want; i++ {
+		u := ring[(int(at*n)+i)%len(ring)]
+		if chosen[u] = true; !u.cold && !u.silent {
+			good++
+		}
+	}
+	b.near = b.near[:0]
+	for _, u := range b.ups {
+		if chosen[u] && !u.member { // its first turn is drawn, or balancers march in step
+			first := b.rng.Float64()
+			u.bound, u.readAt, u.due = cmp.Or(u.bound, b.start), now, b.turn+first*want
+			u.freeAt = max(u.freeAt, now+time.Duration(first*float64(b.pause(u)))) // or all crowd it at once
+			u.spent, u.spentAt = first, now
+			u.probedAt = now - time.Duration(first*float64(bandPeriod))
+		}
+		if u.member = chosen[u]; u.member || len(u.outs) > 0 {
+			b.near = append(b.near, u)
+		}
+	}
+}
+
+// Probed takes a probe's result: a reading only, since a shallow probe proves no more than a process.
+func (b *Balancer) Probed(now time.Duration, p ProbeResult) {
+	if u := b.byID[p.Upstream]; u != nil && p.Status == OK {
+		b.read(u, p.Load.clean(), false, 0, now)
+	}
+}
+
+// --- Timers ---
+
+// Timer takes a timer that the Balancer has set.
+func (b *Balancer) Timer(now time.Duration, token uint64) {
+	if token != tickToken { // watchToken; a stray one must not start a second row of ticks
+		b.host.Watch(true)
+		return
+	}
+	b.host.SetTimer(b.tick, tickToken)
+	if now-b.stepAt >= bandPeriod {
+		b.step(now)
+	}
+	ask := b.s.Reports == ReportProbes && b.s.Limits.Probes
+	for _, u := range b.near {
+		b.quiet(u, now)
+		if ask && u.member && now-u.probedAt >= bandPeriod {
+			u.probedAt = now
+			b.host.Probe(u.ID)
+		}
+	}
+	b.dispatch(now)
+}
--- /dev/null
+++ b/balancer_test.go
@@ -0,0 +1,834 @@
+package clayladder
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// start returns a Balancer with a list, and its recorder.
+func start(t *testing.T, s Settings, list []Upstream) (*Balancer, *recorder) {
+	t.Helper()
+	h := &recorder{}
+	b, err := New(s, 1, time.Hour, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Members(time.Hour, ListCached, list)
+	return b, h
+}
+
+// serve sends a request and answers it at once; it returns the upstream that got it.
+func serve(t *testing.T, b *Balancer, now time.Duration, id RequestID) *upstream {
+	t.Helper()
+	b.Request(now, Request{ID: id, Class: "write", Budget: time.Second})
+	r := b.requests[id]
+	if r == nil || r.out != 1 {
+		t.Fatalf("request %d was not sent", id)
+	}
+	u := r.attempts[0].up
+	b.Outcome(now, Outcome{ID: id, Upstream: u.ID, Latency: 50 * ms, Status: OK, Closed: true})
+	return u
+}
+
+func TestBands(t *testing.T) {
+	mean, dev := bands([]float64{0.2, 0.4, 0.4, 0.4, 0.5, 0.5, 0.7, 0.9})
+	if math.Abs(mean-0.5) > 1e-9 || math.Abs(dev-0.2) > 1e-9 { // worked by hand: squares sum to 0.32
+		t.Errorf("mean %v, deviation %v; want 0.5, 0.2", mean, dev)
+	}
+}
+
+func TestAreaIsIntegratedOverTimeNotSamples(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1))
+	u := b.ups[0]
+	u.dev, u.mean, u.readAt = 0.1, 0.3, time.Hour
+	b.integrate(u, time.Hour+250*ms)
+	b.integrate(u, time.Hour+500*ms)
+	if want := 2 * bandAlpha * 0.1 * 0.5; math.Abs(u.area-want) > 1e-9 {
+		t.Errorf("area %v, want %v", u.area, want)
+	}
+}
+
+func TestPinnedServerLosesShareByDegreesAndRegainsIt(t *testing.T) {
+	b, _ := start(t, settings(), fleet(3))
+	step := func(n int) {
+		for range n {
+			for _, u := range b.ups {
+				u.readings, u.mean = bandWindow, 0.3
+			}
+			b.ups[0].mean = 1 // flat readings at full load: no deviation at all
+			b.step(b.stepAt + bandPeriod)
+		}
+	}
+	step(2)
+	first := b.ups[0].factor
+	step(40)
+	if first >= 1 || first < cutMost*cutMost || b.ups[0].factor != shareFloor || b.ups[1].factor != 1 {
+		t.Errorf("shares left: %v at first, then %v and %v", first, b.ups[0].factor, b.ups[1].factor)
+	}
+	for range 80 {
+		b.ups[0].mean = 0.3
+		b.step(b.stepAt + bandPeriod)
+	}
+	if b.ups[0].factor != 1 {
+		t.Errorf("share left after rest: %v, want 1", b.ups[0].factor)
+	}
+}
+
+func TestFleetWideRiseCutsNobody(t *testing.T) {
+	b, _ := start(t, settings(), fleet(4))
+	for range 10 {
+		for _, u := range b.ups {
+			u.readings, u.mean, u.dev = bandWindow, 0.95, 0.2
+		}
+		b.step(b.stepAt + bandPeriod)
+	}
+	for _, u := range b.ups {
+		if u.factor != 1 {
+			t.Errorf("upstream %d is left %v of its share", u.ID, u.factor)
+		}
+	}
+}
+
+func TestRepeatedReportIsNoReading(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1))
+	u := b.ups[0]
+	for i, util := range []float64{0.5, 0.5, 0.6, 0.6, 0.5} {
+		b.read(u, Load{Fields: HasUtil, Util: util}, true, 0, time.Hour+time.Duration(i)*ms)
+	}
+	if u.readings != 3 {
+		t.Errorf("%d readings, want 3", u.readings)
+	}
+}
+
+func TestStandInReadings(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		via  ReportVia
+		load Load
+		late float64
+		want float64
+	}{
+		{"utilisation", ReportAnswers, Load{Fields: HasUtil | HasQueue, Util: 0.7, Queue: 9}, 0.2, 0.7},
+		{"held", ReportAnswers, Load{Fields: HasInflight, Inflight: 3}, 0.2, 0.75},
+		{"waiting", ReportAnswers, Load{Fields: HasQueue, Queue: 1}, 0.2, 0.5},
+		{"no reports: latency against the aim", ReportNone, Load{}, 0.2, 0.2},
+	} {
+		s := settings()
+		s.Reports = c.via
+		b, _ := start(t, s, fleet(1))
+		if b.read(b.ups[0], c.load, true, c.late, time.Hour); math.Abs(b.ups[0].mean-c.want) > 1e-9 {
+			t.Errorf("%s: reading %v, want %v", c.name, b.ups[0].mean, c.want)
+		}
+	}
+}
+
+// The paper's example: an even split turns 1, 3, 5 into 9, 13, 17 when one server keeps a third as
+// much as the other.
+func TestHalvedQuotaTakesEveryFourthTurn(t *testing.T) {
+	b, _ := start(t, settings(), fleet(2))
+	one := b.ups[0]
+	turns := func(from, n int) (taken []int) {
+		for i := from; i < from+n; i++ {
+			if serve(t, b, time.Hour, RequestID(i)) == one {
+				taken = append(taken, i)
+			}
+		}
+		return taken
+	}
+	even := turns(1, 20)
+	one.weight = 1.0 / 3
+	quarter := turns(101, 40)
+	for i := 1; i < len(even); i++ {
+		if even[i]-even[i-1] != 2 {
+			t.Errorf("even split took turns %v", even)
+		}
+	}
+	for i := 2; i < len(quarter); i++ {
+		if quarter[i]-quarter[i-1] != 4 {
+			t.Errorf("a quarter took turns %v", quarter)
+		}
+	}
+	if len(even) != 10 || len(quarter) < 9 {
+		t.Errorf("took %d of 20 and %d of 40 turns", len(even), len(quarter))
+	}
+}
+
+// A restarted proxy once counted healthy upstreams as silent at their second answer, because usual
+// latency began without a deviation; the rest of the fleet then choked.
+func TestFirstAnswersDoNotMakePatienceShort(t *testing.T) {
+	b, _ := start(t, settings(), fleet(2))
+	serve(t, b, time.Hour, 1)
+	serve(t, b, time.Hour, 2)
+	if p := b.patience(b.ups[0], 1); p < 150*ms {
+		t.Errorf("patience %v after an answer in 50ms", p)
+	}
+}
+
+// A request with a short budget was once held past its deadline, since holds are looked at once a tick.
+func TestShortBudgetIsAnsweredInTime(t *testing.T) {
+	b, h := start(t, settings(), fleet(1))
+	b.ups[0].freeAt = 2 * time.Hour
+	b.Request(time.Hour, Request{ID: 1, Class: "write", Budget: 10 * ms})
+	if h.count("refuse id=1") != 1 {
+		t.Errorf("not refused at once: %v", h.lines)
+	}
+}
+
+// Many requests of small hinted cost once pushed a cold upstream over.
+func TestColdUpstreamGetsFewRequestsHoweverSmall(t *testing.T) {
+	b, h := start(t, settings(), fleet(4))
+	now := time.Hour
+	for i := range 4000 { // warm ones carry work for a while
+		now += 5 * ms
+		serve(t, b, now, RequestID(i+1))
+		if i%4 == 0 {
+			b.Timer(now, tickToken)
+		}
+	}
+	cold := Upstream{ID: 9, Zone: "near", Weight: 1, StartedAt: now}
+	b.Members(now, ListDelta, []Upstream{cold})
+	before := h.count("send")
+	for i := range 300 { // one window
+		now += 5 * ms
+		id := RequestID(10000 + i)
+		b.Request(now, Request{ID: id, Class: "write", Budget: time.Second, Cost: ms})
+		if r := b.requests[id]; r != nil && r.out == 1 {
+			b.Outcome(now, Outcome{ID: id, Upstream: r.attempts[0].up.ID, Latency: 20 * ms, Status: OK, Closed: true})
+		}
+	}
+	toCold := 0
+	for _, l := range h.lines {
+		if strings.Contains(l, " up=9 ") {
+			toCold++
+		}
+	}
+	// A warm one carries 75 in the window at most; a cold one may get the margin of its rule's multiple.
+	most := 40 // 75 x tipMargin x 3 x the share of capacity reached, 0.45
+	if toCold == 0 || toCold > most || h.count("send")-before < 250 {
+		t.Errorf("a cold upstream got %d of %d sends, at most %d fit", toCold, h.count("send")-before, most)
+	}
+}
+
+func TestSilentUpstreamIsSkippedAndItsWorkRescued(t *testing.T) {
+	b, h := start(t, settings(), fleet(4))
+	for i := range 40 {
+		serve(t, b, time.Hour, RequestID(i+1))
+	}
+	b.Request(time.Hour, Request{ID: 100, Class: "read", Budget: time.Second})
+	u := b.requests[100].attempts[0].up
+	now := time.Hour + b.patience(u, 1) + 20*ms
+	b.Timer(now, tickToken)
+	if !u.silent || h.count("cancel id=100") != 1 {
+		t.Fatalf("silent %v; %v", u.silent, h.lines[len(h.lines)-4:])
+	}
+	b.Outcome(now, Outcome{ID: 100, Upstream: u.ID, Latency: 400 * ms, Status: Cancelled})
+	if r := b.requests[100]; r == nil || r.out != 1 || r.attempts[1].up == u {
+		t.Error("the request did not start again elsewhere")
+	}
+}
+
+func TestCrowdedUpstreamRests(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1))
+	u, now := b.ups[0], time.Hour
+	answer := func(id RequestID, lat time.Duration) {
+		now += time.Second
+		b.Request(now, Request{ID: id, Class: "write", Budget: time.Second})
+		if r := b.requests[id]; r != nil && r.out == 1 {
+			now += lat
+			b.Outcome(now, Outcome{ID: id, Upstream: u.ID, Latency: lat, Status: OK, Closed: true})
+		}
+	}
+	for i := range 30 {
+		answer(RequestID(i+1), 80*ms)
+	}
+	healthy := u.bound
+	for i := range 20 {
+		answer(RequestID(i+100), 290*ms)
+	}
+	if u.bound > healthy/4 {
+		t.Errorf("bound %v after late answers, %v before", u.bound, healthy)
+	}
+	u.freeAt = now
+	answer(500, 80*ms)
+	if u.bound < b.start {
+		t.Error("the bound does not come back with a good answer")
+	}
+}
+
+func TestHeldRequestsWaitForTheListAndMostWorthGoesFirst(t *testing.T) {
+	b, h := start(t, settings(), nil)
+	for i, class := range []string{"read", "write", "keyed"} {
+		b.Request(time.Hour, Request{ID: RequestID(i + 1), Class: class, Budget: time.Second})
+	}
+	b.Members(time.Hour+50*ms, ListFull, fleet(8))
+	var order []string
+	for _, l := range h.lines {
+		if strings.HasPrefix(l, "send") {
+			order = append(order, strings.Fields(l)[1])
+		}
+	}
+	if strings.Join(order, " ") != "id=3 id=2 id=1" {
+		t.Errorf("sent in order %v", order)
+	}
+}
+
+func TestFailedDiscoveryIsAskedAgainLaterEachTime(t *testing.T) {
+	s := settings()
+	s.OnRequest = true
+	b, h := start(t, s, fleet(1))
+	if h.count("watch") != 1 {
+		t.Fatal("did not subscribe at the start")
+	}
+	var last time.Duration
+	for range 3 {
+		b.Members(time.Hour, ListFailed, nil)
+		if b.watchWait <= last {
+			t.Errorf("wait %v after %v", b.watchWait, last)
+		}
+		last = b.watchWait
+	}
+	b.Timer(time.Hour, watchToken)
+	if h.count("watch") != 2 || len(b.ups) != 1 {
+		t.Error("did not ask again, or lost the list")
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for field, spoil := range map[string]func(*Settings){
+		"Classes":                               func(s *Settings) { s.Classes = nil },
+		"Balancers":                             func(s *Settings) { s.Balancers = 0 },
+		"Limits.MaxAttempts":                    func(s *Settings) { s.Limits.MaxAttempts = 0 },
+		"Rules.TipAfter":                        func(s *Settings) { s.Rules.TipAfter = 0 },
+		"Rules.RampTime":                        func(s *Settings) { s.Rules.RampTime = 0 },
+		"Rules.TipMultiple":                     func(s *Settings) { s.Rules.TipMultiple = 0 },
+		"Rules.ColdFrom":                        func(s *Settings) { s.Rules.ColdFrom = 0 },
+		"Rules.AskWithin":                       func(s *Settings) { s.OnRequest, s.Rules.AskWithin = true, 0 },
+		"Aim":                                   func(s *Settings) { s.Classes[0].Aim = 0 },
+		"Deadline":                              func(s *Settings) { s.Classes[0].Deadline = ms },
+		"Memory":                                func(s *Settings) { s.Classes[1].Memory = 0 },
+		"\"read\" is set twice":                 func(s *Settings) { s.Classes = append(s.Classes, s.Classes[0]) },
+		"Worth":                                 func(s *Settings) { s.Classes[2].Worth = -1 },
+		"Quota":                                 func(s *Settings) { s.Tenants[1].Quota = -1 },
+		"Rank":                                  func(s *Settings) { s.Rank = s.Balancers },
+		"OverShareWorth":                        func(s *Settings) { s.OverShareWorth = math.NaN() },
+		"Granularity":                           func(s *Settings) { s.Granularity = -1 },
+		"Weights":                               func(s *Settings) { s.Weights = 9 },
+		"Reports":                               func(s *Settings) { s.Reports = 9 },
+		"Repeat":                                func(s *Settings) { s.Classes[0].Repeat = 9 },
+		"Group":                                 func(s *Settings) { s.Classes[1].Group = 9 },
+		"LateWorth":                             func(s *Settings) { s.Classes[0].LateWorth = math.Inf(1) },
+		"\"small\" is set twice or has a Quota": func(s *Settings) { s.Tenants[1].Quota = math.NaN() },
+		"\"big\" is set twice":                  func(s *Settings) { s.Tenants = append(s.Tenants, s.Tenants[0]) },
+	} {
+		s := settings()
+		spoil(&s)
+		_, err := New(s, 1, 0, &recorder{})
+		if !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s: error %v", field, err)
+		}
+	}
+	for _, f := range []float64{math.NaN(), math.Inf(1), -1, 0} {
+		s := settings()
+		if s.Rules.TipMultiple = f; s.validate(&recorder{}) == nil {
+			t.Errorf("TipMultiple %v is taken", f)
+		}
+		s = settings()
+		if s.Rules.ColdFrom = f; s.validate(&recorder{}) == nil {
+			t.Errorf("ColdFrom %v is taken", f)
+		}
+	}
+	if _, err := New(settings(), 1, 0, nil); !errors.Is(err, ErrSettings) || !strings.Contains(err.Error(), "Host") {
+		t.Errorf("no host: error %v", err)
+	}
+}
+
+// Odd figures from owners are passed over; a mean that took one in would stay poisoned.
+func TestOddFiguresPoisonNothing(t *testing.T) {
+	odd := []float64{math.NaN(), math.Inf(1), math.Inf(-1), -3, 0, math.MaxFloat64}
+	list := fleet(len(odd))
+	for i := range list {
+		list[i].Weight = odd[i]
+	}
+	b, h := start(t, settings(), append(list, list[0], Upstream{ID: 99, State: Gone, Weight: 1}))
+	now := time.Hour
+	for i := range 400 {
+		now += 20 * ms
+		id := RequestID(i + 1)
+		b.Request(now, Request{ID: id, Class: "read", Budget: time.Second, Cost: time.Duration(odd[i%3+2])})
+		if r := b.requests[id]; r != nil && r.out > 0 {
+			l := Load{Fields: HasUtil | HasInflight | HasQueue, Util: odd[i%6], Inflight: odd[(i+1)%6], Queue: odd[(i+2)%6]}
+			o := Outcome{ID: id, Upstream: r.attempts[0].up.ID, Latency: time.Duration(i%3-1) * 30 * ms, Status: OK, Closed: true, Load: l}
+			b.Outcome(now, o)
+			b.Outcome(now, o)
+		}
+		b.Probed(now, ProbeResult{Upstream: 99, Load: Load{Fields: HasUtil, Util: 1}})
+		b.Probed(now, ProbeResult{Upstream: 2, Load: Load{Fields: HasUtil, Util: odd[i%6]}})
+		b.Timer(now, tickToken)
+		b.Timer(now, 12345)
+	}
+	for _, u := range b.ups {
+		for name, x := range map[string]float64{"mean": u.mean, "dev": u.dev, "weight": u.weight, "latency": u.lat,
+			"bound": u.bound, "due": u.due, "area": u.area, "factor": u.factor} {
+			if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
+				t.Errorf("upstream %d: %s is %v", u.ID, name, x)
+			}
+		}
+	}
+	if h.count("send") < 300 || h.count("timer") > 401 {
+		t.Errorf("%d sends of 400, %d timers", h.count("send"), h.count("timer"))
+	}
+}
+
+// Without a list, with an emptied one, and for a budget that is used up, the answer is true and comes at once or
+// within the budget.
+func TestNobodyToSendTo(t *testing.T) {
+	b, h := start(t, settings(), nil)
+	b.Request(time.Hour, Request{ID: 1, Class: "write", Budget: 0})
+	b.Request(time.Hour, Request{ID: 2, Class: "write", Budget: -time.Second})
+	b.Request(time.Hour, Request{ID: 3, Class: "no such class", Budget: time.Second})
+	if h.count("refuse") != 3 {
+		t.Errorf("not refused at once: %v", h.lines)
+	}
+	b.Members(time.Hour, ListFull, fleet(4))
+	b.Members(time.Hour, ListFull, nil)
+	b.Request(time.Hour, Request{ID: 4, Class: "write", Budget: time.Second})
+	for now := time.Hour; now < time.Hour+time.Second; now += 10 * ms {
+		b.Timer(now, tickToken)
+	}
+	b.Gone(time.Hour+time.Second, 77)
+	b.Started(time.Hour+time.Second, 77, 0)
+	b.Outcome(time.Hour+time.Second, Outcome{ID: 4, Attempt: -1})
+	if h.count("refuse id=4") != 1 || h.count("send") != 0 {
+		t.Errorf("with an emptied list: %v", h.lines)
+	}
+}
+
+// The operators' staff carry a printed copy, so the module stays short.
+func TestModuleSize(t *testing.T) {
+	text, err := os.ReadFile("balancer.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := 0
+	for i, l := range bytes.Split(text, []byte("\n")) {
+		if len(bytes.TrimSpace(l)) > 0 {
+			lines++
+		}
+		if len(l) > 110 {
+			t.Errorf("line %d has %d characters", i+1, len(l))
+		}
+	}
+	if lines > 550 {
+		t.Errorf("%d lines", lines)
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	bal, err := New(settings(), 1, 0, &silentHost{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	bal.Members(0, ListCached, fleet(20))
+	now := time.Duration(0)
+	for i := range b.N {
+		now += ms
+		id := RequestID(i + 1)
+		bal.Request(now, Request{ID: id, Class: "write", Budget: time.Second})
+		if r := bal.requests[id]; r != nil && r.out > 0 {
+			bal.Outcome(now, Outcome{ID: id, Upstream: r.attempts[0].up.ID, Latency: 50 * ms, Status: OK, Closed: true})
+		}
+	}
+}
+
+// silentHost carries out nothing, for the benchmark.
+type silentHost struct{ Host }
+
+func (silentHost) Send(RequestID, UpstreamID, time.Duration) {}
+func (silentHost) Refuse(RequestID, time.Duration)           {}
+func (silentHost) SetTimer(time.Duration, uint64)            {}
+
+// With many balancers the trickle of all together once kept a choked server from the rest it needs.
+func TestLeastBoundIsATotalOverAllBalancers(t *testing.T) {
+	for _, n := range []int{2, 24} {
+		s := settings()
+		s.Balancers = n
+		b, _ := start(t, s, fleet(1))
+		for i := range 60 {
+			b.shrink(b.ups[0], time.Hour+time.Duration(i)*time.Second, boundCut)
+		}
+		if total := b.ups[0].bound * float64(n); math.Abs(total-boundLeast) > 1e-9 {
+			t.Errorf("%d balancers: %v attempts over all, want %v", n, total, boundLeast)
+		}
+	}
+}
+
+// A balancer that started while a server was choked once took its slow answers for usual.
+func TestUpstreamMetCrowdedIsJudgedByTheFleet(t *testing.T) {
+	b, _ := start(t, settings(), fleet(8))
+	for _, u := range b.ups {
+		u.readings, u.least, u.calm = 1, float64(60*ms), float64(60*ms)
+	}
+	u := b.ups[3]
+	u.least, u.calm = 0, 0
+	b.step(time.Hour + bandPeriod)
+	a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+	b.learn(a, Outcome{Latency: 200 * ms, Status: OK}, time.Hour+2*bandPeriod)
+	if u.bound >= b.start {
+		t.Errorf("bound %v after an answer three times as slow as the fleet's least", u.bound)
+	}
+}
+
+// Many balancers that started together once sent to every server at once and choked the fleet.
+func TestFirstSendsAreSpread(t *testing.T) {
+	s := settings()
+	s.Balancers = 8 // all of them use all upstreams
+	b, _ := start(t, s, fleet(20))
+	later := 0
+	for _, u := range b.ups {
+		if u.freeAt > time.Hour+b.pause(u)/10 { // 50 ms were a tenth of the pause before there were subsets
+			later++
+		}
+	}
+	if later < 10 {
+		t.Errorf("%d of 20 upstreams wait for their first attempt", later)
+	}
+	s.Balancers = 24 // each uses some
+	got := map[UpstreamID]int{}
+	for s.Rank = range s.Balancers {
+		h := &recorder{}
+		b, err := New(s, uint64(s.Rank), time.Hour, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Members(time.Hour, ListCached, fleet(20))
+		for i := range 10 { // more than it may have out at once
+			b.Request(time.Hour, Request{ID: RequestID(i + 1), Class: "write", Budget: time.Second})
+		}
+		for _, u := range b.ups {
+			got[u.ID] += len(u.outs)
+		}
+	}
+	for id, n := range got {
+		if n > 2*sharers {
+			t.Errorf("upstream %d was sent %d at once by 24 balancers", id, n)
+		}
+	}
+}
+
+// Balancers that began in overload once let bounds grow at servers that were busy already.
+func TestBoundDoesNotGrowAtFullUse(t *testing.T) {
+	for _, c := range []struct {
+		use   float64
+		grows bool
+	}{{0.5, true}, {0.97, false}} {
+		b, _ := start(t, settings(), fleet(1))
+		u := b.ups[0]
+		u.mean, u.readings, u.least, b.tightAt = c.use, bandWindow, float64(50*ms), time.Hour
+		before := u.bound
+		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 50 * ms, Status: OK}, time.Hour)
+		if (u.bound > before) != c.grows {
+			t.Errorf("use %v: bound %v, then %v", c.use, before, u.bound)
+		}
+	}
+}
+
+// One balancer of four was left for ten seconds, and refused most of its requests beside idle servers: live
+// weights rise with idleness, and a server of weight 3 was judged against a third of the fleet's latency.
+func TestIdleUpstreamOfHighWeightIsNotTakenForCrowded(t *testing.T) {
+	b, _ := start(t, settings(), fleet(4))
+	for _, u := range b.ups {
+		u.mean, u.readings, u.least, u.units, u.lat = 0.2, bandWindow, float64(50*ms), 1, float64(50*ms)
+	}
+	b.step(time.Hour)
+	u := b.ups[0]
+	u.weight, u.bound, b.tightAt = 3, 2, time.Hour
+	b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 55 * ms, Status: OK}, time.Hour)
+	if u.bound <= 2 {
+		t.Errorf("bound %v, want more than 2", u.bound)
+	}
+}
+
+// Where many balancers see few answers each, a server whose latency merely varies was cut again and again.
+func TestVaryingLatencyIsNotCrowding(t *testing.T) {
+	set := settings()
+	set.Balancers = 8
+	b, _ := start(t, set, fleet(4))
+	u := b.ups[0]
+	for i := range 30 {
+		lat := []time.Duration{190, 60, 60, 60}[i%4] * ms
+		now := 2*time.Hour + time.Duration(i)*time.Second
+		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: lat, Status: OK}, now)
+		if i > 8 && u.bound < b.start {
+			t.Fatalf("answer %d after %v: bound %v, want %v", i, lat, u.bound, b.start)
+		}
+	}
+}
+
+// Bounds once doubled each round trip: many balancers choked a fleet before the first reading told of full use.
+func TestBoundAtMostDoublesBetweenPeriods(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1))
+	u := b.ups[0]
+	u.least = float64(10 * ms)
+	answers := func(now time.Duration) {
+		for range 50 {
+			b.tightAt = now
+			b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: 10 * ms, Status: OK}, now)
+		}
+	}
+	answers(time.Hour)
+	if u.bound != boundStart {
+		t.Errorf("bound %v before the first period has passed, want %v", u.bound, boundStart)
+	}
+	b.step(time.Hour + bandPeriod)
+	answers(time.Hour + bandPeriod)
+	if u.bound != 2*boundStart {
+		t.Errorf("bound %v in the next period, want %v", u.bound, 2*boundStart)
+	}
+}
+
+// Single late answers are chance where latency varies; each once cut the bound, and turns were refused.
+func TestOnlyCrowdingCutsTheBound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		lat   time.Duration
+		calm  time.Duration
+		short bool
+	}{
+		{"usual latency near the aim", 280 * ms, 200 * ms, false},
+		{"twice the calm latency, a third of the aim", 100 * ms, 50 * ms, false},
+		{"twice the calm latency, most of the aim", 240 * ms, 120 * ms, true},
+	} {
+		b, _ := start(t, settings(), fleet(1))
+		u := b.ups[0]
+		u.lat, u.units, u.slow, u.calm = float64(c.lat), 1, float64(c.calm), float64(c.calm)
+		b.learn(&attempt{r: &request{class: b.classes["write"], units: 1}, up: u}, Outcome{Latency: c.lat, Status: OK}, 2*time.Hour)
+		if (u.bound < b.start) != c.short {
+			t.Errorf("%s: bound %v, at first %v", c.name, u.bound, b.start)
+		}
+	}
+}
+
+// Hundreds of balancers with connections to every upstream once filled all connection tables, and no
+// balancer saw enough of any upstream to judge it.
+func TestSubsetsAreSmallAndCoverEvenly(t *testing.T) {
+	for _, c := range []struct{ balancers, upstreams, least, most int }{
+		{8, 20, 20, 20},   // few balancers, twice the sharers: all upstreams
+		{90, 20, 2, 2},    // never fewer than can be shared between
+		{400, 60, 2, 2},   // as many balancers as these need
+		{100, 60, 3, 3},   // about sharers an upstream
+		{12, 20, 10, 10},  // in between: the width falls smoothly
+		{1200, 250, 2, 2}, // larger than any so far
+	} {
+		s := settings()
+		s.Balancers = c.balancers
+		used := map[UpstreamID]int{}
+		for s.Rank = range c.balancers {
+			b, _ := start(t, s, fleet(c.upstreams))
+			if n := len(b.near); n < c.least || n > c.most {
+				t.Fatalf("%+v: a balancer uses %d upstreams", c, n)
+			}
+			for _, u := range b.near {
+				used[u.ID]++
+			}
+		}
+		mean := float64(c.balancers*c.least) / float64(c.upstreams)
+		for id := range c.upstreams {
+			if n := float64(used[UpstreamID(id+1)]); n < 0.6*mean || n > 1.4*mean {
+				t.Errorf("%+v: upstream %d serves %v balancers, the mean is %v", c, id+1, n, mean)
+			}
+		}
+	}
+}
+
+// With most of a small subset gone, a balancer once had nobody to send to while the fleet was well.
+func TestSubsetReachesPastTheSickAndTheCold(t *testing.T) {
+	s := settings()
+	s.Balancers = 40
+	b, _ := start(t, s, fleet(40))
+	before := slices.Clone(b.near)
+	before[0].silent = true
+	before[1].cold, before[1].coldAt = true, time.Hour
+	b.gather(time.Hour)
+	if len(b.near) != len(before)+2 {
+		t.Errorf("%d upstreams in use, then %d with one silent and one cold", len(before), len(b.near))
+	}
+	gone := before[2].Upstream
+	gone.State = Draining
+	b.Members(time.Hour, ListDelta, []Upstream{gone})
+	if before[2].member || len(b.near) != len(before)+2 {
+		t.Errorf("a draining upstream was not replaced: %d in use", len(b.near))
+	}
+	before[0].silent, before[1].cold = false, false
+	b.gather(time.Hour)
+	if len(b.near) != len(before) {
+		t.Errorf("%d in use after all came back, %d at first", len(b.near), len(before))
+	}
+}
+
+// A short class was once refused whenever no turn was free: the mean latency of all classes exceeded its aim, so
+// there never seemed to be time to hold it.
+func TestShortClassIsHeldByItsOwnLatency(t *testing.T) {
+	s := settings()
+	s.Classes[2].Aim = 200 * ms
+	b, h := start(t, s, fleet(1))
+	for i := range 60 {
+		for j, c := range []struct {
+			class string
+			lat   time.Duration
+		}{{"read", 240 * ms}, {"write", 40 * ms}} {
+			now := time.Hour + time.Duration(2*i+j+1)*time.Second
+			id := RequestID(2*i + j + 1)
+			b.Request(now, Request{ID: id, Class: c.class, Budget: time.Second})
+			b.Outcome(now+c.lat, Outcome{ID: id, Upstream: 1, Latency: c.lat, Status: OK, Closed: true})
+		}
+	}
+	now := 2 * time.Hour
+	b.ups[0].freeAt = now + time.Minute
+	b.Request(now, Request{ID: 1000, Class: "write", Budget: time.Second})
+	if r := b.requests[1000]; r == nil || !r.held || r.units > 0.5 {
+		t.Errorf("a request with five times its usual latency left to its aim was not held: %v", h.lines[len(h.lines)-1])
+	}
+}
+
+// Where flows are thin an answer near the least latency is rare, and bounds stayed where they began while the
+// servers idled: a third of the requests was refused. Readings decide there.
+func TestThinFlowGrowsByReadings(t *testing.T) {
+	for _, c := range []struct {
+		balancers int
+		use       float64
+		grows     bool
+	}{{8, 0.4, true}, {8, 0.9, false}, {2, 0.4, false}} {
+		s := settings()
+		s.Balancers = c.balancers
+		b, _ := start(t, s, fleet(1))
+		u := b.ups[0]
+		u.readings, u.mean, u.least, u.slow, u.calm = bandWindow, c.use, float64(30*ms), float64(60*ms), float64(60*ms)
+		b.tightAt = time.Hour
+		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+		b.learn(a, Outcome{Latency: 60 * ms, Status: OK}, time.Hour) // twice the least
+		if (u.bound > b.start) != c.grows {
+			t.Errorf("%+v: bound %v, at first %v", c, u.bound, b.start)
+		}
+	}
+}
+
+// In overload a third of all turns went to clients' later tries whose aim had passed before they were sent.
+func TestLaterTryWithoutTimeYieldsWhileTurnsAreShort(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		budget time.Duration // of 1 s; the aim is 300 ms
+		tight  bool
+		sent   bool
+	}{
+		{"first try", time.Second, true, true},
+		{"later try with time left", 950 * ms, true, true},
+		{"later try past the aim", 500 * ms, true, false},
+		{"later try past the aim, turns free", 500 * ms, false, true},
+	} {
+		b, h := start(t, settings(), fleet(4))
+		b.Request(time.Hour, Request{ID: 1, Class: "write", Budget: time.Second})
+		now := time.Hour + time.Second
+		if c.tight {
+			b.tightAt = now
+		}
+		b.Request(now, Request{ID: 2, Class: "write", Budget: c.budget})
+		if (h.count("send id=2") == 1) != c.sent || h.count("send id=2")+h.count("refuse id=2") != 1 {
+			t.Errorf("%s: %v", c.name, h.lines[len(h.lines)-1])
+		}
+	}
+}
+
+// At full size a balancer's part of a cold upstream's budget is under one request: none was sent until the ramp
+// had ended, and then all balancers sent their full share at once. Over many balancers it must come to the part.
+func TestColdUpstreamIsUsedAtFullSizeWithinItsBudget(t *testing.T) {
+	const balancers, window = 200, 1500 * ms
+	s, sent := settings(), 0
+	s.Balancers, s.Rules.TipAfter = balancers, window
+	for s.Rank = range balancers {
+		h := &recorder{}
+		b, err := New(s, uint64(s.Rank), time.Hour, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		list := fleet(3)
+		list[2].StartedAt = time.Hour
+		b.Members(time.Hour, ListCached, list)
+		b.carry = 0.2 // requests a second that a warm upstream takes from this balancer
+		for i := range 150 {
+			for _, u := range b.ups[:2] {
+				u.freeAt = 2 * time.Hour // all the traffic asks for the cold one
+			}
+			now := time.Hour + time.Duration(i)*10*ms
+			b.Request(now, Request{ID: RequestID(i + 1), Class: "read", Budget: time.Second})
+			if r := b.requests[RequestID(i+1)]; r != nil && r.out > 0 {
+				b.Outcome(now, Outcome{ID: r.ID, Upstream: 3, Latency: 5 * ms, Status: OK, Closed: true})
+			}
+		}
+		sent += h.count("send")
+	}
+	// All together may send what a warm one takes times the multiple and the ramp, at most.
+	if most := 0.2 * balancers * 3 * 0.4 * window.Seconds(); sent == 0 || float64(sent) > most {
+		t.Errorf("%d sent to a cold upstream, 1 to %v fit", sent, most)
+	}
+}
+
+// Single long answers of heavy-tailed work cut the bounds of thin flows at half use, and a fifth was refused.
+func TestThinFlowIsNotCutAtSpareUse(t *testing.T) {
+	for _, c := range []struct {
+		balancers int
+		use       float64
+		cut       bool
+	}{{8, 0.5, false}, {8, 0.95, true}, {2, 0.5, true}} {
+		s := settings()
+		s.Balancers = c.balancers
+		b, _ := start(t, s, fleet(1))
+		u := b.ups[0]
+		u.readings, u.mean, u.lat, u.units, u.slow, u.calm = 1, c.use, float64(250*ms), 1, float64(60*ms), float64(60*ms)
+		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+		b.learn(a, Outcome{Latency: 250 * ms, Status: OK}, 2*time.Hour)
+		if (u.bound < b.start) != c.cut {
+			t.Errorf("%+v: bound %v, at first %v", c, u.bound, b.start)
+		}
+	}
+}
+
+// Requests come by chance. Spaced evenly by its pause, a thin flow left turns unused and refused at others.
+func TestIdleUpstreamHasOneAttemptInHand(t *testing.T) {
+	b, _ := start(t, settings(), fleet(1))
+	u := b.ups[0]
+	u.bound, u.lat = 0.2, float64(100*ms)
+	answer := func(sent time.Duration) {
+		u.bound = 0.2
+		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u, sentAt: sent}
+		b.learn(a, Outcome{Latency: 100 * ms, Status: Error}, sent+100*ms)
+	}
+	now := 2 * time.Hour // idle for long
+	if answer(now); u.freeAt > now+100*ms {
+		t.Errorf("after one attempt: free after %v", u.freeAt-now)
+	}
+	if answer(now + 100*ms); u.freeAt < now+500*ms {
+		t.Errorf("after two in a row: free after %v", u.freeAt-now)
+	}
+}
+
+// Where flows are thin an upstream's mean is about its last answer; one quick answer once made the next, usual one
+// look like silence, and the upstream's turns were skipped.
+func TestOneQuickAnswerDoesNotMakePatienceShort(t *testing.T) {
+	s := settings()
+	s.Balancers = 8
+	b, _ := start(t, s, fleet(1))
+	u := b.ups[0]
+	for i, lat := range []time.Duration{100, 110, 100, 90, 10, 10} {
+		a := &attempt{r: &request{class: b.classes["write"], units: 1}, up: u}
+		b.learn(a, Outcome{Latency: lat * ms, Status: OK}, time.Hour+time.Duration(i)*time.Second)
+	}
+	if p := b.patience(u, 1); p < 200*ms {
+		t.Errorf("patience %v where answers take 100ms as a rule", p)
+	}
+}
--- /dev/null
+++ b/cmd/clayladder-sim/main.go
@@ -0,0 +1,85 @@
+// Command clayladder-sim hosts instances of the decision module on the simulator's
+// wire, on standard input and output. It translates and decides nothing.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "clayladder-sim:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches until the end of input.
+func run(in io.Reader, out io.Writer) error {
+	reader, writer := wire.NewReader(in), wire.NewWriter(out)
+	instances := map[int]*clayladder.Balancer{}
+	var batch wire.Batch
+	for {
+		err := reader.Next(&batch)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for i := range batch.Events {
+			deliver(instances, writer, batch.At, &batch.Events[i])
+		}
+		if err := writer.Done(batch.Serial); err != nil {
+			return fmt.Errorf("writing a reply: %w", err)
+		}
+	}
+}
+
+// deliver hands one event to its instance; a panic ends the day with its text.
+func deliver(instances map[int]*clayladder.Balancer, w *wire.Writer, now time.Duration, e *wire.Event) {
+	defer func() {
+		if p := recover(); p != nil {
+			wire.NewPort(w, e.Instance).Crash(fmt.Sprint(p))
+			delete(instances, e.Instance)
+		}
+	}()
+	if e.Kind == wire.Attach {
+		port := wire.NewPort(w, e.Instance)
+		b, err := clayladder.New(e.Settings, e.Seed, now, port)
+		if err != nil {
+			port.Crash(err.Error())
+			return
+		}
+		instances[e.Instance] = b
+		return
+	}
+	b := instances[e.Instance]
+	if b == nil {
+		return
+	}
+	switch e.Kind {
+	case wire.Exit:
+		delete(instances, e.Instance)
+	case wire.Endpoints:
+		b.Members(now, e.Mode, e.List)
+	case wire.Inbound:
+		b.Request(now, e.Request)
+	case wire.Established:
+		b.Started(now, e.Outcome.ID, e.Outcome.Attempt)
+	case wire.Verdict:
+		b.Outcome(now, e.Outcome)
+	case wire.Lapsed:
+		b.Gone(now, e.Request.ID)
+	case wire.Elapsed:
+		b.Timer(now, e.Token)
+	case wire.Health:
+		b.Probed(now, e.Probe)
+	}
+}
--- /dev/null
+++ b/host_test.go
@@ -0,0 +1,71 @@
+package clayladder
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// recorder is a Host that writes down what it is asked to do.
+type recorder struct {
+	lines []string
+	hook  func(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64)
+}
+
+func (h *recorder) note(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64) {
+	h.lines = append(h.lines, fmt.Sprintf("%s id=%d up=%d d=%v n=%d", kind, id, up, d, n))
+	if h.hook != nil {
+		h.hook(kind, id, up, d, n)
+	}
+}
+
+func (h *recorder) Send(id RequestID, up UpstreamID, d time.Duration) { h.note("send", id, up, d, 0) }
+func (h *recorder) Refuse(id RequestID, d time.Duration)              { h.note("refuse", id, 0, d, 0) }
+func (h *recorder) Fail(id RequestID)                                 { h.note("fail", id, 0, 0, 0) }
+func (h *recorder) Cancel(id RequestID, n int)                        { h.note("cancel", id, 0, 0, uint64(n)) }
+func (h *recorder) Probe(up UpstreamID)                               { h.note("probe", 0, up, 0, 0) }
+func (h *recorder) Disconnect(up UpstreamID)                          { h.note("disconnect", 0, up, 0, 0) }
+func (h *recorder) Watch(on bool)                                     { h.note("watch", 0, 0, 0, 0) }
+func (h *recorder) Fetch()                                            { h.note("fetch", 0, 0, 0, 0) }
+func (h *recorder) SetTimer(d time.Duration, n uint64)                { h.note("timer", 0, 0, d, n) }
+func (h *recorder) Log(text string)                                   { h.note("log: "+text, 0, 0, 0, 0) }
+
+// count tells how many recorded lines begin with prefix.
+func (h *recorder) count(prefix string) int {
+	n := 0
+	for _, l := range h.lines {
+		if strings.HasPrefix(l, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+const ms = time.Millisecond
+
+// settings returns valid settings with one class of each repeat kind.
+func settings() Settings {
+	return Settings{
+		Zone: "near", Balancers: 2, OverShareWorth: 0.1, WorthByWork: true, WarmKeys: true,
+		Classes: []Class{
+			{Name: "read", Aim: 300 * ms, Deadline: time.Second, Repeat: Safe, Worth: 1, LateWorth: 0.5},
+			{Name: "keyed", Aim: 300 * ms, Deadline: time.Second, Repeat: Keyed, Group: GroupZone, Memory: 400 * ms, Worth: 3},
+			{Name: "write", Aim: 300 * ms, Deadline: time.Second, Repeat: Unsafe, Worth: 2},
+		},
+		Tenants:     []Tenant{{Name: "big", Quota: 200}, {Name: "small", Quota: 20}},
+		Limits:      Limits{Cancel: true, Probes: true, MaxAttempts: 4},
+		Rules:       Rules{AskWithin: 10 * time.Second, ColdFrom: 0.3, RampTime: 9 * time.Second, TipMultiple: 3, TipAfter: 1500 * ms, DrainGrace: time.Second, AnswerWithin: 20 * ms},
+		Weights:     WeightNominal,
+		Reports:     ReportAnswers,
+		Granularity: 5 * ms,
+	}
+}
+
+// fleet returns n active upstreams, long started, in two zones and three cells.
+func fleet(n int) []Upstream {
+	list := make([]Upstream, n)
+	for i := range list {
+		list[i] = Upstream{ID: UpstreamID(i + 1), Zone: []string{"near", "far"}[i%2], Cell: i % 3, Weight: 1}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,121 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"clayladder"
+)
+
+// params mirrors the settings that the module uses; other keys are ignored.
+type params struct {
+	Zone        string  `json:"az"`
+	Balancers   int     `json:"balancers"`
+	Rank        int     `json:"rank"`
+	Granularity int64   `json:"granularity_us"`
+	Mode        string  `json:"membership_mode"`
+	OverShare   float64 `json:"over_share_worth"`
+	Weights     string  `json:"weights"`
+	WorthBy     string  `json:"worth_by"`
+	Family      struct {
+		WarmKeys bool `json:"warm_keys"`
+	} `json:"family_info"`
+	Limits struct {
+		Cancel       bool  `json:"cancel"`
+		MaxAttempts  int   `json:"max_attempts"`
+		MaxRetry     int64 `json:"max_retry_after_us"`
+		Probes       bool  `json:"probes"`
+		RetryAfter   bool  `json:"retry_after"`
+		SecondCopies bool  `json:"second_copies"`
+	} `json:"limits"`
+	Rules struct {
+		Slack       int64   `json:"answer_slack_us"`
+		AskWithin   int64   `json:"ask_within_us"`
+		ColdFrom    float64 `json:"cold_from"`
+		DrainGrace  int64   `json:"drain_grace_us"`
+		RampTime    int64   `json:"ramp_time_us"`
+		TipAfter    int64   `json:"tip_after_us"`
+		TipMultiple float64 `json:"tip_multiple"`
+	} `json:"obligations"`
+	Classes []struct {
+		GiveUp    int64   `json:"give_up_us"`
+		Group     string  `json:"group"`
+		LateWorth float64 `json:"late_worth"`
+		Memory    int64   `json:"memory_span_us"`
+		Name      string  `json:"name"`
+		Repeat    string  `json:"repeat"`
+		Stream    bool    `json:"stream"`
+		Target    int64   `json:"target_us"`
+		Worth     float64 `json:"worth"`
+	} `json:"profiles"`
+	Reporting struct {
+		Via string `json:"via"`
+	} `json:"reporting"`
+	Tenants []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_rps"`
+	} `json:"tenants"`
+}
+
+var (
+	repeats = map[string]clayladder.Repeat{"read_like": clayladder.Safe, "idempotency_key": clayladder.Keyed,
+		"non_idempotent": clayladder.Unsafe}
+	groups = map[string]clayladder.Group{"all": clayladder.GroupAll, "zone": clayladder.GroupZone, "cell": clayladder.GroupCell}
+	weigh  = map[string]clayladder.WeightKind{"silent": clayladder.WeightNone, "nominal": clayladder.WeightNominal,
+		"rough": clayladder.WeightRough, "live": clayladder.WeightLive}
+	vias = map[string]clayladder.ReportVia{"silent": clayladder.ReportNone, "piggyback": clayladder.ReportAnswers,
+		"pull": clayladder.ReportProbes}
+	asks = map[string]bool{"pushed": false, "on_request": true}
+)
+
+func us(x int64) time.Duration { return time.Duration(x) * time.Microsecond }
+
+// settings reads the JSON of a start message.
+func (f *fields) settings(name string) clayladder.Settings {
+	s, err := decodeSettings(f.text(name, true))
+	if err != nil {
+		f.fail(name, err.Error())
+	}
+	return s
+}
+
+func decodeSettings(text []byte) (clayladder.Settings, error) {
+	var p params
+	var s clayladder.Settings
+	if err := json.Unmarshal(text, &p); err != nil {
+		return s, fmt.Errorf("settings: %w", err)
+	}
+	s = clayladder.Settings{Zone: p.Zone, Balancers: p.Balancers, Rank: p.Rank, OverShareWorth: p.OverShare,
+		WorthByWork: p.WorthBy == "work", WarmKeys: p.Family.WarmKeys, Granularity: us(p.Granularity),
+		Limits: clayladder.Limits{Cancel: p.Limits.Cancel, Probes: p.Limits.Probes, SecondCopies: p.Limits.SecondCopies,
+			RetryAfter: p.Limits.RetryAfter, MaxRetry: us(p.Limits.MaxRetry), MaxAttempts: p.Limits.MaxAttempts},
+		Rules: clayladder.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
+			TipMultiple: p.Rules.TipMultiple, TipAfter: us(p.Rules.TipAfter), DrainGrace: us(p.Rules.DrainGrace),
+			AnswerWithin: us(p.Rules.Slack)}}
+	var ok bool
+	if s.OnRequest, ok = asks[p.Mode]; !ok {
+		return s, fmt.Errorf("settings: membership_mode %q is unknown", p.Mode)
+	}
+	if s.Weights, ok = weigh[p.Weights]; !ok {
+		return s, fmt.Errorf("settings: weights %q is unknown", p.Weights)
+	}
+	if s.Reports, ok = vias[p.Reporting.Via]; !ok {
+		return s, fmt.Errorf("settings: reporting.via %q is unknown", p.Reporting.Via)
+	}
+	for _, c := range p.Classes {
+		class := clayladder.Class{Name: c.Name, Aim: us(c.Target), Deadline: us(c.GiveUp), Memory: us(c.Memory),
+			Stream: c.Stream, Worth: c.Worth, LateWorth: c.LateWorth}
+		if class.Repeat, ok = repeats[c.Repeat]; !ok {
+			return s, fmt.Errorf("settings: profiles: repeat %q is unknown", c.Repeat)
+		}
+		if class.Group, ok = groups[c.Group]; !ok && class.Repeat == clayladder.Keyed {
+			return s, fmt.Errorf("settings: profiles: group %q is unknown", c.Group)
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	for _, t := range p.Tenants {
+		s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/settings.go
@@ -0,0 +1,102 @@
+package clayladder
+
+import (
+	"errors"
+	"fmt"
+	"math"
+)
+
+// ErrSettings is wrapped by every error that New returns for its settings.
+var ErrSettings = errors.New("bad settings")
+
+// bad reports a setting that is missing or out of range.
+func bad(format string, args ...any) error {
+	return fmt.Errorf("clayladder: %w: %s", ErrSettings, fmt.Sprintf(format, args...))
+}
+
+// amount tells whether x is a finite figure that is not negative.
+func amount(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
+
+// validate names what is missing or out of range.
+func (s Settings) validate(host Host) error {
+	if host == nil {
+		return bad("Host is nil")
+	}
+	r := s.Rules
+	for _, x := range []struct {
+		name string
+		ok   bool
+	}{
+		{"Classes", len(s.Classes) > 0},
+		{"Balancers", s.Balancers >= 1},
+		{"Rank", s.Rank >= 0 && s.Rank < max(s.Balancers, 1)},
+		{"OverShareWorth", amount(s.OverShareWorth)},
+		{"Granularity", s.Granularity >= 0},
+		{"Weights", s.Weights <= WeightLive},
+		{"Reports", s.Reports <= ReportProbes},
+		{"Limits.MaxAttempts", s.Limits.MaxAttempts >= 1},
+		{"Rules.TipAfter", r.TipAfter > 0},
+		{"Rules.RampTime", r.RampTime > 0},
+		{"Rules.TipMultiple", amount(r.TipMultiple) && r.TipMultiple > 0},
+		{"Rules.ColdFrom", r.ColdFrom > 0 && r.ColdFrom <= 1},
+		{"Rules.AskWithin", r.AskWithin > 0 || (r.AskWithin == 0 && !s.OnRequest)},
+	} {
+		if !x.ok {
+			return bad("%s is missing or out of range", x.name)
+		}
+	}
+	names := map[string]bool{}
+	for _, c := range s.Classes {
+		switch {
+		case names[c.Name]:
+			return bad("class %q is set twice", c.Name)
+		case !amount(c.Worth) || !amount(c.LateWorth):
+			return bad("class %q: Worth and LateWorth must be finite and not negative", c.Name)
+		case c.Aim <= 0:
+			return bad("class %q: Aim must be over zero", c.Name)
+		case c.Deadline < c.Aim:
+			return bad("class %q: Deadline is before Aim", c.Name)
+		case c.Repeat > Unsafe:
+			return bad("class %q: Repeat is of no known kind", c.Name)
+		case c.Repeat == Keyed && c.Group > GroupCell:
+			return bad("class %q: Group is of no known kind", c.Name)
+		case c.Repeat == Keyed && c.Memory <= 0:
+			return bad("class %q: Memory must be over zero", c.Name)
+		}
+		names[c.Name] = true
+	}
+	names = map[string]bool{}
+	for _, t := range s.Tenants {
+		if names[t.Name] || !amount(t.Quota) {
+			return bad("tenant %q is set twice or has a Quota that is negative or not finite", t.Name)
+		}
+		names[t.Name] = true
+	}
+	return nil
+}
+
+// What owners tell while running is not refused but cleaned, so that no figure poisons a mean.
+
+// clean returns l without the values that are negative or not finite.
+func (l Load) clean() Load {
+	for i, x := range []*float64{&l.Util, &l.Inflight, &l.Queue, &l.Service, &l.Rate, &l.Errors} {
+		if !amount(*x) || *x > math.MaxInt32 {
+			*x, l.Fields = 0, l.Fields&^(1<<i)
+		}
+	}
+	return l
+}
+
+// clean returns o with a latency over zero and a clean load.
+func (o Outcome) clean() Outcome {
+	o.Latency, o.Load = max(o.Latency, 1), o.Load.clean()
+	return o
+}
+
+// clean returns u with a weight that can be set against others: 1 if it is not finite or not over zero.
+func (u Upstream) clean() Upstream {
+	if !amount(u.Weight) || u.Weight == 0 || u.Weight > math.MaxInt32 {
+		u.Weight = 1
+	}
+	return u
+}
--- /dev/null
+++ b/state.go
@@ -0,0 +1,115 @@
+package clayladder
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// The types that the decisions in balancer.go keep. Nothing is decided here.
+
+// tenant counts one customer's requests against this balancer's part of its quota.
+type tenant struct{ rate, level, at float64 }
+
+// over counts a request and reports whether its tenant is over its quota.
+func (t *tenant) over(now time.Duration) bool {
+	t.level, t.at = max(0, t.level-t.rate*(now.Seconds()-t.at))+1, now.Seconds()
+	return t.level > max(t.rate, 1)
+}
+
+// class is one kind of request, its usual latency, ns, and the longest budget of a try.
+type class struct {
+	Class
+	lat    float64
+	budget time.Duration
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	r               *request
+	up              *upstream
+	sentAt          time.Duration
+	ended, neverRan bool
+}
+
+// request is an entry of the ledger; it stays until its last attempt has ended.
+type request struct {
+	Request
+	class            *class
+	worth, units     float64       // worth per unit of work; work in mean requests
+	sendBy, deadline time.Duration // sent after sendBy, an answer would come late
+	attempts         []*attempt
+	out              int
+	done, held       bool
+}
+
+// upstream is what this balancer knows of one server.
+type upstream struct {
+	Upstream
+	cold, silent                bool
+	member                      bool   // in the subset
+	place                       uint64 // on the ring of all upstreams
+	coldAt, trialAt             time.Duration
+	answeredAt, cutAt, probedAt time.Duration
+	freeAt                      time.Duration // its turns are skipped until then
+	wait                        time.Duration // growing wait between trials or failed connects
+	due                         float64       // its next turn, in turns of the whole fleet
+	weight, factor              float64       // size; share left after cuts
+	window                      [bandWindow]float64
+	readings                    int
+	mean, dev, area             float64 // of the window; band gap integrated since the last step
+	readAt, spentAt             time.Duration
+	last                        Load
+	outs                        []*attempt // in order of sending
+	lat, latDev, units          float64    // usual latency, its mean deviation, ns; usual work of its answers
+	least, slow, calm           float64    // least latency for the work seen; its slow mean; the least of that
+	bound, most                 float64    // attempts that may be out at once; its top this period
+	carried, work, spent        float64    // work sent this period; its mean; leaky count while cold
+}
+
+// Balancer decides for one proxy instance. See the package comment for the contract.
+type Balancer struct {
+	s                       Settings
+	host                    Host
+	rng                     *rand.Rand
+	classes                 map[string]*class
+	tenants                 map[string]*tenant
+	safest                  Repeat
+	requests                map[RequestID]*request
+	byID                    map[UpstreamID]*upstream
+	ups                     []*upstream // in order of arrival
+	near                    []*upstream // the subset, and what left it with attempts still out
+	held                    []*request  // by worth, then newest first
+	turn                    float64     // virtual time of the interleave
+	lat, cost               float64     // usual latency, mean cost hint
+	start                   float64     // an upstream's bound before anything is learnt
+	ceiling                 float64     // the fleet's middle level: what all carry is no one's excess
+	carry                   float64     // work a period that warm upstreams carry for their weight and use
+	least, calm             float64     // those of an upstream, as a good part of the fleet has them
+	tick, stepAt, watchWait time.Duration
+	tightAt                 time.Duration // last time that no upstream could take a request
+	logged                  map[string]time.Duration
+}
+
+// mixed is a fixed hash of x, so that neither numbering nor time of listing orders the ring.
+func mixed(x uint64) uint64 {
+	x = (x + 1) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
+	return x ^ x>>32
+}
+
+// follow moves a running mean; the first sample sets it.
+func follow(mean *float64, x, weight float64) {
+	if *mean == 0 {
+		*mean = x
+	}
+	*mean += weight * (x - *mean)
+}
+
+// log writes a line of a kind, at most one in a while.
+func (b *Balancer) log(now time.Duration, kind, format string, args ...any) {
+	if at, ok := b.logged[kind]; !ok || now-at >= logEvery {
+		b.logged[kind] = now
+		b.host.Log(fmt.Sprintf(format, args...))
+	}
+}
