--- /dev/null
+++ b/internal/proxy/config.go
@@ -0,0 +1,119 @@
+// Package proxy is the real balancer round the decision module: clients, upstreams
+// and discovery on TCP sockets. It decides nothing; what is sent where, again or
+// not at all is the module's to say.
+package proxy
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/wire"
+)
+
+// maxBody bounds the bodies of requests and answers, as the protocol does.
+const maxBody = 64 << 10
+
+// Config is what a balancer is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // host:port for clients
+	Discovery string // host:port of discovery
+	Seed      uint64
+	MemoryMB  int
+	Sockets   int
+	Known     listing // the upstreams as last held, maybe stale
+	Settings  clayladder.Settings
+	Links     wire.Links
+}
+
+// file is the configuration file's form.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Known    listing         `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// LoadConfig reads the file that RELAY_CONFIG names. The other RELAY_ variables go before what it says.
+func LoadConfig(getenv func(string) string) (Config, error) {
+	path := getenv("RELAY_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("RELAY_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("RELAY_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen, "RELAY_DISCOVERY": &f.Discovery} {
+		if v := getenv(name); v != "" {
+			*to = v
+		}
+	}
+	c, err := f.config()
+	if err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// config checks what was read.
+func (f *file) config() (Config, error) {
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
+	var err error
+	if _, err = netip.ParseAddrPort(c.Listen); err != nil {
+		return c, fmt.Errorf("listen: %w", err)
+	}
+	if _, err = netip.ParseAddrPort(c.Discovery); err != nil {
+		return c, fmt.Errorf("discovery: %w", err)
+	}
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return c, fmt.Errorf("seed: %w", err)
+	}
+	if c.MemoryMB < 16 {
+		return c, fmt.Errorf("limits: memory_mb is %d; at least 16 is needed", c.MemoryMB)
+	}
+	if c.Sockets < 64 {
+		return c, fmt.Errorf("limits: sockets is %d; at least 64 are needed", c.Sockets)
+	}
+	if len(f.Settings) == 0 {
+		return c, errors.New("settings are missing")
+	}
+	if c.Settings, c.Links, err = wire.DecodeSettings(f.Settings); err != nil {
+		return c, err
+	}
+	if c.Links.KeepAlive <= 0 || c.Links.ConnectTimeout <= 0 {
+		return c, errors.New("settings: limits: keepalive_us and connect_timeout_us must be over zero")
+	}
+	for _, m := range c.Known.Members {
+		if err := m.check(); err != nil {
+			return c, fmt.Errorf("known: %w", err)
+		}
+	}
+	return c, nil
+}
+
+// longest is the longest time that a client waits.
+func (c *Config) longest() time.Duration {
+	var d time.Duration
+	for _, class := range c.Settings.Classes {
+		d = max(d, class.Deadline)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/proxy/discovery.go
@@ -0,0 +1,199 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"clayladder"
+)
+
+const (
+	watchWait    = 10 * time.Second // how long one watch call may wait for news
+	callPatience = 5 * time.Second  // and how much later its answer may come
+	maxListing   = 4 << 20
+)
+
+// listing is a discovery answer: the whole list, or the entries that changed.
+type listing struct {
+	Revision uint64   `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+// member is an entry of a listing.
+type member struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMS int64   `json:"up_since_ms"`
+}
+
+var phases = map[string]clayladder.State{"up": clayladder.Active, "draining": clayladder.Draining, "removed": clayladder.Gone}
+
+// check tells what makes the entry unusable.
+func (m *member) check() error {
+	state, ok := phases[m.Phase]
+	switch {
+	case m.ID == "":
+		return fmt.Errorf("an entry has no id")
+	case !ok:
+		return fmt.Errorf("%s: phase %q is unknown", m.ID, m.Phase)
+	case state == clayladder.Gone:
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
+		return fmt.Errorf("%s: %w", m.ID, err)
+	}
+	return nil
+}
+
+// upstream is the entry as the module takes it.
+func (m *member) upstream(id clayladder.UpstreamID) clayladder.Upstream {
+	return clayladder.Upstream{ID: id, Zone: m.Locality, Cell: m.Cell, Weight: m.Size, State: phases[m.Phase],
+		StartedAt: time.Duration(m.UpSinceMS) * time.Millisecond} // the loop's clock is Unix time at its start, so 0 stays 0
+}
+
+// names maps discovery's ids to the module's. The module orders upstreams by these
+// numbers, so all balancers must come to the same: "s-" and up to eight hex digits
+// gives that number, and any other id the FNV-1a hash of its text. If two ids come
+// to one number, the later one is hashed on with a count behind it until a number
+// is free. The entries of a list are named in the order of their ids, so balancers
+// differ at most in which of two such ids came first: their rings differ then, but
+// no two upstreams are ever mixed up. An id keeps its number while the process lives.
+type names struct {
+	ids   map[string]clayladder.UpstreamID
+	taken map[clayladder.UpstreamID]bool
+}
+
+func newNames() *names {
+	return &names{ids: map[string]clayladder.UpstreamID{}, taken: map[clayladder.UpstreamID]bool{}}
+}
+
+func (n *names) id(text string) clayladder.UpstreamID {
+	if id, ok := n.ids[text]; ok {
+		return id
+	}
+	id := plainID(text)
+	for i := 0; n.taken[id]; i++ {
+		id = hashed(text + "#" + strconv.Itoa(i))
+	}
+	n.ids[text], n.taken[id] = id, true
+	return id
+}
+
+func plainID(text string) clayladder.UpstreamID {
+	if digits, ok := strings.CutPrefix(text, "s-"); ok {
+		if x, err := strconv.ParseUint(digits, 16, 32); err == nil {
+			return clayladder.UpstreamID(x)
+		}
+	}
+	return hashed(text)
+}
+
+func hashed(text string) clayladder.UpstreamID {
+	h := fnv.New32a()
+	io.WriteString(h, text) // never fails
+	return clayladder.UpstreamID(h.Sum32())
+}
+
+// discovery asks for the list of upstreams and posts what it hears. It never asks
+// again by itself after a failure: that is the module's to time.
+type discovery struct {
+	url      string
+	client   *http.Client
+	revision atomic.Uint64 // of the list that the loop holds
+	post     func(listed)
+}
+
+// listed is an answer of discovery, or the failure of a call.
+type listed struct {
+	listing
+	err error
+}
+
+func newDiscovery(address string, revision uint64, post func(listed)) *discovery {
+	d := &discovery{url: "http://" + address + "/v1/servers", post: post,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	d.revision.Store(revision)
+	return d
+}
+
+// watch follows the list until a call fails or ctx ends. The next call comes at
+// once after an answer: discovery takes one later than 200 ms for a new watch.
+func (d *discovery) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		since := d.revision.Load()
+		l, err := d.call(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", d.url, since, watchWait.Milliseconds()), watchWait+callPatience)
+		if ctx.Err() != nil {
+			return
+		}
+		d.post(listed{l, err})
+		if err != nil {
+			return
+		}
+		d.hold(l.Revision)
+	}
+}
+
+// fetch asks for the whole list once.
+func (d *discovery) fetch(ctx context.Context) {
+	l, err := d.call(ctx, d.url, callPatience)
+	if ctx.Err() != nil {
+		return
+	}
+	d.post(listed{l, err})
+	if err == nil {
+		d.hold(l.Revision)
+	}
+}
+
+// hold notes a revision that has been posted; it never goes back.
+func (d *discovery) hold(revision uint64) {
+	for held := d.revision.Load(); revision > held && !d.revision.CompareAndSwap(held, revision); held = d.revision.Load() {
+	}
+}
+
+func (d *discovery) call(ctx context.Context, url string, patience time.Duration) (listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	var l listing
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return l, fmt.Errorf("discovery: %w", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return l, fmt.Errorf("discovery: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return l, fmt.Errorf("discovery: answered %s", resp.Status)
+	}
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxListing))
+	if err != nil {
+		return l, fmt.Errorf("discovery: %w", err)
+	}
+	if err := json.Unmarshal(text, &l); err != nil {
+		return l, fmt.Errorf("discovery: %w", err)
+	}
+	for i := range l.Members {
+		if err := l.Members[i].check(); err != nil {
+			return l, fmt.Errorf("discovery: %w", err)
+		}
+	}
+	slices.SortFunc(l.Members, func(a, b member) int { return strings.Compare(a.ID, b.ID) })
+	return l, nil
+}
--- /dev/null
+++ b/internal/proxy/loop.go
@@ -0,0 +1,581 @@
+package proxy
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"clayladder"
+)
+
+const (
+	// spareIdle is how long before the upstream would an idle connection is closed: a request written to one that
+	// the upstream has just closed ends as a reset.
+	spareIdle = 5 * time.Second
+	// lingerFor and lingerMost bound the connections of attempts whose client has gone. The upstream works on
+	// regardless, and a connection kept for the late answer saves the next handshake; but hung upstreams never
+	// answer.
+	lingerFor  = 3 * time.Second
+	lingerMost = 4
+	sweepEvery = time.Second
+	logQueue   = 256
+)
+
+// event is something that happened outside, told to the loop.
+type event interface{ apply(l *loop) }
+
+// request is a client's request. The frontend fills it in; from then on it is the loop's.
+type request struct {
+	clayladder.Request
+	message  message
+	at       time.Duration // when its last byte had come
+	reply    chan answer   // holds the one answer
+	deadline time.Duration
+	attempts []*attempt
+	out      int // attempts whose outcome the module has not had
+	closed   bool
+}
+
+// peer is what the loop knows of an upstream's address and connections.
+type peer struct {
+	id        clayladder.UpstreamID
+	address   string
+	state     clayladder.State
+	idle      []*conn // the most recently used last
+	out       map[*attempt]struct{}
+	lingering int
+}
+
+// alarm is a timer of the module's, a request's deadline, or an attempt's time-out.
+type alarm struct {
+	at      time.Duration
+	serial  uint64 // alarms of one moment go off in the order they were set
+	token   uint64
+	request *request
+	attempt *attempt
+}
+
+type alarms []alarm
+
+func (a alarms) Len() int { return len(a) }
+func (a alarms) Less(i, j int) bool {
+	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].serial < a[j].serial)
+}
+func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *alarms) Push(x any)   { *a = append(*a, x.(alarm)) }
+func (a *alarms) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	old[len(old)-1] = alarm{}
+	*a = old[:len(old)-1]
+	return x
+}
+
+// loop owns the Balancer, from one goroutine. Everything here runs on that goroutine but for post, now and what is
+// started with go. It never waits for anything but its channels.
+type loop struct {
+	balancer  *clayladder.Balancer
+	ctx       context.Context
+	events    chan event
+	lists     chan listed // taken before any event: no send after a drain that has been told
+	logs      chan string
+	origin    time.Time
+	epoch     time.Duration
+	discovery *discovery
+	stopWatch context.CancelFunc
+	dial      dialer
+	settings  clayladder.Settings
+	idleFor   time.Duration
+	maxConns  int
+
+	names    *names
+	revision uint64
+	serial   uint64
+	alarms   alarms
+	requests map[clayladder.RequestID]*request
+	peers    map[clayladder.UpstreamID]*peer
+	conns    int     // connections to upstreams, open or opening
+	due      []owing // outcomes that are known but not told: the module is not called while it calls
+	sweepAt  time.Duration
+}
+
+// owing is an outcome to tell as soon as the module has returned.
+type owing struct {
+	a      *attempt
+	status clayladder.Status
+}
+
+var _ clayladder.Host = (*loop)(nil)
+
+func newLoop(ctx context.Context, c *Config) *loop {
+	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), logs: make(chan string, logQueue),
+		origin: time.Now(), dial: dialer{timeout: c.Links.ConnectTimeout}, settings: c.Settings,
+		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.Sockets / 4,
+		names: newNames(), requests: map[clayladder.RequestID]*request{}, peers: map[clayladder.UpstreamID]*peer{},
+		stopWatch: func() {}}
+	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
+	// is, also from before this process, and a clock that is set does not move it.
+	l.epoch = time.Duration(l.origin.UnixNano())
+	l.discovery = newDiscovery(c.Discovery, c.Known.Revision, func(x listed) { l.lists <- x })
+	return l
+}
+
+// now is the loop's clock.
+func (l *loop) now() time.Duration { return l.epoch + time.Since(l.origin) }
+
+// post tells the loop of an event. It may wait; the loop never waits for who posts.
+func (l *loop) post(e event) { l.events <- e }
+
+// start makes the Balancer and tells it the upstreams that were known before.
+func (l *loop) start(c *Config) error {
+	var err error
+	if l.balancer, err = clayladder.New(c.Settings, c.Seed, l.now(), l); err != nil {
+		return err
+	}
+	l.members(clayladder.ListCached, c.Known)
+	if !c.Settings.OnRequest { // lists that are pushed come without the module's asking
+		l.Watch(true)
+	}
+	return nil
+}
+
+// run handles events until the context ends.
+func (l *loop) run() {
+	go l.writeLogs()
+	clock := time.NewTimer(0)
+	for {
+		select { // a list goes first
+		case x := <-l.lists:
+			l.hear(x)
+			continue
+		default:
+		}
+		l.ring()
+		if len(l.alarms) > 0 {
+			clock.Reset(max(0, l.alarms[0].at-l.now()))
+		}
+		select {
+		case x := <-l.lists:
+			l.hear(x)
+		case e := <-l.events:
+			if len(l.lists) > 0 {
+				l.hear(<-l.lists)
+			}
+			e.apply(l)
+			l.settle()
+		case <-clock.C:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// ring lets the alarms go off that are due.
+func (l *loop) ring() {
+	for len(l.alarms) > 0 && l.alarms[0].at <= l.now() {
+		switch a := heap.Pop(&l.alarms).(alarm); {
+		case a.attempt != nil:
+			l.expire(a.attempt)
+		case a.request != nil:
+			for _, at := range a.request.attempts {
+				l.expire(at)
+			}
+		default:
+			l.balancer.Timer(l.now(), a.token)
+		}
+		l.settle()
+	}
+	if now := l.now(); now >= l.sweepAt {
+		l.sweepAt = now + sweepEvery
+		l.sweep(now)
+	}
+}
+
+func (l *loop) alarm(a alarm) {
+	l.serial++
+	a.serial = l.serial
+	heap.Push(&l.alarms, a)
+}
+
+// --- Requests and attempts ---
+
+// arrived is a client's request.
+type arrived struct{ *request }
+
+func (e arrived) apply(l *loop) {
+	l.serial++
+	r := e.request
+	r.ID = clayladder.RequestID(l.serial) // the module's own: what clients send need not be unique
+	r.deadline = r.at + r.Budget
+	now := l.now()
+	r.Budget = max(0, r.deadline-now)
+	l.requests[r.ID] = r
+	l.alarm(alarm{at: r.deadline, request: r})
+	l.balancer.Request(now, r.Request)
+}
+
+// left tells that a client has closed its connection.
+type left struct{ *request }
+
+func (e left) apply(l *loop) {
+	if r := e.request; !r.closed {
+		l.close(r)
+		l.balancer.Gone(l.now(), r.ID)
+	}
+}
+
+// finished is the end of an attempt on its connection.
+type finished struct {
+	*attempt
+	result
+}
+
+func (e finished) apply(l *loop) {
+	a := e.attempt
+	delete(a.peer.out, a)
+	if a.lingers {
+		a.peer.lingering--
+	}
+	l.keep(a.peer, e.result.conn)
+	l.tell(a, e.result)
+	l.forget(a.peer)
+}
+
+// tell gives the module an attempt's one outcome, and the client the answer if it is served.
+func (l *loop) tell(a *attempt, r result) {
+	if a.told {
+		return
+	}
+	a.told = true
+	q, now := a.req, l.now()
+	if r.status == clayladder.OK && !q.closed {
+		l.answer(q, answer{status: http.StatusOK, body: r.body, kind: r.kind})
+	}
+	q.out--
+	closed := q.closed
+	l.release(q)
+	l.balancer.Outcome(now, clayladder.Outcome{ID: q.ID, Upstream: a.peer.id, Attempt: a.n, Latency: now - a.sentAt,
+		Status: r.status, Closed: closed, Load: r.load})
+}
+
+// settle tells the outcomes that came up while the module was calling.
+func (l *loop) settle() {
+	for len(l.due) > 0 {
+		o := l.due[0]
+		l.due = l.due[1:]
+		l.end(o.a, o.status)
+	}
+	l.due = nil
+}
+
+// end stops waiting for an attempt. One that was never written is moot.
+func (l *loop) end(a *attempt, status clayladder.Status) {
+	if a.told {
+		return
+	}
+	if a.drop() {
+		status = clayladder.Moot
+	} else if a.stage.Load() == claimed {
+		// An attempt of a request that may be sent again gives up its connection, or it would count as a second copy.
+		until := time.Unix(0, 1)
+		if (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && a.peer.state == clayladder.Active {
+			until, a.lingers = time.Now().Add(lingerFor), true
+			a.peer.lingering++
+		}
+		a.conn.SetReadDeadline(until)
+	}
+	l.tell(a, result{status: status})
+}
+
+// expire ends an attempt whose time is up.
+func (l *loop) expire(a *attempt) {
+	if !a.told {
+		l.end(a, clayladder.Timeout)
+	}
+}
+
+// answer gives a client the one answer.
+func (l *loop) answer(r *request, a answer) {
+	if !r.closed {
+		r.reply <- a
+		l.close(r)
+	}
+}
+
+// close notes that nothing more is owed for r.
+func (l *loop) close(r *request) {
+	r.closed = true
+	l.release(r)
+}
+
+// release forgets a request that is closed and has nothing out.
+func (l *loop) release(r *request) {
+	if r.closed && r.out == 0 {
+		delete(l.requests, r.ID)
+	}
+}
+
+// --- Host: what the module asks for ---
+
+// Send makes an attempt.
+func (l *loop) Send(id clayladder.RequestID, up clayladder.UpstreamID, timeout time.Duration) {
+	r, p := l.requests[id], l.peers[up]
+	if r == nil || p == nil { // the module sends what it was told of, where it was told
+		l.Log(fmt.Sprintf("send of unknown request %d or upstream %d", id, up))
+		return
+	}
+	now := l.now()
+	a := &attempt{req: r, n: len(r.attempts), peer: p, sentAt: now, address: p.address}
+	r.attempts, r.out = append(r.attempts, a), r.out+1
+	wait := r.deadline - now
+	if timeout > 0 && timeout < wait {
+		wait = timeout
+		l.alarm(alarm{at: now + timeout, attempt: a})
+	}
+	switch {
+	case r.closed || wait <= 0 || p.state != clayladder.Active:
+		a.drop()
+		l.due = append(l.due, owing{a, clayladder.Moot})
+		return
+	case len(p.idle) > 0:
+		a.conn = p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+	case l.conns >= l.maxConns:
+		a.drop()
+		l.due = append(l.due, owing{a, clayladder.ConnectFailed})
+		return
+	default:
+		l.conns++
+	}
+	p.out[a] = struct{}{}
+	go func() {
+		a.head = r.message.bytes(wait)
+		res := l.dial.run(a)
+		l.post(finished{a, res})
+	}()
+}
+
+// Refuse answers a client that another try is harmless.
+func (l *loop) Refuse(id clayladder.RequestID, retryAfter time.Duration) {
+	if r := l.requests[id]; r != nil {
+		if !l.settings.Limits.RetryAfter {
+			retryAfter = 0
+		}
+		l.answer(r, answer{status: http.StatusServiceUnavailable, retryAfter: min(retryAfter, l.settings.Limits.MaxRetry)})
+	}
+}
+
+// Fail answers a client with no promise.
+func (l *loop) Fail(id clayladder.RequestID) {
+	if r := l.requests[id]; r != nil {
+		status := http.StatusBadGateway
+		if l.now() >= r.deadline {
+			status = http.StatusGatewayTimeout
+		}
+		l.answer(r, answer{status: status})
+	}
+}
+
+// Cancel stops waiting for an attempt.
+func (l *loop) Cancel(id clayladder.RequestID, n int) {
+	if r := l.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
+		l.due = append(l.due, owing{r.attempts[n], clayladder.Cancelled})
+	}
+}
+
+// SetTimer asks for a Timer event.
+func (l *loop) SetTimer(after time.Duration, token uint64) {
+	l.alarm(alarm{at: l.now() + max(after, 0), token: token})
+}
+
+// Log writes a line to the log, or drops it rather than wait.
+func (l *loop) Log(text string) {
+	select {
+	case l.logs <- text:
+	default:
+	}
+}
+
+func (l *loop) writeLogs() {
+	for {
+		select {
+		case text := <-l.logs:
+			slog.Info(text)
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// Watch begins to follow discovery, or ends it.
+func (l *loop) Watch(on bool) {
+	l.stopWatch()
+	l.stopWatch = func() {}
+	if on {
+		ctx, cancel := context.WithCancel(l.ctx)
+		l.stopWatch = cancel
+		go l.discovery.watch(ctx)
+	}
+}
+
+// Fetch asks discovery for the whole list.
+func (l *loop) Fetch() { go l.discovery.fetch(l.ctx) }
+
+// Probe asks an upstream for its load.
+func (l *loop) Probe(up clayladder.UpstreamID) {
+	p := l.peers[up]
+	if p == nil || p.state != clayladder.Active || (len(p.idle) == 0 && l.conns >= l.maxConns) {
+		return
+	}
+	b := &probe{peer: p, sentAt: l.now(), address: p.address, load: l.settings.Reports != clayladder.ReportNone}
+	if n := len(p.idle); n > 0 {
+		b.conn, p.idle = p.idle[n-1], p.idle[:n-1]
+	} else {
+		l.conns++
+	}
+	go func() {
+		res := l.dial.probe(b)
+		l.post(probed{b, res})
+	}()
+}
+
+// probed is the end of a probe.
+type probed struct {
+	*probe
+	result
+}
+
+func (e probed) apply(l *loop) {
+	l.keep(e.peer, e.result.conn)
+	now := l.now()
+	l.balancer.Probed(now, clayladder.ProbeResult{Upstream: e.peer.id, Latency: now - e.sentAt, Status: e.status, Load: e.result.load})
+}
+
+// --- Connections ---
+
+// keep takes back a connection after use; nil means that it has been closed.
+func (l *loop) keep(p *peer, c *conn) {
+	switch {
+	case c == nil:
+		l.conns--
+	case p.state != clayladder.Active || c.RemoteAddr().String() != p.address:
+		l.shut(c)
+	case c.SetReadDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
+		l.shut(c)
+	default:
+		c.idleAt = l.now()
+		p.idle = append(p.idle, c)
+	}
+}
+
+// shut closes idle connections, away from the loop.
+func (l *loop) shut(cs ...*conn) {
+	if l.conns -= len(cs); len(cs) > 0 {
+		go func() {
+			for _, c := range cs {
+				c.Close()
+			}
+		}()
+	}
+}
+
+// sweep closes connections that have idled for long. The least recently used stand first.
+func (l *loop) sweep(now time.Duration) {
+	for _, p := range l.peers {
+		n := 0
+		for n < len(p.idle) && now-p.idle[n].idleAt >= l.idleFor {
+			n++
+		}
+		if n > 0 {
+			l.shut(p.idle[:n]...)
+			p.idle = append([]*conn(nil), p.idle[n:]...)
+		}
+	}
+}
+
+// Disconnect closes the idle connections to an upstream.
+func (l *loop) Disconnect(up clayladder.UpstreamID) {
+	if p := l.peers[up]; p != nil {
+		l.shut(p.idle...)
+		p.idle = nil
+	}
+}
+
+// forget drops an upstream that is gone and has nothing out.
+func (l *loop) forget(p *peer) {
+	if p.state == clayladder.Gone && len(p.out) == 0 && l.peers[p.id] == p {
+		delete(l.peers, p.id)
+	}
+}
+
+// --- Discovery ---
+
+// hear takes an answer of discovery.
+func (l *loop) hear(x listed) {
+	switch {
+	case x.err != nil:
+		l.Log(x.err.Error())
+		l.balancer.Members(l.now(), clayladder.ListFailed, nil)
+	case x.Revision < l.revision: // overtaken by a newer one: it must not undo that
+		l.Log(fmt.Sprintf("discovery: revision %d after %d passed over", x.Revision, l.revision))
+	case x.Complete:
+		l.members(clayladder.ListFull, x.listing)
+	default:
+		l.members(clayladder.ListDelta, x.listing)
+	}
+	l.settle()
+}
+
+// members applies a list: first to the peers, so that nothing goes to one that drains, then to the module, which
+// may send at once.
+func (l *loop) members(mode clayladder.ListMode, x listing) {
+	l.revision = x.Revision
+	list := make([]clayladder.Upstream, 0, len(x.Members))
+	named := make(map[clayladder.UpstreamID]bool, len(x.Members))
+	for i := range x.Members {
+		m := &x.Members[i]
+		u := m.upstream(l.names.id(m.ID))
+		named[u.ID] = true
+		list = append(list, u)
+		l.peer(u, m.HostPort)
+	}
+	for id, p := range l.peers {
+		if mode != clayladder.ListDelta && !named[id] {
+			p.state = clayladder.Gone
+			l.Disconnect(id)
+		}
+		if p.state != clayladder.Active {
+			for a := range p.out {
+				if a.drop() { // its upstream left while it waited for a connection
+					l.due = append(l.due, owing{a, clayladder.Moot})
+				}
+			}
+		}
+	}
+	l.balancer.Members(l.now(), mode, list)
+	l.settle()
+	for _, p := range l.peers {
+		l.forget(p)
+	}
+}
+
+// peer applies a list's entry.
+func (l *loop) peer(u clayladder.Upstream, address string) {
+	p := l.peers[u.ID]
+	if p == nil {
+		if u.State == clayladder.Gone {
+			return
+		}
+		p = &peer{id: u.ID, out: map[*attempt]struct{}{}}
+		l.peers[u.ID] = p
+	}
+	if p.state = u.State; u.State != clayladder.Active || (address != p.address && p.address != "") {
+		l.Disconnect(u.ID)
+	}
+	if u.State != clayladder.Gone {
+		p.address = address
+	}
+}
--- a/internal/wire/read.go
+++ b/internal/wire/read.go
@@ -470,20 +470,26 @@
 			return l
 		}
 		x := f.number(name, v)
-		switch string(key) {
-		case "load_share":
-			l.Util, l.Fields = x, l.Fields|clayladder.HasUtil
-		case "concurrent":
-			l.Inflight, l.Fields = x, l.Fields|clayladder.HasInflight
-		case "depth":
-			l.Queue, l.Fields = x, l.Fields|clayladder.HasQueue
-		case "mean_ms":
-			l.Service, l.Fields = x, l.Fields|clayladder.HasService
-		case "tps":
-			l.Rate, l.Fields = x, l.Fields|clayladder.HasRate
-		case "err_ps":
-			l.Errors, l.Fields = x, l.Fields|clayladder.HasErrors
-		}
+		SetLoad(&l, string(key), x)
 	}
 	return l
 }
+
+// SetLoad puts one value of a load report into l, by its name in the settings or the short one that upstreams use.
+// Values of other names are passed over.
+func SetLoad(l *clayladder.Load, name string, x float64) {
+	switch name {
+	case "load_share", "util":
+		l.Util, l.Fields = x, l.Fields|clayladder.HasUtil
+	case "concurrent", "inflight":
+		l.Inflight, l.Fields = x, l.Fields|clayladder.HasInflight
+	case "depth", "queue":
+		l.Queue, l.Fields = x, l.Fields|clayladder.HasQueue
+	case "mean_ms", "latency_ms":
+		l.Service, l.Fields = x, l.Fields|clayladder.HasService
+	case "tps", "qps":
+		l.Rate, l.Fields = x, l.Fields|clayladder.HasRate
+	case "err_ps", "eps":
+		l.Errors, l.Fields = x, l.Fields|clayladder.HasErrors
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -22,12 +22,14 @@
 		WarmKeys bool `json:"warm_keys"`
 	} `json:"family_info"`
 	Limits struct {
-		Cancel       bool  `json:"cancel"`
-		MaxAttempts  int   `json:"max_attempts"`
-		MaxRetry     int64 `json:"max_retry_after_us"`
-		Probes       bool  `json:"probes"`
-		RetryAfter   bool  `json:"retry_after"`
-		SecondCopies bool  `json:"second_copies"`
+		Cancel         bool  `json:"cancel"`
+		ConnectTimeout int64 `json:"connect_timeout_us"`
+		KeepAlive      int64 `json:"keepalive_us"`
+		MaxAttempts    int   `json:"max_attempts"`
+		MaxRetry       int64 `json:"max_retry_after_us"`
+		Probes         bool  `json:"probes"`
+		RetryAfter     bool  `json:"retry_after"`
+		SecondCopies   bool  `json:"second_copies"`
 	} `json:"limits"`
 	Rules struct {
 		Slack       int64   `json:"answer_slack_us"`
@@ -73,18 +75,27 @@
 
 // settings reads the JSON of a start message.
 func (f *fields) settings(name string) clayladder.Settings {
-	s, err := decodeSettings(f.text(name, true))
+	s, _, err := DecodeSettings(f.text(name, true))
 	if err != nil {
 		f.fail(name, err.Error())
 	}
 	return s
 }
 
-func decodeSettings(text []byte) (clayladder.Settings, error) {
+// Links is what the settings say of connections to upstreams. The simulator keeps it to itself; a real balancer
+// has to act on it.
+type Links struct {
+	KeepAlive      time.Duration // an upstream closes a connection that has idled for so long
+	ConnectTimeout time.Duration // a connection not up by then counts as failed
+}
+
+// DecodeSettings reads the settings object of a start message or of a real balancer's configuration.
+func DecodeSettings(text []byte) (clayladder.Settings, Links, error) {
 	var p params
 	var s clayladder.Settings
+	var links Links
 	if err := json.Unmarshal(text, &p); err != nil {
-		return s, fmt.Errorf("settings: %w", err)
+		return s, links, fmt.Errorf("settings: %w", err)
 	}
 	s = clayladder.Settings{Zone: p.Zone, Balancers: p.Balancers, Rank: p.Rank, OverShareWorth: p.OverShare,
 		WorthByWork: p.WorthBy == "work", WarmKeys: p.Family.WarmKeys, Granularity: us(p.Granularity),
@@ -93,29 +104,30 @@
 		Rules: clayladder.Rules{AskWithin: us(p.Rules.AskWithin), ColdFrom: p.Rules.ColdFrom, RampTime: us(p.Rules.RampTime),
 			TipMultiple: p.Rules.TipMultiple, TipAfter: us(p.Rules.TipAfter), DrainGrace: us(p.Rules.DrainGrace),
 			AnswerWithin: us(p.Rules.Slack)}}
+	links = Links{KeepAlive: us(p.Limits.KeepAlive), ConnectTimeout: us(p.Limits.ConnectTimeout)}
 	var ok bool
 	if s.OnRequest, ok = asks[p.Mode]; !ok {
-		return s, fmt.Errorf("settings: membership_mode %q is unknown", p.Mode)
+		return s, links, fmt.Errorf("settings: membership_mode %q is unknown", p.Mode)
 	}
 	if s.Weights, ok = weigh[p.Weights]; !ok {
-		return s, fmt.Errorf("settings: weights %q is unknown", p.Weights)
+		return s, links, fmt.Errorf("settings: weights %q is unknown", p.Weights)
 	}
 	if s.Reports, ok = vias[p.Reporting.Via]; !ok {
-		return s, fmt.Errorf("settings: reporting.via %q is unknown", p.Reporting.Via)
+		return s, links, fmt.Errorf("settings: reporting.via %q is unknown", p.Reporting.Via)
 	}
 	for _, c := range p.Classes {
 		class := clayladder.Class{Name: c.Name, Aim: us(c.Target), Deadline: us(c.GiveUp), Memory: us(c.Memory),
 			Stream: c.Stream, Worth: c.Worth, LateWorth: c.LateWorth}
 		if class.Repeat, ok = repeats[c.Repeat]; !ok {
-			return s, fmt.Errorf("settings: profiles: repeat %q is unknown", c.Repeat)
+			return s, links, fmt.Errorf("settings: profiles: repeat %q is unknown", c.Repeat)
 		}
 		if class.Group, ok = groups[c.Group]; !ok && class.Repeat == clayladder.Keyed {
-			return s, fmt.Errorf("settings: profiles: group %q is unknown", c.Group)
+			return s, links, fmt.Errorf("settings: profiles: group %q is unknown", c.Group)
 		}
 		s.Classes = append(s.Classes, class)
 	}
 	for _, t := range p.Tenants {
 		s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
 	}
-	return s, nil
+	return s, links, nil
 }
