--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
@@ -34,7 +35,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	slog.Info("starting", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members))
-	if err := proxy.Run(ctx, c); err != nil {
+	listener, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return fmt.Errorf("listening for clients: %w", err)
+	}
+	if err := proxy.Run(ctx, c, listener); err != nil {
 		return err
 	}
 	slog.Info("stopped", "name", c.Name)
--- /dev/null
+++ b/cmd/olivearch/main_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const config = `{"name":"n0","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+"limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":1,"complete":true,"members":[]},
+"settings":{"az":"z1","balancers":1,"membership_mode":"on_request","weights":"nominal","worth_by":"work",
+"limits":{"max_attempts":3,"cancel":true,"connect_timeout_us":100000,"keepalive_us":60000000},
+"obligations":{"ask_within_us":10000000,"cold_from":0.3,"ramp_time_us":9000000,"tip_after_us":1500000,"tip_multiple":3},
+"profiles":[{"name":"c","target_us":250000,"give_up_us":750000,"repeat":"non_idempotent","worth":1}],
+"reporting":{"via":"piggyback"}}}`
+
+// program returns the command to start: the deployed one if RUN names it, from the root, or else one built here.
+func program(t *testing.T) *exec.Cmd {
+	t.Helper()
+	if run := os.Getenv("RUN"); run != "" {
+		cmd := exec.Command("/bin/sh", "-c", run)
+		cmd.Dir = filepath.Join("..", "..")
+		return cmd
+	}
+	path := filepath.Join(t.TempDir(), "olivearch")
+	if out, err := exec.Command("go", "build", "-o", path, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return exec.Command(path)
+}
+
+// free returns an address on which nothing listens.
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// TestSmoke starts the program, waits until it is healthy and ends it by SIGTERM. Discovery is down throughout.
+func TestSmoke(t *testing.T) {
+	listen := free(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, fmt.Appendf(nil, config, listen, free(t)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := program(t)
+	var log bytes.Buffer
+	cmd.Env, cmd.Stdout, cmd.Stderr = append(os.Environ(), "RELAY_CONFIG="+path), &log, &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	limit := time.After(30 * time.Second)
+	for healthy := false; !healthy; {
+		resp, err := http.Get("http://" + listen + "/healthz")
+		if err == nil {
+			resp.Body.Close()
+			healthy = resp.StatusCode == http.StatusOK
+		}
+		select {
+		case err := <-ended:
+			t.Fatalf("ended early: %v\n%s", err, &log)
+		case <-limit:
+			cmd.Process.Kill()
+			t.Fatalf("not healthy in time: %v", <-ended)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("after SIGTERM: %v\n%s", err, &log)
+		}
+	case <-limit:
+		cmd.Process.Kill()
+		t.Fatalf("not ended in time: %v", <-ended)
+	}
+}
+
+func TestBadStartSaysWhy(t *testing.T) {
+	cmd := program(t)
+	cmd.Env = append(os.Environ(), "RELAY_CONFIG=")
+	out, err := cmd.CombinedOutput()
+	if cmd.ProcessState.ExitCode() != 1 || !strings.Contains(string(out), "RELAY_CONFIG") {
+		t.Errorf("got %v, %s", err, out)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 )
 
-// Run serves until ctx ends, and then until all that was taken is answered.
-func Run(ctx context.Context, c Config) error {
+// Run serves the clients of listener until ctx ends, and then until all that was taken is answered.
+func Run(ctx context.Context, c Config, listener net.Listener) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
 	l := newLoop(life, &c)
@@ -15,10 +14,6 @@
 		return err
 	}
 	go l.run()
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
-	}
 	f := newFrontend(&c, listener, l.post, l.now)
 	served := make(chan error, 1)
 	go func() { served <- f.serve() }()
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,550 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"clayladder"
+)
+
+// settingsText has a class of each kind. Discovery is asked again at once after a failure.
+const settingsText = `{"az":"z1","balancers":1,"granularity_us":1000,"membership_mode":"on_request","weights":"nominal",
+"worth_by":"work","limits":{"max_attempts":3,"cancel":true,"connect_timeout_us":500000,"keepalive_us":60000000},
+"obligations":{"ask_within_us":320000,"cold_from":0.3,"ramp_time_us":9000000,"tip_after_us":1500000,"tip_multiple":3.0},
+"profiles":[{"name":"read","target_us":2000000,"give_up_us":4000000,"repeat":"read_like","worth":1},
+{"name":"pay","target_us":2000000,"give_up_us":4000000,"repeat":"idempotency_key","group":"all","memory_span_us":9000000,"worth":1},
+{"name":"checkin","target_us":2000000,"give_up_us":4000000,"repeat":"non_idempotent","worth":1}],
+"reporting":{"via":"piggyback"}}`
+
+// server is an upstream whose answers a test writes byte by byte.
+type server struct {
+	addr     string
+	arrivals chan *http.Request // each request whose last byte has come, with its body read
+	mu       sync.Mutex
+	conns    int
+}
+
+// newServer starts an upstream. answer writes what it likes; false closes the connection.
+func newServer(t *testing.T, answer func(c net.Conn, r *http.Request) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &server{addr: l.Addr().String(), arrivals: make(chan *http.Request, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.mu.Lock()
+			s.conns++
+			s.mu.Unlock()
+			go s.converse(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *server) converse(c net.Conn, answer func(net.Conn, *http.Request) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		s.arrivals <- r
+		if !answer(c, r) {
+			return
+		}
+	}
+}
+
+func (s *server) opened() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+func ok(c net.Conn, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+func okAll(c net.Conn, _ *http.Request) bool { return ok(c, "done") }
+
+// registry is a discovery service. Each answer of a call is what the test puts into answers; calls are told.
+type registry struct {
+	addr    string
+	calls   chan string // the query of each call
+	answers chan listing
+}
+
+func newRegistry(t *testing.T) *registry {
+	g := &registry{calls: make(chan string, 1000), answers: make(chan listing)}
+	stop := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.calls <- r.URL.RawQuery
+		select {
+		case l := <-g.answers:
+			if l.Revision == 0 {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			json.NewEncoder(w).Encode(l)
+		case <-r.Context().Done():
+		case <-stop:
+		}
+	}))
+	t.Cleanup(func() { close(stop); s.Close() })
+	g.addr = s.Listener.Addr().String()
+	return g
+}
+
+func up(id string, s *server) member {
+	return member{ID: id, HostPort: s.addr, Locality: "z1", Phase: "up", Size: 1}
+}
+
+func draining(m member) member { m.Phase = "draining"; return m }
+
+// balancer is a running balancer.
+type balancer struct {
+	url      string
+	registry *registry
+	cancel   context.CancelFunc
+	ended    chan error
+	client   *http.Client
+}
+
+func newBalancer(t *testing.T, members ...member) *balancer {
+	t.Helper()
+	g := newRegistry(t)
+	f := file{Name: "n0", Listen: "127.0.0.1:0", Discovery: g.addr, Seed: "8c1f30d27a5be964",
+		Known: listing{Revision: 10, Complete: true, Members: members}, Settings: json.RawMessage(settingsText)}
+	f.Limits.MemoryMB, f.Limits.Sockets = 192, 1024
+	c, err := f.config()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
+	go func() { b.ended <- Run(ctx, c, l) }()
+	t.Cleanup(func() {
+		b.client.CloseIdleConnections()
+		cancel()
+		if err := <-b.ended; err != nil {
+			t.Error(err)
+		}
+		b.ended <- nil
+	})
+	return b
+}
+
+var lastID int
+
+// ask returns a well-formed request of a class.
+func (b *balancer) ask(class, body string, headers ...string) *http.Request {
+	lastID++
+	method := http.MethodPost
+	if class == "read" {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequest(method, b.url+"/"+class+"/x?q=%2F1", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Header.Set("X-Request-Id", fmt.Sprintf("%016x", lastID))
+	r.Header.Set("X-Class", class)
+	r.Header.Set("X-Deadline-Ms", "4000")
+	if class == "pay" {
+		r.Header.Set("Idempotency-Key", strconv.Itoa(lastID))
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return r
+}
+
+// do sends a request and returns the answer whole.
+func (b *balancer) do(t *testing.T, r *http.Request) (int, string) {
+	t.Helper()
+	resp, err := b.client.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+func want(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func TestServesUnchanged(t *testing.T) {
+	s := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", s))
+	for _, class := range []string{"pay", "checkin"} {
+		q := b.ask(class, "body", "Connection", "X-Hop", "X-Hop", "1", "X-Extras", "a=1")
+		status, body := b.do(t, q)
+		want(t, "status", status, 200)
+		want(t, "answer", body, "done")
+		r := <-s.arrivals
+		text, _ := io.ReadAll(r.Body)
+		want(t, "body", string(text), "body")
+		want(t, "method", r.Method, q.Method)
+		want(t, "target", r.RequestURI, "/"+class+"/x?q=%2F1")
+		for _, h := range []string{"X-Request-Id", "Idempotency-Key", "X-Extras"} {
+			want(t, h, r.Header.Get(h), q.Header.Get(h))
+		}
+		want(t, "X-Hop", r.Header.Get("X-Hop"), "")
+		if ms, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms")); err != nil || ms <= 0 || ms >= 4000 {
+			t.Errorf("X-Deadline-Ms: got %q, want under the client's", r.Header.Get("X-Deadline-Ms"))
+		}
+	}
+	want(t, "connections", s.opened(), 1)
+}
+
+// http.Transport writes a GET or a keyed request again by itself when a kept connection breaks. What has been
+// written once must not be written again by anything but the module, and an unsafe request never.
+func TestOneAttemptIsOneWrite(t *testing.T) {
+	for _, class := range []string{"checkin", "pay"} {
+		t.Run(class, func(t *testing.T) {
+			n := 0
+			s := newServer(t, func(c net.Conn, r *http.Request) bool {
+				n++ // one connection at a time
+				return n == 1 && okAll(c, r)
+			})
+			p := &peer{address: s.addr}
+			d := dialer{timeout: time.Second}
+			send := func(c *conn) result {
+				h := http.Header{"X-Request-Id": {"1"}}
+				if class == "pay" {
+					h.Set("Idempotency-Key", "1")
+				}
+				m := message{line: "POST /x", host: "x", header: h}
+				return d.run(&attempt{req: &request{}, peer: p, address: s.addr, conn: c, head: m.bytes(time.Second)})
+			}
+			first := send(nil)
+			want(t, "first", first.status, clayladder.OK)
+			want(t, "second", send(first.conn).status, clayladder.Reset)
+			want(t, "requests written", len(s.arrivals), 2)
+			want(t, "connections", s.opened(), 1)
+		})
+	}
+}
+
+// A connection that the upstream closed while it idled is seen before anything is written to it.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	closed := make(chan struct{}, 2)
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		okAll(c, r)
+		c.Close()
+		closed <- struct{}{}
+		return false
+	})
+	d := dialer{timeout: time.Second}
+	c, err := d.connect(nil, s.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	run := func(c *conn) result {
+		m := message{line: "POST /x", host: "x"}
+		return d.run(&attempt{peer: &peer{}, address: s.addr, conn: c, head: m.bytes(time.Second)})
+	}
+	r := run(c)
+	want(t, "first", r.status, clayladder.OK)
+	<-closed
+	if _, err := r.conn.in.Peek(1); err == nil { // the end has come
+		t.Fatal("bytes on an idle connection")
+	}
+	want(t, "second", run(r.conn).status, clayladder.OK)
+	want(t, "connections", s.opened(), 2)
+}
+
+func TestOutcomes(t *testing.T) {
+	raw := func(text string, keep bool) func(net.Conn, *http.Request) bool {
+		return func(c net.Conn, _ *http.Request) bool { io.WriteString(c, text); return keep }
+	}
+	for _, c := range []struct {
+		name   string
+		answer func(net.Conn, *http.Request) bool
+		status any
+		keeps  bool
+	}{
+		{"served", raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Load: util=0.5\r\n\r\nab", true), clayladder.OK, true},
+		{"served in chunks", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n", true), clayladder.OK, true},
+		{"served, then closed", raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab", false), clayladder.OK, false},
+		{"served after a 1xx", raw("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true), clayladder.OK, true},
+		{"error", raw("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", true), clayladder.Error, true},
+		{"503 that may have run", raw("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true), clayladder.Error, true},
+		{"503 not run", raw("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), clayladder.Full, true},
+		{"504 not run", raw("HTTP/1.1 504 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), clayladder.Full, true},
+		{"502 not run is not in the table", raw("HTTP/1.1 502 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n", true), clayladder.Error, true},
+		{"closed without an answer", raw("", false), clayladder.Reset, false},
+		{"cut short", raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", false), clayladder.Reset, false},
+		{"cut short in chunks", raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false), clayladder.Reset, false},
+		{"no HTTP", raw("what?\r\n\r\n", false), clayladder.Reset, false},
+		{"too large", raw("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", true), clayladder.Error, false},
+		{"too large in chunks", raw("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"+strings.Repeat("x", maxBody+1), false), clayladder.Error, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newServer(t, c.answer)
+			m := message{line: "POST /x", host: "x", body: []byte("b")}
+			r := dialer{timeout: time.Second}.run(&attempt{peer: &peer{}, address: s.addr, head: m.bytes(time.Second)})
+			want(t, "status", any(r.status), c.status)
+			want(t, "kept", r.conn != nil, c.keeps)
+			if c.status == clayladder.OK {
+				want(t, "body", string(r.body), "ab")
+			}
+		})
+	}
+}
+
+func TestConnectFailedAndMootWriteNothing(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	d := dialer{timeout: time.Second}
+	want(t, "refused", d.run(&attempt{address: l.Addr().String()}).status, clayladder.ConnectFailed)
+
+	// What waits for its connection when its request ends or its upstream leaves is not sent any more.
+	s := newServer(t, okAll)
+	a := &attempt{address: s.addr, head: []byte("POST /x HTTP/1.1\r\n\r\n")}
+	want(t, "dropped", a.drop(), true)
+	r := d.run(a)
+	want(t, "status", r.status, clayladder.Moot)
+	want(t, "still of use", r.conn != nil && r.conn.fresh() == nil, true)
+	want(t, "requests written", len(s.arrivals), 0)
+}
+
+// A refused connection proves that the request never ran: it goes elsewhere.
+func TestRefusedConnectionGoesElsewhere(t *testing.T) {
+	dead, alive := newServer(t, okAll), newServer(t, okAll)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.addr = l.Addr().String()
+	l.Close()
+	b := newBalancer(t, up("s-00000001", dead), up("s-00000002", alive))
+	for range 4 {
+		status, _ := b.do(t, b.ask("checkin", ""))
+		want(t, "status", status, 200)
+	}
+}
+
+func TestMalformedRequestsStayOutside(t *testing.T) {
+	s := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", s))
+	big := strings.Repeat("x", maxBody+1)
+	chunked := b.ask("checkin", "")
+	chunked.Body, chunked.ContentLength = io.NopCloser(strings.NewReader(big)), -1
+	get := b.ask("checkin", "")
+	get.Method = http.MethodGet
+	noID := b.ask("checkin", "")
+	noID.Header.Del("X-Request-Id")
+	noKey := b.ask("pay", "")
+	noKey.Header.Del("Idempotency-Key")
+	for _, c := range []struct {
+		name   string
+		r      *http.Request
+		status int
+	}{
+		{"unknown class", b.ask("checkin", "", "X-Class", "nope"), 400},
+		{"path of another class", b.ask("checkin", "", "X-Class", "read"), 400},
+		{"no id", noID, 400},
+		{"method of another kind", get, 400},
+		{"key on an unsafe class", b.ask("checkin", "", "Idempotency-Key", "1"), 400},
+		{"keyed without a key", noKey, 400},
+		{"body too large", b.ask("checkin", big), 413},
+		{"chunks too large", chunked, 413},
+	} {
+		status, _ := b.do(t, c.r)
+		want(t, c.name, status, c.status)
+	}
+	want(t, "requests at the upstream", len(s.arrivals), 0)
+	// A deadline that can't be read falls to the class's, and is no reason to refuse.
+	for _, deadline := range []string{"", "-5", "soon", "99999999999"} {
+		status, _ := b.do(t, b.ask("checkin", "", "X-Deadline-Ms", deadline))
+		want(t, "deadline "+deadline, status, 200)
+	}
+}
+
+// A hung upstream: the client gets its one answer by its deadline, and the request is not sent again.
+func TestFailsByTheDeadline(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool { <-release; return okAll(c, r) })
+	b := newBalancer(t, up("s-00000001", s), up("s-00000002", s))
+	defer close(release)
+	start := time.Now()
+	status, _ := b.do(t, b.ask("checkin", "", "X-Deadline-Ms", "200"))
+	want(t, "status", status, http.StatusGatewayTimeout)
+	if d := time.Since(start); d < 150*time.Millisecond || d > 2*time.Second {
+		t.Errorf("answered after %v, want about the deadline", d)
+	}
+	want(t, "requests at the upstream", len(s.arrivals), 1)
+}
+
+// A client that leaves stops no work. Its connection waits for the late answer and serves again: closing it would
+// cost the upstream a handshake.
+func TestConnectionOutlivesItsClient(t *testing.T) {
+	release := make(chan struct{}, 1)
+	late := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Late") != "" {
+			<-release
+			defer close(late)
+		}
+		return okAll(c, r)
+	})
+	b := newBalancer(t, up("s-00000001", s))
+	ctx, leave := context.WithCancel(context.Background())
+	gone := make(chan error, 1)
+	go func() {
+		_, err := b.client.Do(b.ask("checkin", "", "X-Late", "1").WithContext(ctx))
+		gone <- err
+	}()
+	<-s.arrivals
+	leave()
+	if err := <-gone; err == nil {
+		t.Fatal("the client has not left")
+	}
+	// The loop has taken the departure once a request on a connection of its own has gone out.
+	status, _ := b.do(t, b.ask("checkin", ""))
+	want(t, "status", status, 200)
+	<-s.arrivals
+	release <- struct{}{}
+	<-late
+	before := s.opened()
+	for range 3 {
+		status, _ := b.do(t, b.ask("checkin", ""))
+		want(t, "status", status, 200)
+	}
+	want(t, "new connections", s.opened()-before, 0)
+}
+
+// After a drain has been told nothing more goes there; an older answer does not bring it back.
+func TestDrainIsKept(t *testing.T) {
+	one, two := newServer(t, okAll), newServer(t, okAll)
+	m1, m2 := up("s-00000001", one), up("s-00000002", two)
+	b := newBalancer(t, m1, m2)
+	want(t, "first call", <-b.registry.calls, "since=10&timeout_ms=10000")
+	b.registry.answers <- listing{Revision: 12, Members: []member{draining(m1)}}
+	want(t, "next call", <-b.registry.calls, "since=12&timeout_ms=10000")
+	b.registry.answers <- listing{Revision: 11, Complete: true, Members: []member{m1, m2}}
+	want(t, "call after an older answer", <-b.registry.calls, "since=12&timeout_ms=10000")
+	for range 10 {
+		status, _ := b.do(t, b.ask("checkin", ""))
+		want(t, "status", status, 200)
+	}
+	want(t, "requests at the draining upstream", len(one.arrivals), 0)
+	want(t, "requests at the other", len(two.arrivals), 10)
+}
+
+// A failed call is told to the module, which asks again in its own time.
+func TestAsksAgainAfterAFailure(t *testing.T) {
+	s := newServer(t, okAll)
+	b := newBalancer(t)
+	<-b.registry.calls
+	b.registry.answers <- listing{} // 503
+	<-b.registry.calls
+	b.registry.answers <- listing{Revision: 20, Complete: true, Members: []member{up("s-00000001", s)}}
+	<-b.registry.calls // the list has been posted
+	status, _ := b.do(t, b.ask("checkin", ""))
+	want(t, "status", status, 200)
+}
+
+// What was taken is answered after SIGTERM, and connections that are still on their way are served.
+func TestStopLosesNothing(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Late") != "" {
+			<-release
+		}
+		return okAll(c, r)
+	})
+	b := newBalancer(t, up("s-00000001", s))
+	type got struct {
+		status int
+		err    error
+	}
+	late := make(chan got, 1)
+	go func() {
+		resp, err := b.client.Do(b.ask("checkin", "", "X-Late", "1"))
+		if err != nil {
+			late <- got{err: err}
+			return
+		}
+		resp.Body.Close()
+		late <- got{resp.StatusCode, nil}
+	}()
+	<-s.arrivals
+	b.cancel()
+	for { // a new connection, after the stop has begun
+		r := b.ask("checkin", "")
+		resp, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		want(t, "status while stopping", resp.StatusCode, 200)
+		if resp.Close {
+			break
+		}
+	}
+	close(release)
+	if g := <-late; g.err != nil || g.status != 200 {
+		t.Errorf("the request in hand ended with %v, %v", g.status, g.err)
+	}
+	if err := <-b.ended; err != nil {
+		t.Error(err)
+	}
+	b.ended <- nil
+	if _, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://")); err == nil {
+		t.Error("still listening")
+	}
+}
+
+func TestHealth(t *testing.T) {
+	b := newBalancer(t)
+	resp, err := b.client.Get(b.url + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	want(t, "status", resp.StatusCode, 200)
+}
