Pause between watch calls; close unused connections when stopping

Cause, by reading what the protocol allows: (1) an agent for pushed lists answers a watch at once, and watch() in discovery.go asked again at once, so the core was kept busy (4 calls in 1.1 ms in a probe over loopback); a failed call where nothing sets a pause did the same. (2) http.Server's Shutdown waits up to 5 s for connections that never sent a byte, and when our limit ran out Close took requests in hand with them (probe: 504 for the one in hand). (4) A call to discovery was waited for longer than its news counts as told. Ruled out: that (1) happens here, where discovery makes calls wait.

--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -19,8 +19,11 @@
 
 const (
 	watchWait    = 10 * time.Second // how long one watch call may wait for news
-	callPatience = 5 * time.Second  // and how much later its answer may come
-	maxListing   = 4 << 20
+	callPatience = 3 * time.Second  // and how much later its answer may come
+	// watchPause is the least time from one watch call to the next: an agent that answers at once must not keep the
+	// core busy. Discovery takes a call 200 ms after the last answer for a new watch.
+	watchPause = 100 * time.Millisecond
+	maxListing = 4 << 20
 )
 
 // listing is a discovery answer: the whole list, or the entries that changed.
@@ -131,20 +134,23 @@
 	return d
 }
 
-// watch follows the list until a call fails or ctx ends. The next call comes at
-// once after an answer: discovery takes one later than 200 ms for a new watch.
+// watch follows the list until a call fails or ctx ends.
 func (d *discovery) watch(ctx context.Context) {
 	for ctx.Err() == nil {
+		next := time.After(watchPause)
 		since := d.revision.Load()
 		l, err := d.call(ctx, fmt.Sprintf("%s?since=%d&timeout_ms=%d", d.url, since, watchWait.Milliseconds()), watchWait+callPatience)
 		if ctx.Err() != nil {
 			return
 		}
-		d.post(listed{l, err})
 		if err != nil {
+			<-next // what the module does on a failure may be to ask again at once
+			d.post(listed{l, err})
 			return
 		}
+		d.post(listed{l, nil})
 		d.hold(l.Revision)
+		<-next
 	}
 }
 
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,10 @@
 	answerMargin = 4 * time.Millisecond
 	// lameDuck is how long connections are still taken after SIGTERM: they go on coming for up to 0.4 s.
 	lameDuck = 450 * time.Millisecond
+	// firstBytes is how long the last connection taken then has for beginning its request.
+	firstBytes = 50 * time.Millisecond
+	// slowClient bounds how long a client may take over the head of a request. Body and answer have more.
+	slowClient = 5 * time.Second
 )
 
 // answer is what a client gets, once.
@@ -43,28 +48,45 @@
 	now      func() time.Duration
 	serving  http.Server
 	listener net.Listener
+	mu       sync.Mutex
+	unused   map[net.Conn]struct{}
 }
 
 func newFrontend(c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
 	f := &frontend{classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(),
-		maxOpen: int64(c.Sockets) / 2, now: now}
+		maxOpen: int64(c.Sockets) / 2, now: now, unused: map[net.Conn]struct{}{}}
 	for _, class := range c.Settings.Classes {
 		f.classes[class.Name] = class
 	}
-	f.serving = http.Server{Handler: f, ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second,
-		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: f.count}
+	f.serving = http.Server{Handler: f, ReadHeaderTimeout: slowClient, ReadTimeout: 2 * slowClient,
+		WriteTimeout: 2*slowClient + f.longest, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 16 << 10, ConnState: f.count}
 	return f
 }
 
-func (f *frontend) count(_ net.Conn, s http.ConnState) {
+// count keeps track of client connections, and of those that have sent nothing yet.
+func (f *frontend) count(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if delete(f.unused, c); s == http.StateNew {
+		f.unused[c] = struct{}{}
+	}
 	switch s {
 	case http.StateNew:
 		f.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
+	case http.StateClosed:
 		f.open.Add(-1)
 	}
 }
 
+// closeUnused closes the connections that have sent nothing. Shutdown would wait for them.
+func (f *frontend) closeUnused() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.unused {
+		c.Close()
+	}
+}
+
 // serve takes connections until stop has been called.
 func (f *frontend) serve() error {
 	if err := f.serving.Serve(f.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -78,10 +100,11 @@
 func (f *frontend) stop() {
 	f.leaving.Store(true)
 	time.Sleep(lameDuck)
+	time.AfterFunc(firstBytes, f.closeUnused)
 	ctx, cancel := context.WithTimeout(context.Background(), f.longest+lameDuck)
 	defer cancel()
 	if err := f.serving.Shutdown(ctx); err != nil {
-		f.serving.Close() // only connections that never sent a whole request are left
+		f.serving.Close() // only requests that never came whole are left
 		slog.Warn("closing client connections", "err", err)
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -422,12 +422,12 @@
 // A client that leaves stops no work. Its connection waits for the late answer and serves again: closing it would
 // cost the upstream a handshake.
 func TestConnectionOutlivesItsClient(t *testing.T) {
-	release := make(chan struct{}, 1)
-	late := make(chan struct{})
+	release := make(chan struct{})
+	from := make(chan string, 1)
 	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		from <- c.RemoteAddr().String()
 		if r.Header.Get("X-Late") != "" {
 			<-release
-			defer close(late)
 		}
 		return okAll(c, r)
 	})
@@ -438,23 +438,68 @@
 		_, err := b.client.Do(b.ask("checkin", "", "X-Late", "1").WithContext(ctx))
 		gone <- err
 	}()
-	<-s.arrivals
+	late := <-from
 	leave()
 	if err := <-gone; err == nil {
 		t.Fatal("the client has not left")
 	}
-	// The loop has taken the departure once a request on a connection of its own has gone out.
-	status, _ := b.do(t, b.ask("checkin", ""))
+	status, _ := b.do(t, b.ask("checkin", "")) // on a connection of its own
 	want(t, "status", status, 200)
+	<-from
+	close(release)
+	for limit := time.Now().Add(lingerFor); ; { // the late answer makes its connection the most recent
+		if status, _ := b.do(t, b.ask("checkin", "")); status == 200 && <-from == late {
+			break
+		}
+		if time.Now().After(limit) {
+			t.Fatal("the connection was not used again")
+		}
+	}
+	want(t, "connections", s.opened(), 2)
+}
+
+// An agent on the balancer's own machine answers a watch at once, news or not. That must not keep the core busy.
+func TestPausesBetweenWatchCalls(t *testing.T) {
+	b := newBalancer(t)
+	<-b.registry.calls
+	start := time.Now()
+	for range 4 {
+		b.registry.answers <- listing{Revision: 10}
+		<-b.registry.calls
+	}
+	if d := time.Since(start); d < 2*watchPause {
+		t.Errorf("4 calls in %v", d)
+	}
+}
+
+// A connection on which nothing was ever sent must not keep a stopping balancer from ending, nor take the
+// requests in hand with it.
+func TestStopClosesUnusedConnections(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool { <-release; return okAll(c, r) })
+	b := newBalancer(t, up("s-00000001", s))
+	unused, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unused.Close()
+	status := make(chan int, 1)
+	go func() {
+		resp, err := b.client.Do(b.ask("checkin", ""))
+		if err != nil {
+			status <- 0
+			return
+		}
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
 	<-s.arrivals
-	release <- struct{}{}
-	<-late
-	before := s.opened()
-	for range 3 {
-		status, _ := b.do(t, b.ask("checkin", ""))
-		want(t, "status", status, 200)
+	b.cancel()
+	if _, err := unused.Read(make([]byte, 1)); err == nil {
+		t.Error("bytes on an unused connection")
 	}
-	want(t, "new connections", s.opened()-before, 0)
+	close(release)
+	want(t, "status of the request in hand", <-status, 200)
 }
 
 // After a drain has been told nothing more goes there; an older answer does not bring it back.
