--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -222,7 +222,7 @@
 	conn    *conn
 }
 
-// endToEnd leaves out what belongs to one connection, and what is written anew.
+// notEndToEnd names what belongs to one connection, and what is written anew.
 var notEndToEnd = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
 	"Host": true, "X-Deadline-Ms": true, "Proxy-Authenticate": true, "Proxy-Authorization": true}
