--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -101,3 +101,26 @@
 		Errors: 0.5, Util: 0.61, Service: 14.5})
 	want(t, "none", loadOf(""), clayladder.Load{})
 }
+
+// With no connection left to open, an attempt could not connect: the module is told so, once, and nothing is owed.
+func TestNoConnectionLeft(t *testing.T) {
+	c, err := load(t, configText, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newLoop(t.Context(), &c)
+	l.maxConns = 0
+	if err := l.start(&c); err != nil {
+		t.Fatal(err)
+	}
+	r := &request{at: l.now(), reply: make(chan answer, 1)}
+	r.Class, r.Budget = "checkin", time.Second
+	arrived{r}.apply(l)
+	l.settle()
+	if len(r.attempts) == 0 {
+		t.Fatal("no attempt was made")
+	}
+	want(t, "attempts owed", r.out, 0)
+	want(t, "written", r.attempts[0].stage.Load(), dropped)
+	want(t, "connections", l.conns, 0)
+}
