Take a chunked answer for whole only when its trailer ends in CRLF

FuzzAnswer found an answer cut inside its last line end that passed for whole, where net/http finds it cut: the trailer was read line by line with bare LF allowed. It is now read strictly and then parsed as fields.

--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -68,6 +68,9 @@
 
 // failed tells a bound reached and a text that can't be read from a connection that broke.
 func (s *stream) failed(err error) error {
+	if err == nil {
+		return nil
+	}
 	if s.bound.N <= 0 {
 		return errLong
 	}
@@ -111,8 +114,28 @@
 	if len(b) > maxBody {
 		return nil, errLarge
 	}
-	_, err = s.text.ReadMIMEHeader()
-	return b, err
+	return b, s.trailer()
+}
+
+// trailer reads the fields behind the last chunk (RFC 9112, section 7.1.2) and drops them. Lines must end in CRLF: an
+// answer cut inside its last CRLF would else pass for whole where a reader that goes by the RFC still waits.
+func (s *stream) trailer() error {
+	var fields []byte
+	for {
+		line, err := s.in.ReadSlice('\n')
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			return errLong
+		case err != nil:
+			return s.failed(err)
+		case !bytes.HasSuffix(line, []byte("\r\n")):
+			return errHead
+		}
+		if fields = append(fields, line...); len(line) == len("\r\n") {
+			_, err = textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+			return s.failed(err)
+		}
+	}
 }
 
 // answer reads an upstream's answer whole. Only one that is certain to be complete comes without an error.
--- a/internal/proxy/message_test.go
+++ b/internal/proxy/message_test.go
@@ -29,6 +29,8 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 200\nTransfer-Encoding: chunked\n\n0\r\n\n", // cut inside its last line end
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Load: util=1\r\n\r\n",
 		"HTTP/1.1 200 OK\nContent-Length: 2\n\nab", "ICY 200 OK\r\n\r\n", "",
 	} {
 		f.Add([]byte(text))
