--- /dev/null
+++ b/internal/config/check.go
@@ -0,0 +1,383 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"clayladder/internal/nodelist"
+	"clayladder/internal/route"
+	"clayladder/internal/strictyaml"
+)
+
+const (
+	// maxFile bounds a configuration file, in bytes.
+	maxFile = 16 << 20
+	// reserve is what is kept of the descriptors for listeners, logs, lists and connections that are being closed.
+	reserve = 48
+	// perRequest is the memory that a request may take while a pool holds it: a body each way, and its heads.
+	perRequest = 160 << 10
+	// baseMemory is what the process takes without requests.
+	baseMemory = 24 << 20
+)
+
+// Loaded is a configuration that has been checked, with what was left out filled in.
+type Loaded struct {
+	File
+	Table *route.Table
+	// Routing has what the table does not: the rest of each route, by name.
+	Routing map[string]Route
+}
+
+// Load reads and checks a file. The error joins one strictyaml.Error for each thing wrong.
+func Load(path string) (*Loaded, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err == nil && len(text) > maxFile {
+		err = errors.New(path + ": the file is over 16 MiB")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a file. Relative paths in it start at the file's folder.
+func Parse(path string, text []byte) (*Loaded, error) {
+	c := &Loaded{Routing: map[string]Route{}}
+	d := strictyaml.Decode(path, text, &c.File)
+	if err := d.Err(); err != nil { // what could not be read would only bring errors that follow from it
+		return nil, err
+	}
+	k := checker{Doc: d, Loaded: c}
+	k.listeners()
+	k.limits()
+	k.classes()
+	k.rules()
+	k.pools(filepath.Dir(path))
+	k.routes()
+	if d.Err() == nil {
+		k.bulkheads()
+	}
+	if err := d.Err(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// checker goes over a configuration, notes what is wrong and fills in what was left out.
+type checker struct {
+	*strictyaml.Doc
+	*Loaded
+}
+
+// fill sets what was left out.
+func fill[T comparable](v *T, to T) {
+	var zero T
+	if *v == zero {
+		*v = to
+	}
+}
+
+func (k *checker) address(path, text string) (netip.AddrPort, bool) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		k.Fail(path, "%q is not an IP address and a port, such as 127.0.0.1:8080", text)
+	}
+	return a, err == nil
+}
+
+func (k *checker) listeners() {
+	if len(k.Listeners) == 0 {
+		k.Fail("listeners", "at least one listener is wanted")
+	}
+	names, taken := map[string]bool{}, map[string]bool{}
+	for i := range k.Listeners {
+		l, at := &k.Listeners[i], fmt.Sprintf("listeners[%d]", i)
+		a, ok := k.address(at+".address", l.Address)
+		fill(&l.Name, l.Address)
+		if ok && a.Port() != 0 && taken[a.String()] {
+			k.Fail(at+".address", "two listeners have the address %s", a)
+		}
+		if names[l.Name] && (l.Name != l.Address || a.Port() != 0) {
+			k.Fail(at, "two listeners have the name %q", l.Name)
+		}
+		names[l.Name], taken[a.String()] = true, true
+		if l.Connections < 0 {
+			k.Fail(at+".connections", "the number is over 0")
+		}
+	}
+	if k.Admin != nil {
+		if a, ok := k.address("admin.address", k.Admin.Address); ok && !a.Addr().IsLoopback() && !k.Admin.Open {
+			k.Fail("admin.address", "%s can be reached by others, and the live view asks for no password: if that is meant, add \"open: true\"", a)
+		}
+	}
+}
+
+func (k *checker) limits() {
+	l := &k.Limits
+	fill(&l.Memory, 192<<20)
+	fill(&l.Descriptors, 1024)
+	fill(&l.NodeConnections, 64)
+	if l.Memory < 32<<20 {
+		k.Fail("limits.memory", "at least 32MiB are needed")
+	}
+	if l.Descriptors < 64 {
+		k.Fail("limits.descriptors", "at least 64 are needed")
+	}
+	if l.NodeConnections < 1 {
+		k.Fail("limits.node_connections", "the number is over 0")
+	}
+	fill(&k.Instances.Count, 1)
+	if n := k.Instances; n.Count < 1 || n.Rank < 0 || n.Rank >= n.Count {
+		k.Fail("instances", "rank goes from 0 to count - 1")
+	}
+	for i := range k.Listeners {
+		fill(&k.Listeners[i].Connections, max(1, l.Descriptors/2/len(k.Listeners)))
+	}
+}
+
+func (k *checker) classes() {
+	if len(k.Classes) == 0 {
+		k.Fail("classes", "at least one class is wanted")
+	}
+	for name, c := range k.Classes {
+		at := "classes." + name
+		fill(&c.Repeat, "unsafe")
+		if c.Worth == nil {
+			c.Worth = new(1.0)
+		}
+		_, known := repeats[c.Repeat]
+		switch {
+		case !known:
+			k.Fail(at+".repeat", "%q is none of safe, keyed and unsafe", c.Repeat)
+		case c.Repeat == "keyed":
+			fill(&c.Group, "all")
+			if _, ok := groups[c.Group]; !ok {
+				k.Fail(at+".group", "%q is none of all, zone and cell", c.Group)
+			}
+			if c.Memory == 0 {
+				k.Fail(at, "a keyed class needs memory: how long nodes drop repeats")
+			}
+		case c.Group != "" || c.Memory != 0:
+			k.Fail(at, "group and memory belong to keyed classes")
+		}
+		if c.Aim < Duration(10*time.Millisecond) || c.Deadline < c.Aim {
+			k.Fail(at, "aim is at least 10ms, and deadline no shorter than aim")
+		}
+		if !(*c.Worth >= 0 && *c.Worth <= 1e6) || !(c.LateWorth >= 0 && c.LateWorth <= 1) {
+			k.Fail(at, "worth is from 0 to 1,000,000, and late_worth from 0 to 1")
+		}
+		k.Classes[name] = c
+	}
+	for name, t := range k.Tenants {
+		if !(t.Quota >= 0 && t.Quota < 1e9) {
+			k.Fail("tenants."+name+".quota", "the quota is a rate of requests a second, 0 or more")
+		}
+	}
+	if k.OverQuotaWorth == nil {
+		k.OverQuotaWorth = new(0.1)
+	}
+	if w := *k.OverQuotaWorth; !(w >= 0 && w <= 1) {
+		k.Fail("over_quota_worth", "the part is from 0 to 1")
+	}
+}
+
+func (k *checker) rules() {
+	r := &k.Rules
+	fill(&r.DrainGrace, Duration(time.Second))
+	fill(&r.ColdFrom, 0.33)
+	fill(&r.RampTime, Duration(9*time.Second))
+	fill(&r.TipMultiple, 3)
+	fill(&r.TipAfter, Duration(1500*time.Millisecond))
+	if !(r.ColdFrom > 0 && r.ColdFrom <= 1) {
+		k.Fail("rules.cold_from", "the part is over 0 and at most 1")
+	}
+	if !(r.TipMultiple >= 1 && r.TipMultiple <= 1000) {
+		k.Fail("rules.tip_multiple", "the multiple is from 1 to 1,000")
+	}
+}
+
+func (k *checker) pools(folder string) {
+	if len(k.Pools) == 0 {
+		k.Fail("pools", "at least one pool is wanted")
+	}
+	queue, descriptors := k.Limits.Descriptors, k.Limits.Descriptors-reserve
+	for _, l := range k.Listeners {
+		queue, descriptors = min(queue, l.Connections), descriptors-l.Connections
+	}
+	for _, name := range slices.Sorted(maps.Keys(k.Pools)) {
+		p, at := k.Pools[name], "pools."+name
+		fill(&p.Queue, max(1, queue/len(k.Pools)))
+		fill(&p.Connections, max(1, descriptors/len(k.Pools)))
+		fill(&p.Share, 1)
+		fill(&p.Drains, "any")
+		fill(&p.Reports, "answers")
+		fill(&p.ConnectTimeout, Duration(500*time.Millisecond))
+		fill(&p.IdleTimeout, Duration(time.Minute))
+		fill(&p.MaxAttempts, 3)
+		fill(&p.MaxRetryAfter, Duration(5*time.Second))
+		if p.Queue < 1 || p.Connections < 1 || p.MaxAttempts < 1 {
+			k.Fail(at, "queue, connections and max_attempts are over 0")
+		}
+		if !(p.Share > 0 && p.Share <= 1e6) {
+			k.Fail(at+".share", "the share is over 0 and at most 1,000,000")
+		}
+		if p.Drains != "any" && p.Drains != "own" {
+			k.Fail(at+".drains", "%q is neither any nor own", p.Drains)
+		}
+		if _, ok := reports[p.Reports]; !ok {
+			k.Fail(at+".reports", "%q is none of answers, probes and none", p.Reports)
+		}
+		k.nodes(at+".nodes", &p.Nodes, folder)
+		k.Pools[name] = p
+	}
+}
+
+func (k *checker) nodes(at string, n *NodeSource, folder string) {
+	sources := 0
+	for _, set := range []bool{n.File != "", n.Static != nil, n.Discovery != ""} {
+		if set {
+			sources++
+		}
+	}
+	if sources != 1 {
+		k.Fail(at, "exactly one of file, static and discovery says where the nodes come from")
+		return
+	}
+	switch {
+	case n.File != "":
+		if !filepath.IsAbs(n.File) {
+			n.File = filepath.Join(folder, n.File)
+		}
+	case n.Discovery != "":
+		k.address(at+".discovery", n.Discovery)
+	default:
+		nodelist.Check(k.Doc, at+".static", n.Static)
+		if n.Hold != 0 {
+			k.Fail(at+".hold", "a list that stands here is never silent")
+		}
+	}
+}
+
+func (k *checker) routes() {
+	if len(k.Routes) == 0 {
+		k.Fail("routes", "at least one route is wanted")
+	}
+	rules := make([]route.Rule, 0, len(k.Routes))
+	places := map[string]string{}
+	for i := range k.Routes {
+		r, at := &k.Routes[i], fmt.Sprintf("routes[%d]", i)
+		if _, twice := k.Routing[r.Name]; r.Name == "" || twice {
+			k.Fail(at, "a route needs a name of its own; %q is not", r.Name)
+			continue
+		}
+		class, ok := k.Classes[r.Class]
+		if !ok {
+			k.Fail(at+".class", "%s", unknown("class", r.Class, slices.Collect(maps.Keys(k.Classes))))
+		}
+		fill(&r.Deadline, class.Deadline)
+		r.Deadline = min(r.Deadline, class.Deadline)
+		if r.RequestClass != "" && r.RequestClass != r.Class {
+			k.Fail(at+".request_class", "clients that name %q would get the class %q: the two are the same", r.RequestClass, r.Class)
+		}
+		if (r.Pool == "") == (len(r.Pools) == 0) {
+			k.Fail(at, "exactly one of pool and pools is wanted")
+			continue
+		}
+		if r.Pool != "" {
+			r.Pools = []WeightedPool{{r.Pool, 1}}
+		}
+		fill(&r.KeyCookie, "obj")
+		rule := route.Rule{Name: r.Name, Hosts: r.Hosts, Methods: r.Methods, Class: r.RequestClass}
+		for j, p := range r.Pools {
+			if _, ok := k.Pools[p.Pool]; !ok {
+				where := at + ".pool"
+				if r.Pool == "" {
+					where = fmt.Sprintf("%s.pools[%d].pool", at, j)
+				}
+				k.Fail(where, "%s", unknown("pool", p.Pool, slices.Collect(maps.Keys(k.Pools))))
+			}
+			rule.Pools = append(rule.Pools, route.WeightedPool(p))
+		}
+		for _, m := range r.Methods {
+			if m == "" || strings.ContainsFunc(m, func(c rune) bool { return c < 'A' || c > 'Z' }) || m == "CONNECT" {
+				k.Fail(at+".methods", "%q is not a method that is served, in capitals", m)
+			}
+		}
+		for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
+			rule.Headers = append(rule.Headers, route.Header{Name: name, Value: r.Headers[name]})
+		}
+		set := 0
+		for kind, text := range map[route.PathKind]string{route.Exact: r.Path.Exact, route.Pattern: r.Path.Pattern, route.Prefix: r.Path.Prefix} {
+			if text != "" {
+				set++
+				rule.Kind, rule.Path = kind, text
+			}
+		}
+		if set == 0 {
+			rule.Kind, rule.Path = route.Prefix, "/"
+		} else if set > 1 {
+			k.Fail(at+".path", "at most one of exact, pattern and prefix is wanted")
+		}
+		k.Routing[r.Name], places[r.Name] = *r, at
+		rules = append(rules, rule)
+	}
+	table, errs := route.Build(rules)
+	for _, err := range errs {
+		at := "routes"
+		if tie := (route.Conflict{}); errors.As(err, &tie) {
+			at = places[tie.Second]
+		} else {
+			for name, place := range places {
+				if strings.HasPrefix(err.Error(), fmt.Sprintf("route %q:", name)) {
+					at = place
+				}
+			}
+		}
+		k.Fail(at, "%v", err)
+	}
+	k.Table = table
+}
+
+func unknown(kind, name string, known []string) string {
+	if near := strictyaml.Nearest(name, known); near != "" {
+		return fmt.Sprintf("there is no %s %q; did you mean %q?", kind, name, near)
+	}
+	return fmt.Sprintf("there is no %s %q", kind, name)
+}
+
+// bulkheads checks that what pools may take together is there, so that no pool can take what is another's.
+func (k *checker) bulkheads() {
+	connections, queues := reserve, 0
+	for _, l := range k.Listeners {
+		connections += l.Connections
+	}
+	for _, p := range k.Pools {
+		connections, queues = connections+p.Connections, queues+p.Queue
+	}
+	if connections > k.Limits.Descriptors {
+		k.Fail("limits.descriptors", "listeners and pools may take %d with a reserve of %d, more than the %d there are: lower their connections",
+			connections, reserve, k.Limits.Descriptors)
+	}
+	for i, l := range k.Listeners {
+		if queues > l.Connections {
+			k.Fail(fmt.Sprintf("listeners[%d].connections", i), "pools may hold %d requests, more than the %d connections: one that stalls could take up those of others",
+				queues, l.Connections)
+		}
+	}
+	if most := int64(baseMemory + queues*perRequest); most > int64(k.Limits.Memory) {
+		k.Fail("limits.memory", "pools may hold %d requests, which can take %d MiB; lower their queues or give more", queues, most>>20)
+	}
+}
--- /dev/null
+++ b/internal/nodelist/list.go
@@ -0,0 +1,119 @@
+// Package nodelist keeps the lists of nodes that come from files or stand in the configuration. A list is checked whole
+// before it counts: a torn or bad one changes nothing.
+package nodelist
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"clayladder/internal/strictyaml"
+)
+
+// maxFile bounds a list's file, in bytes.
+const maxFile = 8 << 20
+
+// Phase is what a list says of a node.
+type Phase string
+
+// The phases. A node that is not listed any more is gone.
+const (
+	Up       Phase = "up"
+	Draining Phase = "draining" // finishes what it has, wants nothing new
+)
+
+// Node is an entry of a list.
+type Node struct {
+	// Name of the node; it outlives restarts. The address if it is left out.
+	ID string `yaml:"id,omitempty" json:"id,omitempty"`
+	// IP address and port: names are not looked up.
+	Address string `yaml:"address" json:"address"`
+	// Data centre or the like.
+	Zone string `yaml:"zone,omitempty" json:"zone,omitempty"`
+	// Nodes of one cell drop each other's repeats of keyed requests.
+	Cell int `yaml:"cell,omitempty" json:"cell,omitempty"`
+	// Size, compared with the others; 1 if it is left out.
+	Weight float64 `yaml:"weight,omitempty" json:"weight,omitempty"`
+	// up (also if it is left out) or draining.
+	Phase Phase `yaml:"phase,omitempty" json:"phase,omitempty" jsonschema:"enum=up,enum=draining"`
+	// When the node last started (RFC 3339): one that has just started is cold. Left out: long ago.
+	Started time.Time `yaml:"started,omitempty" json:"started,omitzero"`
+}
+
+// List is a list of nodes, complete.
+type List struct {
+	Nodes []Node `yaml:"nodes" json:"nodes"`
+}
+
+// Check notes what is wrong with nodes that stand at a path of a document, and fills in what may be left out.
+func Check(d *strictyaml.Doc, path string, nodes []Node) {
+	ids, addresses := map[string]bool{}, map[netip.AddrPort]string{}
+	for i := range nodes {
+		n, at := &nodes[i], fmt.Sprintf("%s[%d]", path, i)
+		address, err := netip.ParseAddrPort(n.Address)
+		switch {
+		case n.Address == "":
+			d.Fail(at, "the node has no address")
+			continue
+		case err != nil || address.Port() == 0:
+			d.Fail(at+".address", "%q is not an IP address and a port, such as 10.0.0.7:8080", n.Address)
+			continue
+		}
+		n.Address = address.String() // two spellings of one address are one node
+		if n.ID == "" {
+			n.ID = n.Address
+		}
+		if n.Weight == 0 && n.Phase != Draining {
+			n.Weight = 1
+		}
+		if n.Phase == "" {
+			n.Phase = Up
+		}
+		other, taken := addresses[address]
+		switch {
+		case ids[n.ID]:
+			d.Fail(at, "two nodes have the id %q", n.ID)
+		case taken:
+			d.Fail(at+".address", "nodes %q and %q have the same address", other, n.ID)
+		case !(n.Weight >= 0 && n.Weight <= 1e6):
+			d.Fail(at+".weight", "the weight is over 0 and at most 1,000,000")
+		case n.Phase != Up && n.Phase != Draining:
+			d.Fail(at+".phase", "%q is neither up nor draining", n.Phase)
+		case strings.ContainsFunc(n.ID, func(r rune) bool { return r < ' ' }):
+			d.Fail(at, "the id has a control character")
+		}
+		ids[n.ID], addresses[address] = true, n.ID
+	}
+}
+
+// Parse reads a list from the text of a file.
+func Parse(file string, text []byte) (List, error) {
+	var l List
+	d := strictyaml.Decode(file, text, &l)
+	if d.Err() == nil && l.Nodes == nil { // a file cut behind its first key must not remove every node
+		d.Fail("", `no list "nodes" stands there; to remove all nodes, write "nodes: []"`)
+	}
+	Check(d, "nodes", l.Nodes)
+	return l, d.Err()
+}
+
+// Load reads a file's list.
+func Load(path string) (List, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return List{}, err
+	}
+	defer f.Close()
+	text, err := io.ReadAll(io.LimitReader(f, maxFile+1))
+	if err == nil && len(text) > maxFile {
+		err = errors.New(path + ": the file is over 8 MiB")
+	}
+	if err != nil {
+		return List{}, err
+	}
+	return Parse(path, text)
+}
