Module: settings may change while running; parts and caps of shared upstreams; a view

Several pools in one process each have a module. An upstream that several list may now be told a Part (of its cold budget) and a Most (attempts out at once), Configure swaps the settings and keeps what was learnt, View shows the bands.

--- a/api.go
+++ b/api.go
@@ -144,6 +144,8 @@
 	Weight    float64
 	StartedAt time.Duration // latest start on the owner's clock; 0: long past
 	State     State
+	Part      float64 // of its cold budget, where one owner runs several Balancers on it; 0: all
+	Most      int     // attempts out at once that it may have of this Balancer; 0: any number
 }
 
 // ListMode says how a list relates to the one held.
--- a/balancer.go
+++ b/balancer.go
@@ -50,20 +50,11 @@
 	if err := s.validate(host); err != nil {
 		return nil, err
 	}
-	b := &Balancer{s: s, host: host, rng: rand.New(rand.NewPCG(seed, 0)), classes: map[string]*class{},
-		tenants: map[string]*tenant{}, safest: Unsafe, requests: map[RequestID]*request{},
+	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 0)), requests: map[RequestID]*request{},
 		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now}
-	shortest := s.Classes[0].Aim
-	for _, c := range s.Classes {
-		b.classes[c.Name] = &class{Class: c}
-		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
-	}
-	for _, t := range s.Tenants {
-		b.tenants[t.Name] = &tenant{rate: t.Quota / float64(s.Balancers), at: now.Seconds()}
-	}
+	shortest := b.adopt(s, now)
 	b.gather(now)
 	b.lat = float64(shortest) / 4 // until answers tell
-	b.tick = max(s.Granularity, shortest/ticksPerAim, time.Millisecond)
 	host.SetTimer(b.tick, tickToken)
 	if s.OnRequest {
 		host.Watch(true)
@@ -71,6 +62,22 @@
 	return b, nil
 }
 
+// Configure puts other settings in the place of those that hold, or changes nothing and names the one that is
+// wrong. What was learnt of upstreams stays: windows, shares, bounds. Open requests keep the class they came with.
+func (b *Balancer) Configure(now time.Duration, s Settings) error {
+	if err := s.validate(b.host); err != nil {
+		return err
+	}
+	follows := b.s.OnRequest
+	b.adopt(s, now)
+	if s.OnRequest != follows {
+		b.host.Watch(s.OnRequest)
+	}
+	b.gather(now)
+	b.dispatch(now)
+	return nil
+}
+
 // --- Request ledger ---
 
 // maySend alone decides whether r may be sent (again), and whether u may take it.
@@ -407,6 +414,7 @@
 		return len(u.outs) == 0
 	}
 	rate := tipMargin * b.s.Rules.TipMultiple * b.ramp(u, now) * u.weight * b.carry / bandPeriod.Seconds()
+	rate *= cmp.Or(u.Part, 1)
 	u.spent, u.spentAt = max(0, u.spent-rate/2*(now-u.spentAt).Seconds()), now
 	return u.spent <= max(0, rate/2*b.s.Rules.TipAfter.Seconds()-max(1, r.units))
 }
@@ -451,6 +459,7 @@
 	if u.silent { // the safest class goes first as a trial
 		ok = now >= u.trialAt && (r.class.Repeat == b.safest || now >= u.trialAt+u.wait)
 	}
+	ok = ok && (u.Most == 0 || len(u.outs) < u.Most)
 	return ok && (b.ramp(u, now) == 1 || b.coldRoom(u, r, now))
 }
 
--- /dev/null
+++ b/configure_test.go
@@ -0,0 +1,106 @@
+package clayladder
+
+import (
+	"testing"
+	"time"
+)
+
+// TestConfigureKeepsWhatWasLearnt changes classes, tenants and limits: windows, shares and open requests stay, and a bad
+// setting changes nothing.
+func TestConfigureKeepsWhatWasLearnt(t *testing.T) {
+	s := settings()
+	b, h := start(t, s, fleet(3))
+	for _, u := range b.ups {
+		u.readings, u.mean, u.dev, u.factor, u.bound = 5, 0.6, 0.1, 0.5, 7
+	}
+	b.Request(time.Hour, Request{ID: 1, Class: s.Classes[0].Name, Budget: s.Classes[0].Deadline})
+	if h.count("send id=1") != 1 {
+		t.Fatal(h.lines)
+	}
+	bad := s
+	bad.Rules.ColdFrom = 0
+	if err := b.Configure(time.Hour, bad); err == nil {
+		t.Error("a bad setting was taken")
+	}
+	next := s
+	next.Classes = append([]Class{{Name: "new", Aim: time.Second, Deadline: time.Second, Worth: 1}}, s.Classes[1:]...)
+	next.Limits.MaxAttempts = 1
+	if err := b.Configure(time.Hour, next); err != nil {
+		t.Fatal(err)
+	}
+	for _, u := range b.ups {
+		if u.readings != 5 || u.factor != 0.5 || u.bound != 7 || !u.member {
+			t.Errorf("upstream %d lost what was learnt: %+v", u.ID, u)
+		}
+	}
+	b.Request(time.Hour, Request{ID: 2, Class: "new", Budget: time.Second})
+	b.Request(time.Hour, Request{ID: 3, Class: s.Classes[0].Name, Budget: time.Second})
+	if h.count("send id=2") != 1 || h.count("refuse id=3") != 1 {
+		t.Errorf("the new class is not served, or the removed one is: %v", h.lines)
+	}
+	up := b.requests[1].attempts[0].up
+	b.Outcome(time.Hour+ms, Outcome{ID: 1, Upstream: up.ID, Status: OK, Latency: ms})
+	if b.requests[1] != nil {
+		t.Error("an open request was not closed by its answer")
+	}
+}
+
+// TestMostIsNeverPassed: a node's connections are shared out, so no more attempts may be out than they are told.
+func TestMostIsNeverPassed(t *testing.T) {
+	list := fleet(1)
+	list[0].Most = 2
+	b, h := start(t, settings(), list)
+	b.ups[0].bound = 50
+	for i := range RequestID(10) {
+		b.Request(time.Hour, Request{ID: i + 1, Class: b.s.Classes[0].Name, Budget: time.Second})
+	}
+	if n := h.count("send"); n != 2 {
+		t.Errorf("%d sends at once, want 2", n)
+	}
+}
+
+// TestPartsOfOneColdUpstream: two Balancers of one owner, told a half each, send a cold upstream no more together than
+// one of them alone would, and each gets something.
+func TestPartsOfOneColdUpstream(t *testing.T) {
+	sent := func(part float64) int {
+		list := fleet(2)
+		list[1].Part = part
+		b, h := start(t, settings(), list)
+		b.chill(b.ups[1], time.Hour)
+		b.carry = 100
+		for i := range RequestID(500) {
+			for _, u := range b.ups {
+				u.bound, u.freeAt = 1e6, 0
+			}
+			b.Request(time.Hour+time.Duration(i)*ms, Request{ID: i + 1, Class: b.s.Classes[0].Name, Budget: time.Second})
+		}
+		n := 0
+		for _, r := range b.requests {
+			if len(r.attempts) > 0 && r.attempts[0].up == b.ups[1] {
+				n++
+			}
+		}
+		if len(h.lines) < 500 {
+			t.Fatal("too few actions")
+		}
+		return n
+	}
+	whole, half := sent(0), sent(0.5)
+	if half == 0 || 2*half > whole+2 {
+		t.Errorf("%d with a half each, %d with the whole: together they would send more", half, whole)
+	}
+}
+
+// TestViewShowsBands: the figures are the ones that decide.
+func TestViewShowsBands(t *testing.T) {
+	b, _ := start(t, settings(), fleet(2))
+	b.ups[0].readings, b.ups[0].mean, b.ups[0].dev, b.ups[0].factor = 8, 0.5, 0.1, 0.5
+	views, held := b.View(time.Hour)
+	if len(views) != 2 || held != 0 {
+		t.Fatalf("%+v", views)
+	}
+	v := views[0]
+	if v.Upper != 0.5+bandAlpha*0.1 || v.Lower != 0.5-bandAlpha*0.1 || v.Share < 0.33 || v.Share > 0.34 || v.Cut != 0.5 {
+		t.Errorf("%+v", v)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -91,6 +91,31 @@
 	logged                  map[string]time.Duration
 }
 
+// adopt takes settings and returns the shortest aim. What is counted of classes and tenants that stay goes on.
+func (b *Balancer) adopt(s Settings, now time.Duration) (shortest time.Duration) {
+	classes, tenants := make(map[string]*class, len(s.Classes)), make(map[string]*tenant, len(s.Tenants))
+	b.safest, shortest = Unsafe, s.Classes[0].Aim
+	for _, c := range s.Classes {
+		n := &class{Class: c}
+		if old := b.classes[c.Name]; old != nil {
+			n.lat = old.lat // its budget may have shrunk with its deadline: that is learnt anew
+		}
+		classes[c.Name] = n
+		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
+	}
+	for _, t := range s.Tenants {
+		n := &tenant{at: now.Seconds()}
+		if old := b.tenants[t.Name]; old != nil {
+			*n = *old
+		}
+		n.rate = t.Quota / float64(s.Balancers)
+		tenants[t.Name] = n
+	}
+	b.s, b.classes, b.tenants = s, classes, tenants
+	b.tick = max(s.Granularity, shortest/ticksPerAim, time.Millisecond)
+	return shortest
+}
+
 // mixed is a fixed hash of x, so that neither numbering nor time of listing orders the ring.
 func mixed(x uint64) uint64 {
 	x = (x + 1) * 0x9e3779b97f4a7c15
