Pools beside each other: desks, shares of common nodes, the whole of an answer

The balancer's loop could serve one pool with one list, and its frontend one protocol. The frontend now asks a desk (the platform's, or routes) where a request goes; a Pool is a loop with a module, queue bound, connections and list source of its own, may be reconfigured and retired while it serves, and shares common nodes by fixed parts that a directory works out. On the platform nothing is new: one pool, no directory.

--- a/balancer.go
+++ b/balancer.go
@@ -63,7 +63,7 @@
 }
 
 // Configure puts other settings in the place of those that hold, or changes nothing and names the one that is
-// wrong. What was learnt of upstreams stays: windows, shares, bounds. Open requests keep the class they came with.
+// wrong. What was learnt of upstreams stays: windows, shares, bounds. Open requests keep their class.
 func (b *Balancer) Configure(now time.Duration, s Settings) error {
 	if err := s.validate(b.host); err != nil {
 		return err
--- /dev/null
+++ b/internal/live/live.go
@@ -0,0 +1,115 @@
+// Package live is the form of the live view: what the admin listener answers as JSON and "olivearch top" shows as a table.
+package live
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+)
+
+// View is the state of a process at a moment. Times are in milliseconds.
+type View struct {
+	Version   string     `json:"version"`
+	UptimeMS  int64      `json:"uptime_ms"`
+	Reloads   int        `json:"reloads"` // configurations taken since the start
+	Listeners []Listener `json:"listeners"`
+	Pools     []Pool     `json:"pools"`
+}
+
+// Listener is an address for clients.
+type Listener struct {
+	Name        string `json:"name"`
+	Address     string `json:"address"`
+	Connections int    `json:"connections"`
+	Limit       int    `json:"limit"`
+}
+
+// Pool is one pool with its list and nodes.
+type Pool struct {
+	Name        string `json:"name"`
+	Open        int    `json:"open"`  // requests that it holds, sent or waiting
+	Queue       int    `json:"queue"` // at most
+	Held        int    `json:"held"`  // of these, waiting for a turn
+	Connections int    `json:"connections"`
+	Limit       int    `json:"limit"` // of connections
+	Served      uint64 `json:"served"`
+	Refused     uint64 `json:"refused"`
+	Failed      uint64 `json:"failed"`
+	TurnedAway  uint64 `json:"turned_away"` // since the queue was full; not among the refused
+	ListAgeMS   int64  `json:"list_age_ms"` // since the last good word from the list's source
+	HoldMS      int64  `json:"hold_ms"`     // how old the list may become; 0: any age
+	Expired     bool   `json:"expired"`     // it is older: all is refused
+	Trouble     string `json:"trouble,omitempty"`
+	Nodes       []Node `json:"nodes"`
+}
+
+// Node is what one pool's module knows of one node.
+type Node struct {
+	ID          string  `json:"id"`
+	Address     string  `json:"address"`
+	Phase       string  `json:"phase"` // up, draining or gone
+	Member      bool    `json:"member"`
+	Share       float64 `json:"share"` // of the pool's requests
+	Cut         float64 `json:"cut"`   // what cuts have left of its share
+	Mean        float64 `json:"mean"`  // of the utilisation readings
+	Upper       float64 `json:"upper"`
+	Lower       float64 `json:"lower"`
+	Area        float64 `json:"area"` // band gap integrated over the period, so far
+	Readings    int     `json:"readings"`
+	Cold        bool    `json:"cold"`
+	Silent      bool    `json:"silent"` // owes every answer: trials only
+	Out         int     `json:"out"`
+	Bound       float64 `json:"bound"`
+	LatencyMS   float64 `json:"latency_ms"`
+	Connections int     `json:"connections"`
+	Part        float64 `json:"part"`  // of the node's cold budget and connections that is this pool's
+	Limit       int     `json:"limit"` // of connections from this pool; 0: the pool's
+}
+
+// Write prints a view as a table.
+func (v *View) Write(w io.Writer) error {
+	for _, l := range v.Listeners {
+		fmt.Fprintf(w, "listener %s at %s: %d of %d connections\n", l.Name, l.Address, l.Connections, l.Limit)
+	}
+	for _, p := range v.Pools {
+		fmt.Fprintf(w, "\npool %s: %d of %d open, %d held, %d of %d connections, %d served, %d refused, %d failed, %d turned away; list %.1f s old%s\n",
+			p.Name, p.Open, p.Queue, p.Held, p.Connections, p.Limit, p.Served, p.Refused, p.Failed, p.TurnedAway, float64(p.ListAgeMS)/1000, p.listNote())
+		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+		fmt.Fprintln(t, "node\tphase\tshare\tcut\tlower\tmean\tupper\tarea\tout\tbound\tms\tconns\tpart\tnotes\t")
+		nodes := slices.SortedFunc(slices.Values(p.Nodes), func(a, b Node) int { return cmp.Compare(a.ID, b.ID) })
+		for _, n := range nodes {
+			fmt.Fprintf(t, "%s\t%s\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%d\t%.1f\t%.1f\t%d\t%.2f\t%s\t\n", n.ID, n.Phase, n.Share, n.Cut, n.Lower, n.Mean,
+				n.Upper, n.Area, n.Out, n.Bound, n.LatencyMS, n.Connections, n.Part, n.notes())
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (p *Pool) listNote() string {
+	switch {
+	case p.Expired:
+		return ", EXPIRED: all is refused (" + cmp.Or(p.Trouble, "its source is silent") + ")"
+	case p.Trouble != "":
+		return " (" + p.Trouble + ")"
+	}
+	return ""
+}
+
+func (n *Node) notes() string {
+	var notes []string
+	for _, x := range []struct {
+		on   bool
+		text string
+	}{{n.Cold, "cold"}, {n.Silent, "silent"}, {!n.Member, "not used"}} {
+		if x.on {
+			notes = append(notes, x.text)
+		}
+	}
+	return strings.Join(notes, ",")
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -10,7 +10,6 @@
 	"net/netip"
 	"os"
 	"strconv"
-	"time"
 
 	"clayladder"
 	"clayladder/internal/wire"
@@ -125,11 +124,8 @@
 func (c *Config) clientConns() int   { return c.Sockets / 2 }
 func (c *Config) upstreamConns() int { return c.Sockets/2 - max(c.Sockets/16, 16) }
 
-// longest is the longest time that a client waits.
-func (c *Config) longest() time.Duration {
-	var d time.Duration
-	for _, class := range c.Settings.Classes {
-		d = max(d, class.Deadline)
-	}
-	return d
+// spec is the one pool of a platform's balancer.
+func (c *Config) spec() Spec {
+	return Spec{Name: c.Name, Settings: c.Settings, Links: c.Links, Seed: c.Seed, Discovery: c.Discovery,
+		Connections: c.upstreamConns()}
 }
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newLoop(t.Context(), &c)
+	l := newLoop(t.Context(), c.spec())
 	m := member{ID: "s-1", Phase: "up", UpSinceMS: time.Now().Add(-3 * time.Second).UnixMilli()}
 	if age := l.now() - m.upstream(1).StartedAt; age < 2900*time.Millisecond || age > 4*time.Second {
 		t.Errorf("age %v, want 3 s", age)
@@ -143,9 +143,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newLoop(t.Context(), &c)
+	l := newLoop(t.Context(), c.spec())
 	l.maxConns = 0
-	if err := l.start(&c); err != nil {
+	if err := l.start(c.Seed, &c.Known); err != nil {
 		t.Fatal(err)
 	}
 	r := &request{at: l.now(), reply: make(chan answer, 1)}
--- /dev/null
+++ b/internal/proxy/directory.go
@@ -0,0 +1,163 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+
+	"clayladder"
+	"clayladder/internal/nodeshare"
+)
+
+// Directory tells the pools of a process what each may use of the nodes that several of them list. It runs in a
+// goroutine of its own and waits for no pool.
+type Directory struct {
+	ctx  context.Context
+	asks chan func(*directory)
+}
+
+// directory is what the goroutine keeps.
+type directory struct {
+	ledger *nodeshare.Ledger
+	pools  map[string]*sharing
+}
+
+// sharing is a pool's tie to the directory. A nil one belongs to a pool that shares nothing.
+type sharing struct {
+	directory *Directory
+	pool      string
+	mail      chan map[string]nodeshare.Share // the newest shares; what was not read in time is replaced
+	weight    float64                         // the loop's, as are those below
+	own       bool                            // drains that other pools were told do not count here
+	claimed   map[string]bool
+}
+
+// NewDirectory starts a directory, for so many connections to one node over all pools.
+func NewDirectory(ctx context.Context, connections int) *Directory {
+	d := &Directory{ctx: ctx, asks: make(chan func(*directory))}
+	go func() {
+		state := &directory{nodeshare.New(connections), map[string]*sharing{}}
+		for {
+			select {
+			case ask := <-d.asks:
+				ask(state)
+				state.tell()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return d
+}
+
+// tell sends all pools their shares.
+func (d *directory) tell() {
+	for name, s := range d.pools {
+		select { // only this goroutine writes: room that has been made stays
+		case <-s.mail:
+		default:
+		}
+		s.mail <- d.ledger.Shares(name)
+	}
+}
+
+func (d *Directory) ask(f func(*directory)) {
+	select {
+	case d.asks <- f:
+	case <-d.ctx.Done():
+	}
+}
+
+// Limit sets anew how many connections a node takes over all pools.
+func (d *Directory) Limit(connections int) {
+	d.ask(func(s *directory) { s.ledger.Limit(connections) })
+}
+
+// join returns a new pool's tie.
+func (d *Directory) join(pool string, weight float64, own bool) *sharing {
+	s := &sharing{directory: d, pool: pool, weight: weight, own: own, mail: make(chan map[string]nodeshare.Share, 1)}
+	d.ask(func(state *directory) { state.pools[pool] = s })
+	return s
+}
+
+func (s *sharing) news() <-chan map[string]nodeshare.Share {
+	if s == nil {
+		return nil
+	}
+	return s.mail
+}
+
+func (s *sharing) claim(nodes map[string]bool) {
+	if s.claimed != nil && maps.Equal(nodes, s.claimed) {
+		return
+	}
+	s.claimed = nodes
+	weight := s.weight
+	s.directory.ask(func(d *directory) { d.ledger.Claim(s.pool, weight, nodes) })
+}
+
+func (s *sharing) leave() {
+	s.directory.ask(func(d *directory) {
+		d.ledger.Leave(s.pool)
+		delete(d.pools, s.pool)
+	})
+}
+
+// claim tells the directory which nodes this pool lists.
+func (l *loop) claim() {
+	if l.shares == nil {
+		return
+	}
+	nodes := map[string]bool{}
+	for _, p := range l.peers {
+		if p.listed != clayladder.Gone {
+			nodes[p.address] = p.listed == clayladder.Draining
+		}
+	}
+	l.shares.claim(nodes)
+}
+
+// shared applies new shares.
+func (l *loop) shared(told map[string]nodeshare.Share) {
+	l.told = told
+	var changed []clayladder.Upstream
+	for _, p := range l.peers {
+		before := p.entry
+		l.place(p)
+		if p.entry != before {
+			changed = append(changed, p.entry)
+			l.withdraw(p)
+		}
+		for p.share.Connections > 0 && p.conns > p.share.Connections && l.spare(p) {
+		}
+	}
+	if len(changed) > 0 {
+		l.balancer.Members(l.now(), clayladder.ListDelta, changed)
+	}
+}
+
+// place works out an upstream's state from its list and what the directory told. Until the directory has answered for a
+// node it gets nothing: other pools must have been told first that they share it.
+func (l *loop) place(p *peer) {
+	p.state = p.listed
+	if l.shares != nil {
+		share, known := l.told[p.address]
+		p.share = share
+		p.entry.Part, p.entry.Most = share.Part, max(1, share.Connections-p.lingerMost())
+		if p.listed == clayladder.Active && (!known || (share.Draining && !l.shares.own)) {
+			p.state = clayladder.Draining
+		}
+	}
+	p.entry.State = p.state
+	if p.state != clayladder.Active {
+		l.Disconnect(p.id)
+	}
+}
+
+// lingerMost is how many connections may wait for late answers. Where connections are shared out they take up to a
+// quarter, which the module is not told of.
+func (p *peer) lingerMost() int {
+	if p.share.Connections == 0 {
+		return lingerMost
+	}
+	return min(lingerMost, p.share.Connections/4)
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -9,13 +9,10 @@
 	"net"
 	"net/http"
 	"net/textproto"
-	"slices"
-	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
-
-	"clayladder"
 )
 
 const (
@@ -46,7 +43,9 @@
 	status     int
 	body       []byte
 	kind       string
+	header     http.Header // an upstream's, where all of it is passed on
 	retryAfter time.Duration
+	whole      bool // retryAfter goes out in whole seconds, as RFC 9110 (section 10.2.3) has it
 }
 
 // stage is what a client's connection is at.
@@ -91,12 +90,9 @@
 
 // frontend takes requests from clients, hands them to the loop and writes its answers.
 type frontend struct {
-	classes  map[string]clayladder.Class
-	post     func(event)
-	now      func() time.Duration
-	longest  time.Duration
+	desk     desk
 	listener net.Listener
-	room     int // connections at most
+	room     atomic.Int64 // connections at most
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
@@ -105,12 +101,9 @@
 	gone    sync.WaitGroup
 }
 
-func newFrontend(c *Config, l net.Listener, post func(event), now func() time.Duration) *frontend {
-	f := &frontend{classes: map[string]clayladder.Class{}, post: post, listener: l, longest: c.longest(), now: now,
-		room: c.clientConns(), clients: map[*client]struct{}{}}
-	for _, class := range c.Settings.Classes {
-		f.classes[class.Name] = class
-	}
+func newFrontend(d desk, l net.Listener, room int) *frontend {
+	f := &frontend{desk: d, listener: l, clients: map[*client]struct{}{}}
+	f.room.Store(int64(room))
 	return f
 }
 
@@ -160,7 +153,7 @@
 func (f *frontend) evict() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.clients) < f.room {
+	if len(f.clients) < int(f.room.Load()) {
 		return true
 	}
 	var victim *client
@@ -211,7 +204,7 @@
 	go func() { f.gone.Wait(); close(answered) }()
 	select {
 	case <-answered:
-	case <-time.After(f.longest + lameDuck):
+	case <-time.After(f.desk.longest() + lameDuck):
 		slog.Warn("clients that did not read their answers are left")
 	}
 }
@@ -273,12 +266,13 @@
 		if f.isLeaving() {
 			return answer{status: http.StatusServiceUnavailable, body: []byte("stopping\n"), kind: "text/plain"}, nil
 		}
-		turned := make(turn)
-		f.post(turned)
-		<-turned
+		f.desk.alive()
 		return answer{status: http.StatusOK, body: []byte("ok\n"), kind: "text/plain"}, nil
 	}
-	f.post(arrived{q})
+	if refused, err := f.desk.enter(q); err != nil || refused.status != 0 {
+		return refused, err
+	}
+	defer f.desk.leave(q)
 	more := make(chan error, 1)
 	c.SetReadDeadline(time.Time{})
 	c.bound.N = maxHead
@@ -294,7 +288,7 @@
 		}
 		return a, nil
 	case err := <-more:
-		f.post(left{q})
+		q.post(left{q})
 		if err == nil {
 			return answer{}, errAhead
 		}
@@ -348,11 +342,21 @@
 // write writes an answer. If it fails the client has gone, and can tell that the answer is not whole.
 func (c *client) write(a answer, last bool) error {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nContent-Length: %d\r\n", a.status, http.StatusText(a.status), len(a.body))
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	a.header.WriteSubset(&b, notEndToEnd) // a buffer takes all
+	switch {
+	case a.status == http.StatusNoContent || a.status == http.StatusNotModified: // end with their head (RFC 9112, section 6.3)
+	case len(a.header["Content-Length"]) > 0 && len(a.body) == 0: // an answer to HEAD tells the length that GET would have
+		fmt.Fprintf(&b, "Content-Length: %s\r\n", a.header.Get("Content-Length"))
+	default:
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(a.body))
+	}
 	if a.kind != "" {
 		fmt.Fprintf(&b, "Content-Type: %s\r\n", a.kind)
 	}
-	if a.retryAfter > 0 {
+	if a.retryAfter > 0 && a.whole {
+		fmt.Fprintf(&b, "Retry-After: %d\r\n", (a.retryAfter+time.Second-1)/time.Second)
+	} else if a.retryAfter > 0 {
 		fmt.Fprintf(&b, "Retry-After: %.3f\r\n", a.retryAfter.Seconds())
 	}
 	if last {
@@ -393,11 +397,11 @@
 	if method == http.MethodGet && target == "/healthz" && h.Get("X-Request-Id") == "" {
 		return nil, h, nil
 	}
-	q, err := f.check(method, target, h)
+	q, err := f.desk.check(method, target, h)
 	if err != nil {
 		return nil, nil, err
 	}
-	if length := h.Get("Content-Length"); length != "" || method == http.MethodPost {
+	if length := h.Get("Content-Length"); length != "" || q.message.bodied {
 		n, ok := digits(length)
 		switch {
 		case length == "":
@@ -406,8 +410,8 @@
 			return nil, nil, bad("Content-Length is no number")
 		case !ok || n > maxBody:
 			return nil, nil, &refusal{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
-		case n > 0 && method == http.MethodGet:
-			return nil, nil, bad("GET with a body")
+		case n > 0 && !q.message.bodied:
+			return nil, nil, bad("%s with a body", method)
 		}
 		if strings.EqualFold(h.Get("Expect"), "100-continue") && c.in.Buffered() == 0 {
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails so does the reading
@@ -419,69 +423,6 @@
 	if c.in.Buffered() > 0 {
 		return nil, nil, errAhead
 	}
-	q.at = f.now() // it counts from its last byte
+	q.at = f.desk.now() // it counts from its last byte
 	return q, h, nil
 }
-
-// check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
-// served in its place.
-func (f *frontend) check(method, target string, h textproto.MIMEHeader) (*request, error) {
-	class, ok := f.classes[h.Get("X-Class")]
-	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
-	first, _, _ := strings.Cut(path, "/")
-	id, key := h.Get("X-Request-Id"), h.Get("Idempotency-Key")
-	switch {
-	case !strings.HasPrefix(target, "/") || strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r >= 0x7f }):
-		return nil, bad("the target is no path")
-	case h.Get("Host") == "":
-		return nil, bad("Host is wanted")
-	case !ok:
-		return nil, bad("X-Class names no known class")
-	case first != class.Name:
-		return nil, bad("the path does not begin with the class")
-	case id == "":
-		return nil, bad("X-Request-Id is wanted")
-	case (class.Repeat == clayladder.Safe) != (method == http.MethodGet),
-		class.Repeat != clayladder.Safe && method != http.MethodPost:
-		return nil, bad("the method does not fit the class")
-	case (class.Repeat == clayladder.Keyed) != (key != ""), key == "" && len(h["Idempotency-Key"]) > 0:
-		return nil, bad("Idempotency-Key does not fit the class")
-	}
-	q := &request{name: id, reply: make(chan answer, 1)}
-	q.Class, q.Tenant, q.Retry = class.Name, h.Get("X-Tenant"), h.Get("X-Retry") == "1"
-	q.Budget = class.Deadline
-	if len(h["X-Deadline-Ms"]) > 0 {
-		ms, ok := digits(h.Get("X-Deadline-Ms"))
-		if !ok || ms == 0 {
-			return nil, bad("X-Deadline-Ms is no time")
-		}
-		q.Budget = time.Duration(min(ms, uint64(q.Budget.Milliseconds()))) * time.Millisecond
-	}
-	q.Budget = max(0, q.Budget-answerMargin)
-	if len(h["X-Cost-Hint"]) > 0 {
-		us, ok := digits(h.Get("X-Cost-Hint"))
-		if !ok {
-			return nil, bad("X-Cost-Hint is no number")
-		}
-		// Work that could not be done in the class's time is no guess to go by, and would move the mean of them.
-		if us <= uint64(class.Deadline.Microseconds()) {
-			q.Cost = time.Duration(us) * time.Microsecond
-		}
-	}
-	if c, err := (&http.Request{Header: http.Header(h)}).Cookie("obj"); err == nil {
-		q.HasKey = true
-		if q.Key, err = strconv.ParseUint(c.Value, 16, 64); err != nil {
-			q.Key = uint64(hashed(c.Value))
-		}
-	}
-	for _, named := range h["Connection"] { // fields that the client meant for this connection only
-		for name := range strings.SplitSeq(named, ",") {
-			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
-			if !slices.Contains(once, name) { // what the protocol wants passed on can't be taken out
-				h.Del(name)
-			}
-		}
-	}
-	q.message = message{line: method + " " + target, header: http.Header(h), host: h.Get("Host")}
-	return q, nil
-}
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"clayladder"
+	"clayladder/internal/nodeshare"
 )
 
 const (
@@ -37,8 +39,11 @@
 	clayladder.Request
 	name     string // the client's id of it
 	message  message
+	routed   routed        // where it goes by routes
 	at       time.Duration // when its last byte had come
 	reply    chan answer   // holds the one answer
+	post     func(event)   // to the loop of the pool that it goes to
+	patience time.Duration // that the client claims; 0: none
 	deadline time.Duration
 	attempts []*attempt
 	out      int // attempts whose outcome the module has not had
@@ -50,10 +55,14 @@
 	id        clayladder.UpstreamID
 	name      string // discovery's id
 	address   string
-	state     clayladder.State
-	idle      []*conn // the most recently used last
+	listed    clayladder.State // by this pool's own list
+	state     clayladder.State // with what the other pools of the process were told
+	idle      []*conn          // the most recently used last
 	out       map[*attempt]struct{}
 	lingering int
+	conns     int             // to it, open or opening
+	share     nodeshare.Share // where other pools of the process may use it too
+	entry     clayladder.Upstream
 }
 
 // alarm is a timer of the module's, a request's deadline, or an attempt's time-out.
@@ -97,6 +106,11 @@
 	settings  clayladder.Settings
 	idleFor   time.Duration
 	maxConns  int
+	hold      time.Duration // how long a list holds with no word from its source; 0: for ever
+	heardAt   time.Duration // last good word from it
+	trouble   string        // why there is none since, if that is known
+	shares    *sharing      // nil: no other pool of the process may use the same upstreams
+	told      map[string]nodeshare.Share
 
 	names    *names
 	revision uint64
@@ -108,6 +122,8 @@
 	conns    int     // connections to upstreams, open or opening
 	due      []owing // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
+
+	served, refused, failed uint64 // requests, by their final answer
 }
 
 // owing is an outcome to tell as soon as the module has returned.
@@ -118,37 +134,57 @@
 
 var _ clayladder.Host = (*loop)(nil)
 
-func newLoop(ctx context.Context, c *Config) *loop {
+func newLoop(ctx context.Context, c Spec) *loop {
 	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), logs: make(chan string, logQueue),
-		origin: time.Now(), dial: dialer{timeout: c.Links.ConnectTimeout}, settings: c.Settings,
-		idleFor: max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2), maxConns: c.upstreamConns(),
-		names: newNames(), requests: map[clayladder.RequestID]*request{}, open: map[string]bool{},
+		origin: time.Now(), names: newNames(), requests: map[clayladder.RequestID]*request{}, open: map[string]bool{},
 		peers: map[clayladder.UpstreamID]*peer{}}
+	l.limit(c)
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
 	l.epoch = time.Duration(l.origin.UnixNano())
-	l.discovery = newDiscovery(ctx, c.Discovery, l.list)
-	l.discovery.hold(c.Known.Revision)
+	l.heardAt = l.now()
+	if c.Discovery != "" {
+		l.discovery = newDiscovery(ctx, c.Discovery, l.hand)
+	}
 	return l
 }
 
-// now is the loop's clock.
+// limit takes what may change while the loop runs, but for the module's settings.
+func (l *loop) limit(c Spec) {
+	l.dial = dialer{timeout: c.Links.ConnectTimeout, whole: c.Whole}
+	l.settings, l.maxConns, l.hold = c.Settings, c.Connections, c.Hold
+	l.idleFor = max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2)
+}
+
 func (l *loop) now() time.Duration { return l.epoch + time.Since(l.origin) }
 
 // post tells the loop of an event. It may wait; the loop never waits for who posts.
-func (l *loop) post(e event) { l.events <- e }
+func (l *loop) post(e event) {
+	select {
+	case l.events <- e:
+	case <-l.ctx.Done(): // it has ended, with nothing owed
+	}
+}
 
-// list tells the loop of an answer of discovery.
-func (l *loop) list(x listed) { l.lists <- x }
+// hand tells the loop of an answer of discovery, or of a list from elsewhere.
+func (l *loop) hand(x listed) {
+	select {
+	case l.lists <- x:
+	case <-l.ctx.Done():
+	}
+}
 
-// start makes the Balancer and tells it the upstreams that were known before.
-func (l *loop) start(c *Config) error {
+// start makes the Balancer and tells it the upstreams that were known before; nil if nothing was.
+func (l *loop) start(seed uint64, known *listing) error {
 	var err error
-	if l.balancer, err = clayladder.New(c.Settings, c.Seed, l.now(), l); err != nil {
+	if l.balancer, err = clayladder.New(l.settings, seed, l.now(), l); err != nil {
 		return err
 	}
-	l.members(clayladder.ListCached, c.Known)
-	if !c.Settings.OnRequest { // lists that are pushed come without the module's asking
+	if known != nil {
+		l.discovery.hold(known.Revision)
+		l.members(clayladder.ListCached, *known)
+	}
+	if !l.settings.OnRequest { // lists that are pushed come without the module's asking
 		l.Watch(true)
 	}
 	return nil
@@ -178,6 +214,9 @@
 			}
 			e.apply(l)
 			l.settle()
+		case x := <-l.shares.news():
+			l.shared(x)
+			l.settle()
 		case <-clock.C:
 		case <-l.ctx.Done():
 			return
@@ -230,6 +269,10 @@
 	r.deadline = r.at + r.Budget
 	now := l.now()
 	r.Budget = max(0, r.deadline-now)
+	if l.expired(now) { // what the list says is too old to go by
+		l.answer(r, answer{status: http.StatusServiceUnavailable, retryAfter: min(time.Second, l.settings.Limits.MaxRetry)})
+		return
+	}
 	l.requests[r.ID] = r
 	l.alarm(alarm{at: r.deadline, request: r})
 	l.balancer.Request(now, r.Request)
@@ -270,7 +313,7 @@
 	a.told = true
 	q, now := a.req, l.now()
 	if r.status == clayladder.OK && !q.closed {
-		l.answer(q, answer{status: http.StatusOK, body: r.body, kind: r.kind})
+		l.answer(q, answer{status: r.code, body: r.body, kind: r.kind, header: r.header})
 	}
 	q.out--
 	closed := q.closed
@@ -299,7 +342,7 @@
 	} else if a.stage.Load() == claimed {
 		// An attempt of a request that may be sent again gives up its connection, or it would count as a second copy.
 		until := time.Unix(0, 1)
-		if (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < lingerMost && a.peer.state == clayladder.Active {
+		if (a.req.closed || l.now() >= a.req.deadline) && a.peer.lingering < a.peer.lingerMost() && a.peer.state == clayladder.Active {
 			until, a.lingers = time.Now().Add(lingerFor), true
 			a.peer.lingering++
 		}
@@ -317,10 +360,20 @@
 
 // answer gives a client the one answer.
 func (l *loop) answer(r *request, a answer) {
-	if !r.closed {
-		r.reply <- a
-		l.close(r)
+	if r.closed {
+		return
+	}
+	switch a.status {
+	case http.StatusServiceUnavailable:
+		l.refused++
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		l.failed++
+	default:
+		l.served++
 	}
+	a.whole = l.dial.whole
+	r.reply <- a
+	l.close(r)
 }
 
 // close notes that nothing more is owed for r.
@@ -347,7 +400,8 @@
 		return
 	}
 	now := l.now()
-	a := &attempt{req: r, n: len(r.attempts), peer: p, sentAt: now, address: p.address}
+	a := &attempt{req: r, n: len(r.attempts), peer: p, sentAt: now, address: p.address,
+		bodiless: strings.HasPrefix(r.message.line, http.MethodHead+" ")}
 	r.attempts, r.out = append(r.attempts, a), r.out+1
 	wait := r.deadline - now
 	if timeout > 0 && timeout < wait {
@@ -375,7 +429,7 @@
 }
 
 // connection takes an idle connection to p, the most recently used that has rested, or else counts one that is to be
-// opened (nil). Where no more may be open the one that idles longest makes room.
+// opened (nil). Where no more may be open to p, or over all, the one that idles longest makes room.
 func (l *loop) connection(p *peer, now time.Duration) (c *conn, room bool) {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		if now-p.idle[i].idleAt >= restFor {
@@ -384,6 +438,9 @@
 			return c, true
 		}
 	}
+	if most := p.share.Connections; most > 0 && p.conns >= most && !l.spare(p) {
+		return nil, false
+	}
 	if l.conns >= l.maxConns {
 		var longest *peer
 		for _, q := range l.peers {
@@ -391,16 +448,24 @@
 				longest = q
 			}
 		}
-		if longest == nil {
+		if longest == nil || !l.spare(longest) {
 			return nil, false
 		}
-		l.shut(longest.idle[0])
-		longest.idle = slices.Delete(longest.idle, 0, 1)
 	}
-	l.conns++
+	l.conns, p.conns = l.conns+1, p.conns+1
 	return nil, true
 }
 
+// spare closes the connection to p that idles longest, if there is one.
+func (l *loop) spare(p *peer) bool {
+	if len(p.idle) == 0 {
+		return false
+	}
+	l.shut(p, p.idle[0])
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return true
+}
+
 // Refuse answers a client that another try is harmless.
 func (l *loop) Refuse(id clayladder.RequestID, retryAfter time.Duration) {
 	if r := l.requests[id]; r != nil {
@@ -459,7 +524,7 @@
 		l.stopWatch()
 		l.stopWatch = nil
 	}
-	if on {
+	if on && l.discovery != nil { // else lists are told from outside
 		ctx, cancel := context.WithCancel(l.discovery.ctx)
 		l.stopWatch = cancel
 		go l.discovery.watch(ctx)
@@ -467,7 +532,11 @@
 }
 
 // Fetch asks discovery for the whole list.
-func (l *loop) Fetch() { go l.discovery.fetch() }
+func (l *loop) Fetch() {
+	if l.discovery != nil {
+		go l.discovery.fetch()
+	}
+}
 
 // Probe asks an upstream for its load.
 func (l *loop) Probe(up clayladder.UpstreamID) {
@@ -504,20 +573,23 @@
 func (l *loop) keep(p *peer, c *conn) {
 	switch {
 	case c == nil:
-		l.conns--
+		l.conns, p.conns = l.conns-1, p.conns-1
+	case p.share.Connections > 0 && p.conns > p.share.Connections: // its part has become smaller
+		l.shut(p, c)
 	case p.state != clayladder.Active || c.RemoteAddr().String() != p.address:
-		l.shut(c)
+		l.shut(p, c)
 	case c.SetDeadline(time.Time{}) != nil: // a time-out may have been set as the answer came
-		l.shut(c)
+		l.shut(p, c)
 	default:
 		c.idleAt = l.now()
 		p.idle = append(p.idle, c)
 	}
 }
 
-// shut closes idle connections, away from the loop.
-func (l *loop) shut(cs ...*conn) {
-	if l.conns -= len(cs); len(cs) > 0 {
+// shut closes idle connections to p, away from the loop.
+func (l *loop) shut(p *peer, cs ...*conn) {
+	l.conns, p.conns = l.conns-len(cs), p.conns-len(cs)
+	if len(cs) > 0 {
 		go func() {
 			for _, c := range cs {
 				c.Close()
@@ -534,7 +606,7 @@
 			n++
 		}
 		if n > 0 {
-			l.shut(p.idle[:n]...)
+			l.shut(p, p.idle[:n]...)
 			p.idle = append([]*conn(nil), p.idle[n:]...)
 		}
 	}
@@ -543,7 +615,7 @@
 // Disconnect closes the idle connections to an upstream.
 func (l *loop) Disconnect(up clayladder.UpstreamID) {
 	if p := l.peers[up]; p != nil {
-		l.shut(p.idle...)
+		l.shut(p, p.idle...)
 		p.idle = nil
 	}
 }
@@ -571,7 +643,7 @@
 	}
 	l.Log(fmt.Sprintf("configuration read again: discovery is at %s, no longer at %s", e.Discovery, l.discovery.address))
 	l.discovery.end()
-	l.discovery, l.revision = newDiscovery(l.ctx, e.Discovery, l.list), 0
+	l.discovery, l.revision = newDiscovery(l.ctx, e.Discovery, l.hand), 0
 	if l.stopWatch != nil {
 		l.Watch(true)
 	}
@@ -583,18 +655,24 @@
 	case x.from != l.discovery: // asked before discovery moved
 		return
 	case x.err != nil:
-		l.Log(x.err.Error())
+		l.trouble = x.err.Error()
+		l.Log(l.trouble)
 		l.balancer.Members(l.now(), clayladder.ListFailed, nil)
 	case x.Revision < l.revision: // overtaken by a newer one: it must not undo that
 		l.Log(fmt.Sprintf("discovery: revision %d after %d passed over", x.Revision, l.revision))
 	case x.Complete:
+		l.heardAt, l.trouble = l.now(), ""
 		l.members(clayladder.ListFull, x.listing)
 	default:
+		l.heardAt, l.trouble = l.now(), ""
 		l.members(clayladder.ListDelta, x.listing)
 	}
 	l.settle()
 }
 
+// expired tells whether the list has been without a word from its source for longer than it holds.
+func (l *loop) expired(now time.Duration) bool { return l.hold > 0 && now-l.heardAt > l.hold }
+
 // members applies a list: first to the peers, so that nothing goes to one that drains, then to the module, which
 // may send at once.
 func (l *loop) members(mode clayladder.ListMode, x listing) {
@@ -605,22 +683,19 @@
 		m := &x.Members[i]
 		u := m.upstream(l.names.id(m.ID))
 		named[u.ID] = true
+		if p := l.peer(u, m); p != nil {
+			u = p.entry
+		}
 		list = append(list, u)
-		l.peer(u, m)
 	}
 	for id, p := range l.peers {
 		if mode != clayladder.ListDelta && !named[id] {
-			p.state = clayladder.Gone
+			p.state, p.listed = clayladder.Gone, clayladder.Gone
 			l.Disconnect(id)
 		}
-		if p.state != clayladder.Active {
-			for a := range p.out {
-				if a.drop() { // its upstream left while it waited for a connection
-					l.due = append(l.due, owing{a, clayladder.Moot})
-				}
-			}
-		}
+		l.withdraw(p)
 	}
+	l.claim()
 	l.balancer.Members(l.now(), mode, list)
 	l.settle()
 	for _, p := range l.peers {
@@ -628,21 +703,37 @@
 	}
 }
 
-// peer applies a list's entry.
-func (l *loop) peer(u clayladder.Upstream, m *member) {
+// withdraw drops what waits for a connection to an upstream that has left.
+func (l *loop) withdraw(p *peer) {
+	if p.state == clayladder.Active {
+		return
+	}
+	for a := range p.out {
+		if a.drop() {
+			l.due = append(l.due, owing{a, clayladder.Moot})
+		}
+	}
+}
+
+// peer applies a list's entry; nil if it is of no concern.
+func (l *loop) peer(u clayladder.Upstream, m *member) *peer {
 	p, address := l.peers[u.ID], m.HostPort
 	if p == nil {
 		if u.State == clayladder.Gone {
 			l.names.forget(m.ID)
-			return
+			return nil
 		}
 		p = &peer{id: u.ID, name: m.ID, out: map[*attempt]struct{}{}}
 		l.peers[u.ID] = p
 	}
-	if p.state = u.State; u.State != clayladder.Active || (address != p.address && p.address != "") {
-		l.Disconnect(u.ID)
-	}
 	if u.State != clayladder.Gone {
+		if address != p.address && p.address != "" {
+			l.Disconnect(u.ID)
+		}
 		p.address = address
 	}
+	p.listed = u.State
+	p.entry = u
+	l.place(p)
+	return p
 }
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -21,8 +21,8 @@
 		t.Fatal(err)
 	}
 	c.Known = listing{}
-	l := newLoop(t.Context(), &c)
-	if err := l.start(&c); err != nil {
+	l := newLoop(t.Context(), c.spec())
+	if err := l.start(c.Seed, &c.Known); err != nil {
 		t.Fatal(err)
 	}
 	l.Watch(false) // nothing listens there
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -138,8 +138,9 @@
 	}
 }
 
-// answer reads an upstream's answer whole. Only one that is certain to be complete comes without an error.
-func (s *stream) answer() (int, textproto.MIMEHeader, []byte, error) {
+// answer reads an upstream's answer whole; one to HEAD has no body. Only one that is certain to be complete comes without
+// an error.
+func (s *stream) answer(head bool) (int, textproto.MIMEHeader, []byte, error) {
 	s.bound.N = maxHead
 	for range maxInterim + 1 {
 		line, h, err := s.head()
@@ -157,6 +158,9 @@
 		}
 		te, cl := h["Transfer-Encoding"], h["Content-Length"]
 		var body []byte
+		if head || status == http.StatusNoContent || status == http.StatusNotModified { // RFC 9112, section 6.3
+			return int(status), h, nil, nil
+		}
 		switch n, isLength := digits(strings.Join(cl, ",")); {
 		case len(te) == 1 && len(cl) == 0 && strings.EqualFold(te[0], "chunked"):
 			body, err = s.chunks()
@@ -196,6 +200,7 @@
 	header http.Header
 	host   string
 	body   []byte
+	bodied bool // a Content-Length goes with it, also without a body
 }
 
 // bytes renders m for an attempt that waits so long.
@@ -210,7 +215,7 @@
 	b.WriteString(strconv.FormatInt(max(1, wait.Milliseconds()), 10))
 	b.WriteString("\r\n")
 	m.header.WriteSubset(b, notEndToEnd) // a buffer takes all
-	if len(m.body) > 0 || strings.HasPrefix(m.line, http.MethodPost) {
+	if m.bodied {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(m.body)))
 		b.WriteString("\r\n")
--- a/internal/proxy/message_test.go
+++ b/internal/proxy/message_test.go
@@ -37,7 +37,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s := newStream(said{Reader: bytes.NewReader(text)}, 2<<10)
-		status, _, body, err := s.answer()
+		status, _, body, err := s.answer(false)
 		if err != nil {
 			return
 		}
@@ -73,10 +73,10 @@
 	} {
 		f.Add([]byte(text))
 	}
-	fe := &frontend{classes: map[string]clayladder.Class{
-		"checkin": {Name: "checkin", Deadline: time.Second, Repeat: clayladder.Unsafe},
-		"read":    {Name: "read", Deadline: time.Second, Repeat: clayladder.Safe},
-	}, now: func() time.Duration { return 0 }}
+	fe := newFrontend(newPlatform([]clayladder.Class{
+		{Name: "checkin", Deadline: time.Second, Repeat: clayladder.Unsafe},
+		{Name: "read", Deadline: time.Second, Repeat: clayladder.Safe},
+	}, &loop{origin: time.Now()}), nil, 1)
 	f.Fuzz(func(t *testing.T, text []byte) {
 		c := &client{stream: newStream(said{Reader: bytes.NewReader(text)}, 4<<10)}
 		c.bound.N = maxHead
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,12 +10,12 @@
 func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config) error {
 	life, end := context.WithCancel(context.Background())
 	defer end()
-	l := newLoop(life, &c)
-	if err := l.start(&c); err != nil {
+	l := newLoop(life, c.spec())
+	if err := l.start(c.Seed, &c.Known); err != nil {
 		return err
 	}
 	go l.run()
-	f := newFrontend(&c, listener, l.post, l.now)
+	f := newFrontend(newPlatform(c.Settings.Classes, l), listener, c.clientConns())
 	served := make(chan error, 1)
 	go func() { served <- f.serve() }()
 	for {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -756,8 +756,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newLoop(t.Context(), &c)
-	if err := l.start(&c); err != nil {
+	l := newLoop(t.Context(), c.spec())
+	if err := l.start(c.Seed, &c.Known); err != nil {
 		t.Fatal(err)
 	}
 	old := l.discovery
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -65,17 +65,18 @@
 
 // attempt is one send of a request to an upstream.
 type attempt struct {
-	req     *request
-	n       int // order of the request's sends, from 0
-	peer    *peer
-	sentAt  time.Duration
-	address string
-	wait    time.Duration
-	head    []byte // the message as it goes on the wire
-	stage   atomic.Int32
-	conn    *conn // read by the loop only once the attempt is claimed
-	told    bool  // the loop: the module has had its outcome
-	lingers bool  // the loop: it is left to its connection for the late answer
+	req      *request
+	n        int // order of the request's sends, from 0
+	peer     *peer
+	sentAt   time.Duration
+	address  string
+	wait     time.Duration
+	head     []byte // the message as it goes on the wire
+	stage    atomic.Int32
+	conn     *conn // read by the loop only once the attempt is claimed
+	told     bool  // the loop: the module has had its outcome
+	lingers  bool  // the loop: it is left to its connection for the late answer
+	bodiless bool  // the answer has no body: HEAD was asked
 }
 
 // drop keeps an attempt that has not begun to be written from being sent.
@@ -85,13 +86,18 @@
 type result struct {
 	status clayladder.Status
 	load   clayladder.Load
+	code   int // of the answer, if it is served
 	body   []byte
-	kind   string // the body's Content-Type
+	kind   string      // the body's Content-Type
+	header http.Header // where all of the answer is passed on
 	conn   *conn
 }
 
 // dialer opens connections to upstreams.
-type dialer struct{ timeout time.Duration }
+type dialer struct {
+	timeout time.Duration
+	whole   bool // clients get all that upstreams say: codes under 500 and their fields, not 200 and its body only
+}
 
 // connect returns the idle connection if it still stands, or a new one.
 func (d dialer) connect(idle *conn, address string) (*conn, error) {
@@ -127,12 +133,12 @@
 		}
 		return result{status: clayladder.Reset}
 	}
-	return c.take()
+	return c.take(d.whole, a.bodiless)
 }
 
 // take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use.
-func (c *conn) take() result {
-	status, h, body, err := c.answer()
+func (c *conn) take(whole, head bool) result {
+	status, h, body, err := c.answer(head)
 	if err != nil {
 		c.Close()
 		for _, spoilt := range []error{errHead, errLong, errFrame, errLarge} {
@@ -144,11 +150,13 @@
 	}
 	r := result{status: clayladder.Error, load: loadOf(h["X-Load"])}
 	switch {
-	case status == http.StatusOK:
-		r.status, r.body, r.kind = clayladder.OK, body, h.Get("Content-Type")
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		h.Get("X-Not-Run") == "1": // without that mark it may have run
 		r.status = clayladder.Full
+	case whole && status < http.StatusInternalServerError && status != http.StatusTooManyRequests: // 429 would promise that it never ran
+		r.status, r.code, r.body, r.header = clayladder.OK, status, body, http.Header(h)
+	case status == http.StatusOK:
+		r.status, r.code, r.body, r.kind = clayladder.OK, status, body, h.Get("Content-Type")
 	}
 	// Bytes behind the answer are a second copy or noise: the next request's answer would be read from them.
 	if closes(h) || c.in.Buffered() > 0 {
@@ -197,7 +205,7 @@
 		c.Close()
 		return result{status: clayladder.ConnectFailed}
 	}
-	r = c.take()
+	r = c.take(false, false)
 	if p.load && r.status == clayladder.OK {
 		if l := loadOf([]string{strings.TrimSpace(string(r.body))}); l.Fields != 0 {
 			r.load = l
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -72,7 +72,7 @@
 	if !errors.Is(err, io.EOF) {
 		t.Fatal(err)
 	}
-	want := "[{ID:9 Zone:z1 Cell:2 Weight:1.5 StartedAt:61µs State:1}]"
+	want := "[{ID:9 Zone:z1 Cell:2 Weight:1.5 StartedAt:61µs State:1 Part:0 Most:0}]"
 	if got := fmt.Sprintf("%+v", b.Events[1].List); got != want {
 		t.Errorf("list %s, want %s (as it was when referred to)", got, want)
 	}
