--- a/balancer.go
+++ b/balancer.go
@@ -47,7 +47,10 @@
 
 // New returns a Balancer, or an error that names the setting that is wrong.
 func New(s Settings, seed uint64, now time.Duration, host Host) (*Balancer, error) {
-	if err := s.validate(host); err != nil {
+	if host == nil {
+		return nil, bad("Host is nil")
+	}
+	if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 0)), requests: map[RequestID]*request{},
@@ -65,7 +68,7 @@
 // Configure puts other settings in the place of those that hold, or changes nothing and names the one that is
 // wrong. What was learnt of upstreams stays: windows, shares, bounds. Open requests keep their class.
 func (b *Balancer) Configure(now time.Duration, s Settings) error {
-	if err := s.validate(b.host); err != nil {
+	if err := s.Validate(); err != nil {
 		return err
 	}
 	follows := b.s.OnRequest
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -335,11 +335,11 @@
 	}
 	for _, f := range []float64{math.NaN(), math.Inf(1), -1, 0} {
 		s := settings()
-		if s.Rules.TipMultiple = f; s.validate(&recorder{}) == nil {
+		if s.Rules.TipMultiple = f; s.Validate() == nil {
 			t.Errorf("TipMultiple %v is taken", f)
 		}
 		s = settings()
-		if s.Rules.ColdFrom = f; s.validate(&recorder{}) == nil {
+		if s.Rules.ColdFrom = f; s.Validate() == nil {
 			t.Errorf("ColdFrom %v is taken", f)
 		}
 	}
--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -1,65 +1,121 @@
-// Command olivearch is a load balancer for a fleet of HTTP servers. It is told what
-// to do by the RELAY_ environment variables, reads its configuration again on SIGHUP, and
-// ends in good order on SIGTERM.
+// Command olivearch is a load balancer for fleets of HTTP servers. With no arguments it is told what to do by a platform,
+// through the RELAY_ environment variables; "olivearch serve" runs from a configuration file.
 package main
 
 import (
-	"context"
+	"errors"
+	"flag"
 	"fmt"
-	"log/slog"
-	"net"
+	"io"
 	"os"
-	"os/signal"
-	"runtime"
 	"runtime/debug"
-	"syscall"
+	"slices"
 
-	"clayladder/internal/proxy"
+	"clayladder/internal/strictyaml"
 )
 
+// command is a word that may follow the program's name.
+type command struct {
+	name, arguments, about string
+	run                    func(args []string, out io.Writer) error
+}
+
+var commands = []command{
+	{"serve", "--config FILE", "run the listeners, routes and pools of a configuration file", serve},
+	{"check", "FILE...", "tell everything that is wrong with configuration files, with line and column", check},
+	{"top", "[--admin ADDRESS]", "show the live view of a running olivearch as a table", top},
+	{"demo", "[--seconds N]", "run the balancer between a stand-in fleet and clients, with troubles, and judge it", runDemo},
+	{"version", "", "print the version", func(_ []string, out io.Writer) error {
+		_, err := fmt.Fprintln(out, "olivearch", version())
+		return err
+	}},
+}
+
+// errUsage ends the program with a hint at --help and exit status 2.
+var errUsage = errors.New("wrong usage")
+
 func main() {
-	if err := run(); err != nil {
+	err := dispatch(os.Args[1:], os.Stdout)
+	switch {
+	case err == nil:
+	case errors.Is(err, flag.ErrHelp):
+	case errors.Is(err, errUsage):
+		fmt.Fprintln(os.Stderr, "olivearch:", err)
+		fmt.Fprintln(os.Stderr, `Run "olivearch --help" for the commands.`)
+		os.Exit(2)
+	default:
 		fmt.Fprintln(os.Stderr, "olivearch:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	// Signals are caught before anything slow: one that comes during the start must not end the program.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	c, err := proxy.LoadConfig(os.Getenv)
-	if err != nil {
-		return err
+func dispatch(args []string, out io.Writer) error {
+	if len(args) == 0 {
+		return platform()
 	}
-	// The machine has one core. Collecting later costs memory, which the soft limit bounds, and saves time.
-	runtime.GOMAXPROCS(1)
-	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
-	slog.Info("starting", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members))
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
+	if slices.Contains([]string{"--help", "-help", "-h", "help"}, args[0]) {
+		help(out)
+		return nil
 	}
-	reloads := make(chan proxy.Config, 1)
-	go reload(hangups, reloads)
-	if err := proxy.Run(ctx, c, listener, reloads); err != nil {
-		return err
+	var names []string
+	for _, c := range commands {
+		if c.name == args[0] {
+			return c.run(args[1:], out)
+		}
+		names = append(names, c.name)
+	}
+	if near := strictyaml.Nearest(args[0], names); near != "" {
+		return fmt.Errorf("%w: there is no command %q; did you mean %q?", errUsage, args[0], near)
 	}
-	slog.Info("stopped", "name", c.Name)
-	return nil
+	return fmt.Errorf("%w: there is no command %q", errUsage, args[0])
 }
 
-// reload reads the configuration again on each SIGHUP. A bad one is logged, and the one before stays.
-func reload(hangups <-chan os.Signal, reloads chan<- proxy.Config) {
-	for range hangups {
-		c, err := proxy.ReloadConfig(os.Getenv)
-		if err != nil {
-			slog.Error("reading the configuration again: the old one stays", "err", err)
-			continue
+func help(out io.Writer) {
+	fmt.Fprint(out, `olivearch is a load balancer for fleets of HTTP servers.
+
+Usage:
+`)
+	for _, c := range commands {
+		fmt.Fprintf(out, "  olivearch %-8s %-18s %s\n", c.name, c.arguments, c.about)
+	}
+	fmt.Fprint(out, `  olivearch                             be told by a platform: RELAY_CONFIG names a JSON file
+
+"olivearch COMMAND --help" tells the flags of a command.
+
+Signals of serve: SIGHUP reads the configuration again (all of it or nothing), SIGTERM answers what was taken and ends.
+Exit status: 0 done, 1 it failed or a file is wrong, 2 wrong usage.
+A sample configuration is deploy/services.yaml; docs/operate/services.md goes through it.
+`)
+}
+
+// flags parses a command's flags.
+func flags(name, usage string, args []string, define func(*flag.FlagSet)) (*flag.FlagSet, error) {
+	f := flag.NewFlagSet(name, flag.ContinueOnError)
+	f.SetOutput(io.Discard)
+	define(f)
+	switch err := f.Parse(args); {
+	case errors.Is(err, flag.ErrHelp):
+		fmt.Println("Usage: olivearch", name, usage)
+		f.SetOutput(os.Stdout)
+		f.PrintDefaults()
+		return nil, err
+	case err != nil:
+		return nil, fmt.Errorf("%w: %s: %v", errUsage, name, err)
+	}
+	return f, nil
+}
+
+// version is what the build knows of itself.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	v := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= 12 && v == "(devel)" {
+			v = s.Value[:12]
 		}
-		reloads <- c
 	}
+	return v + " " + info.GoVersion
 }
--- a/cmd/olivearch/main_test.go
+++ b/cmd/olivearch/main_test.go
@@ -17,7 +17,7 @@
 	"time"
 )
 
-const config = `{"name":"n0","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
+const platformConfig = `{"name":"n0","listen":"%s","discovery":"%s","seed":"8c1f30d27a5be964",
 "limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":1,"complete":true,"members":[]},
 "settings":{"az":"z1","balancers":1,"membership_mode":"on_request","weights":"nominal","worth_by":"work",
 "limits":{"max_attempts":3,"cancel":true,"connect_timeout_us":100000,"keepalive_us":60000000},
@@ -66,7 +66,7 @@
 		}
 	}
 	down := free(t)
-	configure(fmt.Sprintf(config, listen, down))
+	configure(fmt.Sprintf(platformConfig, listen, down))
 	asked := make(chan string, 100)
 	second := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		asked <- r.URL.Path
@@ -130,7 +130,7 @@
 	configure("{")
 	signal(syscall.SIGHUP)
 	await("a bad configuration is logged", badRead)
-	configure(fmt.Sprintf(config, listen, second.Listener.Addr()))
+	configure(fmt.Sprintf(platformConfig, listen, second.Listener.Addr()))
 	signal(syscall.SIGHUP)
 	moved := make(chan struct{})
 	go func() { <-asked; close(moved) }()
--- /dev/null
+++ b/cmd/olivearch/serve.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"clayladder/internal/config"
+	"clayladder/internal/live"
+	"clayladder/internal/service"
+)
+
+// serve runs a configuration file until SIGTERM.
+func serve(args []string, _ io.Writer) error {
+	var path string
+	f, err := flags("serve", "--config FILE", args, func(f *flag.FlagSet) {
+		f.StringVar(&path, "config", "", "the configuration `FILE`, in YAML")
+	})
+	if err != nil {
+		return err
+	}
+	if path == "" || f.NArg() > 0 {
+		return fmt.Errorf("%w: serve wants --config FILE and nothing else", errUsage)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	c, err := config.Load(path)
+	if err != nil {
+		return err
+	}
+	limit(c)
+	s, err := service.Start(c, version())
+	if err != nil {
+		return err
+	}
+	slog.Info("serving", "config", path, "pools", len(c.Pools), "routes", len(c.Routes))
+	for {
+		select {
+		case err := <-s.Failed():
+			s.Stop()
+			return err
+		case x := <-signals:
+			if x != syscall.SIGHUP {
+				slog.Info("stopping", "signal", x)
+				s.Stop()
+				return nil
+			}
+			if c, err = config.Load(path); err == nil {
+				err = s.Apply(c)
+			}
+			if err != nil {
+				slog.Error("reading the configuration again: the old one stays", "err", err)
+				continue
+			}
+			limit(c)
+			slog.Info("configuration read again", "pools", len(c.Pools), "routes", len(c.Routes))
+		}
+	}
+}
+
+// limit tells the collector how much memory there is. Collecting later costs memory, which the soft limit bounds.
+func limit(c *config.Loaded) {
+	debug.SetGCPercent(200)
+	debug.SetMemoryLimit(int64(c.Limits.Memory) / 10 * 8)
+}
+
+// check tells what is wrong with files.
+func check(args []string, out io.Writer) error {
+	f, err := flags("check", "FILE...", args, func(*flag.FlagSet) {})
+	if err != nil {
+		return err
+	}
+	if f.NArg() == 0 {
+		return fmt.Errorf("%w: check wants a FILE", errUsage)
+	}
+	var errs []error
+	for _, path := range f.Args() {
+		c, err := config.Load(path)
+		if err == nil {
+			err = service.CheckLists(c)
+		}
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		fmt.Fprintf(out, "%s: well: %d listeners, %d routes, %d pools\n", path, len(c.Listeners), len(c.Routes), len(c.Pools))
+	}
+	return errors.Join(errs...)
+}
+
+// clear moves a terminal's cursor home and clears what is behind it.
+const clear = "\x1b[H\x1b[J"
+
+// top shows the live view until it is interrupted.
+func top(args []string, out io.Writer) error {
+	var address string
+	var every time.Duration
+	var once bool
+	f, err := flags("top", "[--admin ADDRESS] [--every TIME] [--once]", args, func(f *flag.FlagSet) {
+		f.StringVar(&address, "admin", "127.0.0.1:8081", "`ADDRESS` of the admin listener")
+		f.DurationVar(&every, "every", time.Second, "`TIME` between two looks")
+		f.BoolVar(&once, "once", false, "print one table and end")
+	})
+	if err != nil {
+		return err
+	}
+	if f.NArg() > 0 || every <= 0 {
+		return fmt.Errorf("%w: top takes flags only, and a time over 0", errUsage)
+	}
+	client := &http.Client{Timeout: 5 * time.Second}
+	for {
+		v, err := look(client, address)
+		if err != nil {
+			return err
+		}
+		if !once {
+			fmt.Fprint(out, clear)
+		}
+		fmt.Fprintf(out, "olivearch %s, up %s, %d reloads\n", v.Version, time.Duration(v.UptimeMS)*time.Millisecond, v.Reloads)
+		if err := v.Write(out); err != nil || once {
+			return err
+		}
+		time.Sleep(every)
+	}
+}
+
+func look(client *http.Client, address string) (v live.View, err error) {
+	resp, err := client.Get("http://" + address + "/v1/live")
+	if err != nil {
+		return v, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return v, fmt.Errorf("the admin listener at %s answers %s", address, resp.Status)
+	}
+	return v, json.NewDecoder(resp.Body).Decode(&v)
+}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -107,10 +107,10 @@
 		l, at := &k.Listeners[i], fmt.Sprintf("listeners[%d]", i)
 		a, ok := k.address(at+".address", l.Address)
 		fill(&l.Name, l.Address)
-		if ok && a.Port() != 0 && taken[a.String()] {
+		if ok && taken[a.String()] {
 			k.Fail(at+".address", "two listeners have the address %s", a)
 		}
-		if names[l.Name] && (l.Name != l.Address || a.Port() != 0) {
+		if names[l.Name] {
 			k.Fail(at, "two listeners have the name %q", l.Name)
 		}
 		names[l.Name], taken[a.String()] = true, true
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,370 @@
+// Package service runs what a configuration describes: listeners, routes, pools, node lists and the admin listener, and
+// moves from one configuration to the next while traffic flows.
+package service
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"clayladder/internal/config"
+	"clayladder/internal/live"
+	"clayladder/internal/nodelist"
+	"clayladder/internal/proxy"
+	"clayladder/internal/wire"
+)
+
+// readEvery is how often a list's file is read even if nothing tells of a change.
+const readEvery = 5 * time.Second
+
+// Service is a running configuration. Apply and Stop belong to one goroutine; View may be called from any.
+type Service struct {
+	version   string
+	started   time.Time
+	ctx       context.Context
+	end       context.CancelFunc
+	directory *proxy.Directory
+	desk      *proxy.Desk
+	state     atomic.Pointer[state]
+	failed    chan error
+	leaving   sync.WaitGroup // fronts and pools that a reload has removed
+}
+
+// state is what runs now. It never changes: Apply makes another.
+type state struct {
+	config  *config.Loaded
+	fronts  map[string]*front // by the address in the configuration
+	pools   map[string]*pool
+	admin   *admin
+	reloads int
+}
+
+type front struct {
+	*proxy.Front
+	name    string
+	address net.Addr
+}
+
+// pool is a pool with what follows its list.
+type pool struct {
+	*proxy.Pool
+	spec   proxy.Spec
+	source config.NodeSource
+	stop   func() // ends the following, and returns when it has
+}
+
+// Start runs a configuration. Version is shown in the live view.
+func Start(c *config.Loaded, version string) (*Service, error) {
+	s := &Service{version: version, started: time.Now(), failed: make(chan error, 1)}
+	s.ctx, s.end = context.WithCancel(context.Background())
+	s.directory = proxy.NewDirectory(s.ctx, c.Limits.NodeConnections)
+	s.state.Store(&state{fronts: map[string]*front{}, pools: map[string]*pool{}, reloads: -1})
+	if err := s.Apply(c); err != nil {
+		s.end()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Failed tells the error of a listener that has ended by itself.
+func (s *Service) Failed() <-chan error { return s.failed }
+
+// plan is a step from one state to the next. What can fail is in making it, so that an error changes nothing.
+type plan struct {
+	next      *state
+	listeners map[string]net.Listener
+	lists     map[string][]nodelist.Node // first lists of pools whose source is new
+	specs     map[string]proxy.Spec
+}
+
+// drop undoes a plan that is not carried out.
+func (p *plan) drop() {
+	for _, l := range p.listeners {
+		l.Close()
+	}
+}
+
+// Apply moves to a configuration. Pools and listeners that stay go on with all that they hold; an error changes nothing.
+func (s *Service) Apply(c *config.Loaded) error {
+	now := s.state.Load()
+	p, err := s.plan(now, c)
+	if err != nil {
+		return err
+	}
+	s.directory.Limit(c.Limits.NodeConnections)
+	for name, spec := range p.specs {
+		if old := now.pools[name]; old == nil {
+			if err = s.open(p, name, spec, c.Pools[name].Nodes); err != nil {
+				break
+			}
+		}
+	}
+	if err != nil {
+		for name, x := range p.next.pools {
+			if now.pools[name] == nil {
+				s.retire(x)
+			}
+		}
+		p.drop()
+		return err
+	}
+	for name, spec := range p.specs {
+		if old := now.pools[name]; old != nil {
+			s.change(p, name, old, spec, c.Pools[name].Nodes)
+		}
+	}
+	s.route(p.next)
+	s.serve(now, p)
+	s.state.Store(p.next)
+	for name, old := range now.pools {
+		if p.next.pools[name] == nil {
+			s.retire(old)
+		}
+	}
+	return nil
+}
+
+// plan checks and opens what a configuration needs.
+func (s *Service) plan(now *state, c *config.Loaded) (*plan, error) {
+	p := &plan{next: &state{config: c, fronts: map[string]*front{}, pools: map[string]*pool{}, reloads: now.reloads + 1},
+		listeners: map[string]net.Listener{}, lists: map[string][]nodelist.Node{}, specs: map[string]proxy.Spec{}}
+	var errs []error
+	for name, x := range c.Pools {
+		p.specs[name] = spec(c, name)
+		if err := p.specs[name].Settings.Validate(); err != nil {
+			errs = append(errs, fmt.Errorf("pool %s: %w", name, err))
+		}
+		if old := now.pools[name]; x.Nodes.File != "" && (old == nil || old.source.File != x.Nodes.File) {
+			list, err := nodelist.Load(x.Nodes.File)
+			if err != nil {
+				errs = append(errs, fmt.Errorf("pool %s: nodes: %w", name, err))
+			}
+			p.lists[name] = list.Nodes
+		} else {
+			p.lists[name] = x.Nodes.Static
+		}
+	}
+	for _, l := range c.Listeners {
+		if now.fronts[l.Address] != nil {
+			continue
+		}
+		x, err := net.Listen("tcp", l.Address)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("listener %s: %w", l.Name, err))
+			continue
+		}
+		p.listeners[l.Address] = x
+	}
+	switch {
+	case c.Admin == nil:
+	case now.admin != nil && now.admin.configured == c.Admin.Address:
+		p.next.admin = now.admin
+	default:
+		x, err := newAdmin(c.Admin.Address, s.View)
+		if err != nil {
+			errs = append(errs, fmt.Errorf("admin: %w", err))
+		}
+		p.next.admin = x
+	}
+	if len(errs) > 0 {
+		p.drop()
+		if x := p.next.admin; x != nil && x != now.admin {
+			x.stop()
+		}
+		return nil, errors.Join(errs...)
+	}
+	return p, nil
+}
+
+// spec is what a pool is told of a configuration.
+func spec(c *config.Loaded, name string) proxy.Spec {
+	x := c.Pools[name]
+	return proxy.Spec{Name: name, Settings: c.Settings(name), Discovery: x.Nodes.Discovery, Hold: time.Duration(x.Nodes.Hold),
+		Links:       wire.Links{KeepAlive: time.Duration(x.IdleTimeout), ConnectTimeout: time.Duration(x.ConnectTimeout)},
+		Connections: x.Connections, Queue: x.Queue, Share: x.Share, OwnDrains: x.Drains == "own", Whole: true}
+}
+
+// open starts a pool and gives it its list.
+func (s *Service) open(p *plan, name string, spec proxy.Spec, source config.NodeSource) error {
+	spec.Seed = rand.Uint64()
+	x, err := proxy.NewPool(s.ctx, spec, s.directory)
+	if err != nil {
+		return fmt.Errorf("pool %s: %w", name, err)
+	}
+	if source.Discovery == "" {
+		x.Tell(p.lists[name])
+	}
+	p.next.pools[name] = &pool{Pool: x, spec: spec, source: source, stop: s.follow(name, x, source)}
+	return nil
+}
+
+// change brings a pool that stays to its new configuration.
+func (s *Service) change(p *plan, name string, old *pool, spec proxy.Spec, source config.NodeSource) {
+	next := *old
+	p.next.pools[name] = &next
+	next.spec, next.source = spec, source
+	moved := old.source.File != source.File || (old.source.Discovery == "") != (source.Discovery == "")
+	if moved { // a late word of the old source must not pass for one of the new
+		old.stop()
+	}
+	if err := old.Configure(spec); err != nil { // its settings are valid: it has ended
+		slog.Error("pool keeps its configuration", "pool", name, "err", err)
+	}
+	if source.Discovery == "" && (moved || source.File == "") {
+		old.Tell(p.lists[name])
+	}
+	if moved {
+		next.stop = s.follow(name, old.Pool, source)
+	}
+}
+
+// follow begins to follow a list's file, if there is one.
+func (s *Service) follow(name string, x *proxy.Pool, source config.NodeSource) (stop func()) {
+	if source.File == "" {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	ended := make(chan struct{})
+	failed := func(err error) {
+		slog.Warn("the last list holds", "pool", name, "err", err)
+		x.Silent(err)
+	}
+	go func() {
+		defer close(ended)
+		told := func(l nodelist.List) { x.Tell(l.Nodes) }
+		for ctx.Err() == nil { // the folder may be gone for a while
+			if err := nodelist.Watch(ctx, source.File, readEvery, told, failed); err != nil {
+				failed(err)
+				select {
+				case <-time.After(readEvery):
+				case <-ctx.Done():
+				}
+			}
+		}
+	}()
+	return func() { cancel(); <-ended }
+}
+
+// route makes the routes of a state those that hold.
+func (s *Service) route(next *state) {
+	r := &proxy.Routing{Table: next.config.Table, Routes: map[string]proxy.Destination{}, Pools: map[string]*proxy.Pool{}}
+	for name, x := range next.config.Routing {
+		r.Routes[name] = proxy.Destination{Class: next.config.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie}
+	}
+	for name, x := range next.pools {
+		r.Pools[name] = x.Pool
+	}
+	if s.desk == nil {
+		s.desk = proxy.NewDesk(r)
+		return
+	}
+	s.desk.Route(r)
+}
+
+// serve starts, resizes and stops listeners.
+func (s *Service) serve(now *state, p *plan) {
+	for _, l := range p.next.config.Listeners {
+		if old := now.fronts[l.Address]; old != nil {
+			old.Resize(l.Connections)
+			p.next.fronts[l.Address] = old
+			continue
+		}
+		x := p.listeners[l.Address]
+		f := &front{proxy.NewFront(s.desk, x, l.Connections), l.Name, x.Addr()}
+		p.next.fronts[l.Address] = f
+		go func() {
+			if err := f.Serve(); err != nil {
+				select {
+				case s.failed <- fmt.Errorf("listener %s: %w", f.name, err):
+				default:
+				}
+			}
+		}()
+	}
+	for address, old := range now.fronts {
+		if p.next.fronts[address] == nil {
+			s.leaving.Go(old.Stop)
+		}
+	}
+	if now.admin != nil && now.admin != p.next.admin {
+		now.admin.stop()
+	}
+}
+
+// retire ends a pool once its requests are answered.
+func (s *Service) retire(x *pool) {
+	x.stop()
+	x.Retire()
+	s.leaving.Go(func() { <-x.Ended() })
+}
+
+// Stop answers what was taken, and ends.
+func (s *Service) Stop() {
+	now := s.state.Load()
+	var fronts sync.WaitGroup
+	for _, f := range now.fronts {
+		fronts.Go(f.Stop)
+	}
+	fronts.Wait()
+	for _, x := range now.pools {
+		s.retire(x)
+	}
+	s.leaving.Wait()
+	if now.admin != nil {
+		now.admin.stop()
+	}
+	s.end()
+}
+
+// Address returns where a listener of the configuration listens: its port may have been the system's to choose.
+func (s *Service) Address(configured string) net.Addr {
+	if f := s.state.Load().fronts[configured]; f != nil {
+		return f.address
+	}
+	return nil
+}
+
+// AdminAddress returns where the admin listener listens; nil if there is none.
+func (s *Service) AdminAddress() net.Addr {
+	if a := s.state.Load().admin; a != nil {
+		return a.address
+	}
+	return nil
+}
+
+// View returns the state of the whole.
+func (s *Service) View() live.View {
+	now := s.state.Load()
+	v := live.View{Version: s.version, UptimeMS: time.Since(s.started).Milliseconds(), Reloads: now.reloads, Listeners: []live.Listener{}, Pools: []live.Pool{}}
+	for _, f := range now.fronts {
+		open, limit := f.Connections()
+		v.Listeners = append(v.Listeners, live.Listener{Name: f.name, Address: f.address.String(), Connections: open, Limit: limit})
+	}
+	slices.SortFunc(v.Listeners, func(a, b live.Listener) int { return cmp.Compare(a.Name, b.Name) })
+	for _, name := range slices.Sorted(maps.Keys(now.pools)) {
+		v.Pools = append(v.Pools, now.pools[name].View())
+	}
+	return v
+}
+
+// CheckLists reads the lists that a configuration names, as a start would.
+func CheckLists(c *config.Loaded) error {
+	var errs []error
+	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
+		if file := c.Pools[name].Nodes.File; file != "" {
+			if _, err := nodelist.Load(file); err != nil {
+				errs = append(errs, fmt.Errorf("pool %s: nodes: %w", name, err))
+			}
+		}
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/standin/fleet/node.go
@@ -0,0 +1,293 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"clayladder/internal/nodelist"
+)
+
+// Spec is what a node is like.
+type Spec struct {
+	ID       string
+	Zone     string
+	Cores    int
+	Work     time.Duration // of a request on one core, at full speed
+	Spread   float64       // of Work, evenly to both sides, as a part of it
+	Queue    int           // waiting room behind the cores
+	Reports  time.Duration // how often X-Load is refreshed; 0: no reports
+	ColdFrom float64       // part of its speed at the start
+	Ramp     time.Duration // until it is warm; 0: it always is
+	Multiple float64       // a cold node that is sent more than this multiple of what it can do ...
+	Window   time.Duration // ... within this window falls over
+	Seed     uint64
+}
+
+// Node is a server of the fleet on a loopback address. It begins warm.
+type Node struct {
+	Spec
+	judge   *Judge
+	address string
+
+	mu       sync.Mutex
+	server   *http.Server
+	listener net.Listener
+	conns    map[net.Conn]bool // open ones
+	most     int               // that were open at once
+	opened   int
+	rng      *rand.Rand
+	life     context.Context // of the process: ends with Crash
+	kill     context.CancelFunc
+	startAt  time.Time // cold since then; zero: warm
+	listedAt time.Time // when it last started
+	stalled  chan struct{}
+	inflight int
+	busy     time.Duration // core time used
+	sent     []load        // while it is cold
+	fallen   bool
+	readAt   time.Time
+	report   string
+	runs     int
+	slots    chan struct{}
+}
+
+// load is work that came to a cold node.
+type load struct {
+	at   time.Time
+	work float64 // core seconds at full speed
+}
+
+// connKey finds a request's connection.
+type connKey struct{}
+
+// NewNode starts a node.
+func NewNode(spec Spec, j *Judge) (*Node, error) {
+	n := &Node{Spec: spec, judge: j, rng: rand.New(rand.NewPCG(spec.Seed, 1)), conns: map[net.Conn]bool{}}
+	return n, n.boot("127.0.0.1:0", false)
+}
+
+func (n *Node) boot(address string, cold bool) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listener, n.address = l, l.Addr().String()
+	n.life, n.kill = context.WithCancel(context.Background())
+	n.slots = make(chan struct{}, n.Cores)
+	n.inflight, n.busy, n.sent, n.fallen, n.report, n.readAt, n.stalled = 0, 0, nil, false, "", time.Now(), nil
+	n.startAt, n.listedAt = time.Time{}, time.Time{}
+	if cold {
+		n.startAt, n.listedAt = time.Now(), time.Now()
+	}
+	n.server = &http.Server{Handler: http.HandlerFunc(n.serve), ConnState: n.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	go n.server.Serve(l) // ends with Crash or Close
+	return nil
+}
+
+func (n *Node) connState(c net.Conn, s http.ConnState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch s {
+	case http.StateNew:
+		n.conns[c] = true
+		n.opened++
+		n.most = max(n.most, len(n.conns))
+	case http.StateClosed, http.StateHijacked:
+		delete(n.conns, c)
+	}
+}
+
+// Address is where it listens.
+func (n *Node) Address() string { return n.address }
+
+// Entry is the node as a list names it.
+func (n *Node) Entry(phase nodelist.Phase) nodelist.Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return nodelist.Node{ID: n.ID, Address: n.address, Zone: n.Zone, Weight: float64(n.Cores), Phase: phase, Started: n.listedAt}
+}
+
+// Runs counts the requests whose work it has done.
+func (n *Node) Runs() int { n.mu.Lock(); defer n.mu.Unlock(); return n.runs }
+
+// Connections tells how many connections were open at once at most, and how many were opened in all.
+func (n *Node) Connections() (most, opened int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.most, n.opened
+}
+
+// Fallen tells whether it was pushed over while it was cold.
+func (n *Node) Fallen() bool { n.mu.Lock(); defer n.mu.Unlock(); return n.fallen }
+
+// Stall makes it take requests and answer none, until it is told otherwise.
+func (n *Node) Stall(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if on && n.stalled == nil {
+		n.stalled = make(chan struct{})
+	} else if !on && n.stalled != nil {
+		close(n.stalled)
+		n.stalled = nil
+	}
+}
+
+// Crash ends the process: its connections are reset, what it had is gone, and new connections are refused.
+func (n *Node) Crash() {
+	n.mu.Lock()
+	for c := range n.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			t.SetLinger(0)
+		}
+	}
+	kill, server := n.kill, n.server
+	n.mu.Unlock()
+	kill()
+	server.Close()
+}
+
+// Restart starts it again at the same address, cold.
+func (n *Node) Restart() error { return n.boot(n.address, true) }
+
+// Close ends it.
+func (n *Node) Close() { n.Crash() }
+
+// speed is the part of its full speed that it has now. The caller holds the lock.
+func (n *Node) speed(now time.Time) float64 {
+	switch {
+	case n.fallen:
+		return 0
+	case n.startAt.IsZero() || n.Ramp == 0 || now.Sub(n.startAt) >= n.Ramp:
+		return 1
+	}
+	return n.ColdFrom + (1-n.ColdFrom)*now.Sub(n.startAt).Seconds()/n.Ramp.Seconds()
+}
+
+// take books a request's work, and finds whether it pushes a cold node over.
+func (n *Node) take(now time.Time) (work time.Duration, tipped bool, sent, bears float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	work = time.Duration(float64(n.Work) * (1 + n.Spread*(2*n.rng.Float64()-1)))
+	n.inflight++
+	speed := n.speed(now)
+	if n.startAt.IsZero() || speed >= 1 || n.fallen || n.Multiple == 0 {
+		return work, false, 0, 0
+	}
+	n.sent = append(n.sent, load{now, work.Seconds()})
+	for len(n.sent) > 0 && now.Sub(n.sent[0].at) > n.Window {
+		n.sent = n.sent[1:]
+	}
+	for _, x := range n.sent {
+		sent += x.work
+	}
+	bears = n.Multiple * speed * float64(n.Cores) * n.Window.Seconds()
+	n.fallen = sent > bears
+	return work, n.fallen, sent, bears
+}
+
+// serve handles one attempt.
+func (n *Node) serve(w http.ResponseWriter, r *http.Request) {
+	began := n.judge.now()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return // its last byte never came: it never began
+	}
+	id := r.Header.Get("X-Request-Id")
+	attempt, answered := n.judge.arrived(n.ID, id, began), false
+	defer func() { n.judge.ended(attempt, answered) }()
+	n.mu.Lock()
+	life, slots, stalled, waiting := n.life, n.slots, n.stalled, n.inflight
+	n.mu.Unlock()
+	if waiting >= n.Cores+n.Queue && stalled == nil {
+		n.judge.notRun(id)
+		answered = true
+		n.load(w)
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	work, tipped, sent, bears := n.take(time.Now())
+	defer func() { n.mu.Lock(); n.inflight--; n.mu.Unlock() }()
+	if tipped {
+		n.judge.tipped(n.ID, sent, bears)
+	}
+	ran := make(chan string, 1)
+	go func() { // the work goes on when the balancer has given up
+		if body, ok := n.work(life, slots, stalled, id, work); ok {
+			ran <- body
+		}
+	}()
+	select {
+	case body := <-ran:
+		answered = true
+		n.load(w)
+		io.WriteString(w, body) // if it fails the balancer has gone
+	case <-r.Context().Done():
+	case <-life.Done():
+		panic(http.ErrAbortHandler) // a process that dies says nothing, where returning would say 200
+	}
+}
+
+// work does a request's work on a core.
+func (n *Node) work(life context.Context, slots, stalled chan struct{}, id string, work time.Duration) (string, bool) {
+	if stalled != nil {
+		select {
+		case <-stalled:
+		case <-life.Done():
+			return "", false
+		}
+	}
+	select {
+	case slots <- struct{}{}:
+	case <-life.Done():
+		return "", false
+	}
+	defer func() { <-slots }()
+	n.mu.Lock()
+	speed := n.speed(time.Now())
+	n.mu.Unlock()
+	if speed == 0 { // it has fallen over, and stays down
+		<-life.Done()
+		return "", false
+	}
+	took := time.Duration(float64(work) / speed)
+	if took > 0 {
+		select {
+		case <-time.After(took):
+		case <-life.Done():
+			return "", false
+		}
+	}
+	n.mu.Lock()
+	n.runs++
+	n.busy += took
+	body := fmt.Sprintf("%s %s %d", n.ID, id, n.runs)
+	n.mu.Unlock()
+	n.judge.executed(n.ID, id, body)
+	return body, true
+}
+
+// load puts the report into an answer. It is refreshed now and then, as real ones are.
+func (n *Node) load(w http.ResponseWriter) {
+	if n.Reports == 0 {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if since := time.Since(n.readAt); since >= n.Reports {
+		util := min(1, n.busy.Seconds()/since.Seconds()/float64(n.Cores))
+		n.report = fmt.Sprintf("util=%.3f,latency_ms=%.2f,eps=0", util, float64(n.Work.Microseconds())/1000/n.speed(time.Now()))
+		n.readAt, n.busy = time.Now(), 0
+	}
+	if n.report != "" {
+		w.Header().Set("X-Load", n.report)
+	}
+}
--- a/settings.go
+++ b/settings.go
@@ -17,11 +17,8 @@
 // amount tells whether x is a finite figure that is not negative.
 func amount(x float64) bool { return x >= 0 && !math.IsInf(x, 1) }
 
-// validate names what is missing or out of range.
-func (s Settings) validate(host Host) error {
-	if host == nil {
-		return bad("Host is nil")
-	}
+// Validate names what is missing or out of range. New and Configure refuse the same.
+func (s Settings) Validate() error {
 	r := s.Rules
 	for _, x := range []struct {
 		name string
