--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -341,26 +342,33 @@
 
 // write writes an answer. If it fails the client has gone, and can tell that the answer is not whole.
 func (c *client) write(a answer, last bool) error {
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
-	a.header.WriteSubset(&b, notEndToEnd) // a buffer takes all
+	b := buffers.Get().(*bytes.Buffer)
+	defer buffers.Put(b)
+	b.Reset()
+	field := func(name, value string) {
+		b.WriteString(name)
+		b.WriteString(value)
+		b.WriteString("\r\n")
+	}
+	field("HTTP/1.1 ", strconv.Itoa(a.status)+" "+http.StatusText(a.status))
+	writeFields(b, a.header)
 	switch {
 	case a.status == http.StatusNoContent || a.status == http.StatusNotModified: // end with their head (RFC 9112, section 6.3)
 	case len(a.header["Content-Length"]) > 0 && len(a.body) == 0: // an answer to HEAD tells the length that GET would have
-		fmt.Fprintf(&b, "Content-Length: %s\r\n", a.header.Get("Content-Length"))
+		field("Content-Length: ", a.header.Get("Content-Length"))
 	default:
-		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(a.body))
+		field("Content-Length: ", strconv.Itoa(len(a.body)))
 	}
 	if a.kind != "" {
-		fmt.Fprintf(&b, "Content-Type: %s\r\n", a.kind)
+		field("Content-Type: ", a.kind)
 	}
 	if a.retryAfter > 0 && a.whole {
-		fmt.Fprintf(&b, "Retry-After: %d\r\n", (a.retryAfter+time.Second-1)/time.Second)
+		field("Retry-After: ", strconv.FormatInt(int64((a.retryAfter+time.Second-1)/time.Second), 10))
 	} else if a.retryAfter > 0 {
-		fmt.Fprintf(&b, "Retry-After: %.3f\r\n", a.retryAfter.Seconds())
+		field("Retry-After: ", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	if last {
-		b.WriteString("Connection: close\r\n")
+		field("Connection: ", "close")
 	}
 	b.WriteString("\r\n")
 	b.Write(a.body)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -48,6 +48,7 @@
 	attempts []*attempt
 	out      int // attempts whose outcome the module has not had
 	closed   bool
+	end      alarm // at the deadline
 }
 
 // peer is what the loop knows of an upstream's address and connections.
@@ -72,20 +73,29 @@
 	token   uint64
 	request *request
 	attempt *attempt
+	place   int // in the heap; -1: it is not there
 }
 
-type alarms []alarm
+// alarms is a heap. Those of requests are taken out as soon as they are closed: left until they go off, they would keep
+// the memory of all that came within the longest deadline.
+type alarms []*alarm
 
 func (a alarms) Len() int { return len(a) }
 func (a alarms) Less(i, j int) bool {
 	return a[i].at < a[j].at || (a[i].at == a[j].at && a[i].serial < a[j].serial)
 }
-func (a alarms) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *alarms) Push(x any)   { *a = append(*a, x.(alarm)) }
+func (a alarms) Swap(i, j int) {
+	a[i], a[j] = a[j], a[i]
+	a[i].place, a[j].place = i, j
+}
+func (a *alarms) Push(x any) {
+	x.(*alarm).place = len(*a)
+	*a = append(*a, x.(*alarm))
+}
 func (a *alarms) Pop() any {
 	old := *a
 	x := old[len(old)-1]
-	old[len(old)-1] = alarm{}
+	old[len(old)-1], x.place = nil, -1
 	*a = old[:len(old)-1]
 	return x
 }
@@ -227,7 +237,7 @@
 // ring lets the alarms go off that are due.
 func (l *loop) ring() {
 	for len(l.alarms) > 0 && l.alarms[0].at <= l.now() {
-		switch a := heap.Pop(&l.alarms).(alarm); {
+		switch a := heap.Pop(&l.alarms).(*alarm); {
 		case a.attempt != nil:
 			l.expire(a.attempt)
 		case a.request != nil:
@@ -245,12 +255,19 @@
 	}
 }
 
-func (l *loop) alarm(a alarm) {
+func (l *loop) alarm(a *alarm) {
 	l.serial++
 	a.serial = l.serial
 	heap.Push(&l.alarms, a)
 }
 
+// unset takes an alarm out, if it is set.
+func (l *loop) unset(a *alarm) {
+	if a.at > 0 && a.place >= 0 {
+		heap.Remove(&l.alarms, a.place)
+	}
+}
+
 // --- Requests and attempts ---
 
 // arrived is a client's request.
@@ -274,7 +291,8 @@
 		return
 	}
 	l.requests[r.ID] = r
-	l.alarm(alarm{at: r.deadline, request: r})
+	r.end = alarm{at: r.deadline, request: r}
+	l.alarm(&r.end)
 	l.balancer.Request(now, r.Request)
 }
 
@@ -311,6 +329,7 @@
 		return
 	}
 	a.told = true
+	l.unset(&a.limit)
 	q, now := a.req, l.now()
 	if r.status == clayladder.OK && !q.closed {
 		l.answer(q, answer{status: r.code, body: r.body, kind: r.kind, header: r.header})
@@ -387,6 +406,7 @@
 	if r.closed && r.out == 0 {
 		delete(l.requests, r.ID)
 		delete(l.open, r.name)
+		l.unset(&r.end)
 	}
 }
 
@@ -406,7 +426,8 @@
 	wait := r.deadline - now
 	if timeout > 0 && timeout < wait {
 		wait = timeout
-		l.alarm(alarm{at: now + timeout, attempt: a})
+		a.limit = alarm{at: now + timeout, attempt: a}
+		l.alarm(&a.limit)
 	}
 	a.wait = wait
 	if r.closed || wait <= 0 || p.state != clayladder.Active {
@@ -496,7 +517,7 @@
 
 // SetTimer asks for a Timer event.
 func (l *loop) SetTimer(after time.Duration, token uint64) {
-	l.alarm(alarm{at: l.now() + max(after, 0), token: token})
+	l.alarm(&alarm{at: l.now() + max(after, 0), token: token})
 }
 
 // Log writes a line to the log, or drops it rather than wait.
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -193,6 +193,22 @@
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
+// writeFields writes what is end to end. Their order among different names means nothing (RFC 9110, section 5.3), so it
+// is not made. The values were read by textproto, which lets no line end in.
+func writeFields(b *bytes.Buffer, h http.Header) {
+	for name, values := range h {
+		if notEndToEnd[name] {
+			continue
+		}
+		for _, v := range values {
+			b.WriteString(name)
+			b.WriteString(": ")
+			b.WriteString(v)
+			b.WriteString("\r\n")
+		}
+	}
+}
+
 // message is the client's request as an upstream gets it, but for the first lines
 // that message adds for an attempt. Method, path, query and body go on unchanged.
 type message struct {
@@ -214,7 +230,7 @@
 	b.WriteString("\r\nX-Deadline-Ms: ")
 	b.WriteString(strconv.FormatInt(max(1, wait.Milliseconds()), 10))
 	b.WriteString("\r\n")
-	m.header.WriteSubset(b, notEndToEnd) // a buffer takes all
+	writeFields(b, m.header)
 	if m.bodied {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(m.body)))
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -76,6 +76,7 @@
 	conn     *conn // read by the loop only once the attempt is claimed
 	told     bool  // the loop: the module has had its outcome
 	lingers  bool  // the loop: it is left to its connection for the late answer
+	limit    alarm // the loop: of its own, before the request's deadline
 	bodiless bool  // the answer has no body: HEAD was asked
 }
 
