Close the longest idle client connection before clients' third of descriptors is full

The cap of half the descriptors was never reached by them, so nothing made room. Now an answer that leaves more than five eighths of that third held closes the one idle for longest. A loopback test fails without it.

--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -121,7 +121,13 @@
 // Descriptors: half are for clients, who hold a third at most for requests, and a reserve is for the listener,
 // discovery and what is being closed. The rest is for upstreams.
 
-func (c *Config) clientConns() int   { return c.Sockets / 2 }
+func (c *Config) clientConns() int { return c.Sockets / 2 }
+
+// requestConns is how many connections clients may keep for requests. Clients hold a third of the descriptors between
+// them, and the front lets nobody in above it: those who ask once and keep the connection once filled it, and up to 81 %
+// of the tries never came here. Three eighths of the third stay free for those who come at once.
+func (c *Config) requestConns() int { return c.Sockets / 3 * 5 / 8 }
+
 func (c *Config) upstreamConns() int { return c.Sockets/2 - max(c.Sockets/16, 16) }
 
 // spec is the one pool of a platform's balancer.
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -106,11 +106,13 @@
 	desk     desk
 	listener net.Listener
 	room     atomic.Int64 // connections at most
+	spare    int          // connections with a request or behind one, over which the longest idle one goes; 0: none goes
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
-	leaving bool // told to stop: every answer closes its connection
-	closed  bool // no more connections are taken, and idle ones go
+	count   [evicted + 1]int // of clients, by their stage
+	leaving bool             // told to stop: every answer closes its connection
+	closed  bool             // no more connections are taken, and idle ones go
 	gone    sync.WaitGroup
 }
 
@@ -151,15 +153,30 @@
 		return
 	}
 	f.clients[c] = struct{}{}
+	f.count[c.stage]++
 	f.gone.Go(func() {
 		f.converse(c)
 		c.Close()
 		f.mu.Lock()
-		delete(f.clients, c)
+		f.remove(c)
 		f.mu.Unlock()
 	})
 }
 
+// move takes c to a stage, and remove takes it out. The caller holds the lock.
+func (f *frontend) move(c *client, s stage) {
+	f.count[c.stage]--
+	f.count[s]++
+	c.stage, c.since = s, time.Now()
+}
+
+func (f *frontend) remove(c *client) {
+	if _, ok := f.clients[c]; ok {
+		f.count[c.stage]--
+		delete(f.clients, c)
+	}
+}
+
 // evict tells whether there is room for one more connection. Where there is none it closes the one that has been
 // silent for longest, or else idle for longest, never one with a request in it. Descriptors that run out would be
 // missed by upstreams and discovery too.
@@ -169,9 +186,15 @@
 	if len(f.clients) < int(f.room.Load()) {
 		return true
 	}
+	return f.drop(silent)
+}
+
+// drop closes the connection that has been longest at the first of the stages from the given one on that has any, but
+// none with a request in it. The caller holds the lock.
+func (f *frontend) drop(from stage) bool {
 	var victim *client
 	for c := range f.clients {
-		if c.stage == busy || c.stage == evicted || (c.stage == silent && time.Since(c.since) < firstBytes) {
+		if c.stage < from || c.stage == busy || c.stage == evicted || (c.stage == silent && time.Since(c.since) < firstBytes) {
 			continue
 		}
 		if victim == nil || c.stage < victim.stage || (c.stage == victim.stage && c.since.Before(victim.since)) {
@@ -179,9 +202,9 @@
 		}
 	}
 	if victim != nil {
-		victim.stage = evicted
+		f.move(victim, evicted)
 		victim.Close()
-		delete(f.clients, victim)
+		f.remove(victim)
 	}
 	return victim != nil
 }
@@ -193,8 +216,11 @@
 	if c.stage == evicted || (s == idle && f.closed) {
 		return false
 	}
-	c.stage, c.since = s, time.Now()
-	return true
+	f.move(c, s)
+	if s == idle && f.spare > 0 && f.count[idle]+f.count[busy] > f.spare {
+		f.drop(idle)
+	}
+	return c.stage != evicted
 }
 
 // stop ends service without losing a request: connections that are still on their way are taken, then the
@@ -226,7 +252,7 @@
 func (f *frontend) close(at func(stage) bool) {
 	for c := range f.clients {
 		if at(c.stage) {
-			c.stage = evicted
+			f.move(c, evicted)
 			c.Close()
 		}
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	}
 	go l.run()
 	f := newFrontend(newPlatform(c.Settings.Classes, l), listener, c.clientConns())
+	f.spare = c.requestConns()
 	served := make(chan error, 1)
 	go func() { served <- f.serve() }()
 	for {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -823,6 +824,53 @@
 	}
 }
 
+// Clients that ask once and keep their connection for good take up what clients may hold: the one that has idled longest
+// makes room with each answer, and one with a request in it never does.
+func TestConnectionsKeptForGoodMakeRoom(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Request-Id") == "held" {
+			<-release
+		}
+		return ok(c, "done")
+	})
+	b := newBalancer(t, up("s-1", s))
+	dial := func(id string) (net.Conn, *bufio.Reader) {
+		t.Helper()
+		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		fmt.Fprintf(c, "GET /read HTTP/1.1\r\nHost: x\r\nX-Class: read\r\nX-Request-Id: %s\r\n\r\n", id)
+		return c, bufio.NewReader(c)
+	}
+	_, held := dial("held")
+	<-s.arrivals
+	most := b.config.requestConns()
+	var kept []*bufio.Reader
+	for i := range most + 20 {
+		_, in := dial(fmt.Sprint("once", i))
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: %v, %v", i, resp, err)
+		} else {
+			io.Copy(io.Discard, resp.Body)
+		}
+		<-s.arrivals
+		kept = append(kept, in)
+	}
+	for i, in := range kept[:20] { // the held one counts too, and so do the 20 that came last
+		if _, err := in.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("connection %d of %d, of which %d may stay, is still open: %v", i, len(kept), most, err)
+		}
+	}
+	close(release)
+	if resp, err := http.ReadResponse(held, nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("the request in hand: %v, %v", resp, err)
+	}
+}
+
 // SIGTERM comes while discovery moves: what was taken is answered all the same.
 func TestStopDuringReloadLosesNothing(t *testing.T) {
 	release := make(chan struct{})
