Keep load reports and hop fields of nodes from clients

Where all of a node's answer is passed on, X-Load, X-Not-Run and the fields that its Connection names went to clients too (RFC 9110, section 7.6.1 wants the latter removed). A test on sockets sees none of them.

--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -110,15 +110,21 @@
 		}
 		q.Cost = time.Duration(min(us, maxPatience)) * time.Microsecond
 	}
-	for _, named := range h["Connection"] { // fields that the client meant for this connection only
+	dropNamed(h, once) // what the protocol wants passed on can't be taken out
+	return nil
+}
+
+// dropNamed takes out the fields that a message's Connection field names: they were meant for that connection only (RFC
+// 9110, section 7.6.1).
+func dropNamed(h textproto.MIMEHeader, but []string) {
+	for _, named := range h["Connection"] {
 		for name := range strings.SplitSeq(named, ",") {
 			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
-			if !slices.Contains(once, name) { // what the protocol wants passed on can't be taken out
+			if !slices.Contains(but, name) {
 				h.Del(name)
 			}
 		}
 	}
-	return nil
 }
 
 // maxPatience bounds what a client may claim, in its unit, so that no sum overflows.
--- a/internal/proxy/message.go
+++ b/internal/proxy/message.go
@@ -186,10 +186,11 @@
 	return false
 }
 
-// notEndToEnd names what belongs to one connection, and what is written anew.
+// notEndToEnd names what belongs to one connection, what is written anew, and what nodes tell a balancer and nobody else.
 var notEndToEnd = map[string]bool{"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true,
 	"Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Expect": true, "Content-Length": true,
-	"Host": true, "X-Deadline-Ms": true, "Proxy-Authenticate": true, "Proxy-Authorization": true}
+	"Host": true, "X-Deadline-Ms": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"X-Load": true, "X-Not-Run": true}
 
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -170,17 +170,19 @@
 		return result{status: clayladder.Reset}
 	}
 	r := result{status: clayladder.Error, load: loadOf(h["X-Load"])}
+	last := closes(h)
 	switch {
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		h.Get("X-Not-Run") == "1": // without that mark it may have run
 		r.status = clayladder.Full
 	case whole && status < http.StatusInternalServerError && status != http.StatusTooManyRequests: // 429 would promise that it never ran
+		dropNamed(h, nil)
 		r.status, r.code, r.body, r.header = clayladder.OK, status, body, http.Header(h)
 	case status == http.StatusOK:
 		r.status, r.code, r.body, r.kind = clayladder.OK, status, body, h.Get("Content-Type")
 	}
 	// Bytes behind the answer are a second copy or noise: the next request's answer would be read from them.
-	if closes(h) || c.in.Buffered() > 0 {
+	if last || c.in.Buffered() > 0 {
 		c.Close()
 	} else {
 		r.conn = c
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -454,6 +454,9 @@
 	node := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		arrived <- got{r.Host, r.RequestURI}
 		w.Header().Set("X-Kept", "yes")
+		w.Header().Set("X-Load", "util=0.5") // for the balancer, as is what Connection names
+		w.Header().Set("X-Hop", "1")
+		w.Header().Set("Connection", "X-Hop")
 		w.WriteHeader(http.StatusCreated)
 	})}
 	go node.Serve(l)
@@ -497,7 +500,7 @@
 			t.Errorf("%s, %q: %d, want %d", c.line, c.fields, resp.StatusCode, c.status)
 		}
 		if c.status == 201 {
-			if g := <-arrived; g != (got{c.host, c.target}) || resp.Header.Get("X-Kept") != "yes" {
+			if g := <-arrived; g != (got{c.host, c.target}) || resp.Header.Get("X-Kept") != "yes" || resp.Header.Get("X-Load") != "" || resp.Header.Get("X-Hop") != "" {
 				t.Errorf("%s: the node got %+v; fields %v", c.line, g, resp.Header)
 			}
 		}
