--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -69,7 +69,7 @@
 
 // limit tells the collector how much memory there is. Collecting later costs memory, which the soft limit bounds.
 func limit(c *config.Loaded) {
-	debug.SetGCPercent(200)
+	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(c.Limits.Memory) / 10 * 8)
 }
 
--- /dev/null
+++ b/internal/proxy/routing_test.go
@@ -0,0 +1,137 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/route"
+	"clayladder/internal/wire"
+)
+
+// routedPool starts a pool that a test's routes can lead to.
+func routedPool(t testing.TB, name string, queue int) *Pool {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	p, err := NewPool(ctx, Spec{Name: name, Queue: queue, Share: 1, Connections: 10, Links: wire.Links{KeepAlive: time.Minute, ConnectTimeout: time.Second},
+		Settings: clayladder.Settings{Balancers: 1, Classes: []clayladder.Class{{Name: "c", Aim: time.Second, Deadline: time.Second, Repeat: clayladder.Unsafe, Worth: 1}},
+			Limits: clayladder.Limits{MaxAttempts: 1}, Rules: clayladder.Rules{ColdFrom: 1, RampTime: time.Second, TipMultiple: 1, TipAfter: time.Second}}},
+		NewDirectory(ctx, 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func routing(t testing.TB, pools ...*Pool) *Routing {
+	t.Helper()
+	r := &Routing{Routes: map[string]Destination{}, Pools: map[string]*Pool{}}
+	var rules []route.Rule
+	for _, p := range pools {
+		r.Pools[p.name] = p
+		rules = append(rules, route.Rule{Name: p.name, Hosts: []string{p.name + ".example.org"}, Kind: route.Prefix, Path: "/a", Pools: []route.WeightedPool{{Pool: p.name, Weight: 1}}})
+		r.Routes[p.name] = Destination{Class: clayladder.Class{Name: "c", Deadline: time.Second, Repeat: clayladder.Unsafe}, Limit: time.Second, KeyCookie: "obj"}
+	}
+	var errs []error
+	if r.Table, errs = route.Build(rules); errs != nil {
+		t.Fatal(errs)
+	}
+	return r
+}
+
+// FuzzRouted reads what a client may send to routes. What goes on is one request, and a server that reads it comes to the
+// route that was taken here.
+func FuzzRouted(f *testing.F) {
+	for _, text := range []string{
+		"POST /a/%2e%2e/a//b?x HTTP/1.1\r\nHost: X.example.org:80\r\nContent-Length: 2\r\n\r\nab",
+		"GET http://x.example.org/a HTTP/1.1\r\nHost: y\r\nX-Class: c\r\nConnection: Host, X-Request-Id\r\n\r\n",
+		"PUT /a HTTP/1.1\r\nHost: x.example.org\r\nX-Request-Id: 7\r\nContent-Length: 0\r\nExpect: 100-continue\r\n\r\n",
+		"DELETE /a;x HTTP/1.1\r\nHost: x.example.org\r\nContent-Length: 0\r\n\r\n",
+		"HEAD /a HTTP/1.1\r\nHost: x.example.org\r\nCookie: obj=1\r\n folded\r\n\r\n",
+	} {
+		f.Add([]byte(text))
+	}
+	r := routing(f, routedPool(f, "x", 1))
+	fe := newFrontend(NewDesk(r), nil, 1)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c := &client{stream: newStream(said{Reader: bytes.NewReader(text)}, 4<<10)}
+		c.bound.N = maxHead
+		q, _, err := fe.read(c)
+		if err != nil || q == nil {
+			return
+		}
+		sent := q.message.bytes(time.Second)
+		in := bufio.NewReader(bytes.NewReader(sent))
+		got, err := http.ReadRequest(in)
+		if err != nil {
+			t.Fatalf("the server can't read %q: %v", sent, err)
+		}
+		body, err := io.ReadAll(got.Body)
+		if err != nil || !bytes.Equal(body, q.message.body) || in.Buffered() > 0 || len(got.TransferEncoding) > 0 {
+			t.Errorf("passed on %q, of which the server reads %q, %v, %d more", sent, body, err, in.Buffered())
+		}
+		host, err := route.Host(got.Host)
+		target, err2 := route.ParseTarget(got.RequestURI)
+		if err != nil || err2 != nil || host != got.Host || target.String() != got.RequestURI {
+			t.Fatalf("passed on host %q and target %q: %v, %v", got.Host, got.RequestURI, err, err2)
+		}
+		rule := r.Table.Lookup(&route.Query{Host: host, Path: target.Path, Method: got.Method, Fields: q.routed.query.Fields})
+		if rule == nil || r.Pools[rule.Name] != q.routed.pool || got.Header.Get("X-Request-Id") != q.name || q.name == "" {
+			t.Errorf("passed on %q by pool %s; the server would come to %+v", sent, q.routed.pool.name, rule)
+		}
+	})
+}
+
+// TestRetiredWhileRead: a pool is retired between a request's head and its body. The request is looked up again and goes to
+// the pool that holds then; the retired one ends, and never takes a request after that.
+func TestRetiredWhileRead(t *testing.T) {
+	old, next := routedPool(t, "x", 100), routedPool(t, "y", 100)
+	d := NewDesk(routing(t, old))
+	heads := func(n int) (all []*request) {
+		for i := range n {
+			h := map[string][]string{"Host": {"x.example.org"}, "X-Request-Id": {fmt.Sprint(i)}}
+			q, err := d.check("POST", "/a", h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, q)
+		}
+		return all
+	}
+	before := heads(50)
+	moved := routing(t, old, next)
+	moved.Table, _ = route.Build([]route.Rule{{Name: "y", Hosts: []string{"x.example.org"}, Kind: route.Prefix, Path: "/a", Pools: []route.WeightedPool{{Pool: "y", Weight: 1}}}})
+	var wg sync.WaitGroup
+	for i, q := range before {
+		if i == len(before)/2 {
+			d.Route(moved)
+			old.Retire()
+		}
+		wg.Go(func() {
+			if a, err := d.enter(q); err != nil || a.status != 0 {
+				t.Errorf("request %d: %v, %v", i, a, err)
+				return
+			}
+			<-q.reply // refused: there is no node
+			d.leave(q)
+		})
+	}
+	wg.Wait()
+	<-old.Ended()
+	if ok, full := old.enter(); ok || full {
+		t.Error("an ended pool takes requests")
+	}
+	for _, q := range before[len(before)/2:] {
+		if q.routed.pool != next {
+			t.Errorf("request %s went to the retired pool", q.name)
+		}
+	}
+}
