--- a/rigs/overhead/main.go
+++ b/rigs/overhead/main.go
@@ -29,7 +29,7 @@
 
 // bound is the most that a request may cost, as a part of ReverseProxy's CPU time, at 16 and 128 connections. It keeps what
 // has been reached, with room for a noisy machine; the aim is 0.35.
-const bound = 0.75
+const bound = 0.7
 
 func main() {
 	var err error
