Second address for staff: upstreams out by hand, drains; settings taken at SIGHUP

internal/manage answers one line a connection, bounded in time, bytes and callers. internal/maintenance is the ledger of what is out by hand, free of I/O; it lies over the node list like the drains of other pools, and one called back counts as just started. A drain answers no at /healthz, closes each connection with its answer and idle ones after 2.5 s. Lists and calls go before all other events of the loop. A reload with a key missing that stood there before changes nothing; else module first, front's classes after it.

Ruled out: closing idle connections at once in a drain (they cross with requests), and a list of keys that must be there.

--- a/cmd/olivearch/platform.go
+++ b/cmd/olivearch/platform.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"clayladder/internal/manage"
 	"clayladder/internal/proxy"
 )
 
@@ -34,9 +35,20 @@
 	if err != nil {
 		return fmt.Errorf("listening for clients: %w", err)
 	}
+	b, err := proxy.Start(c, listener)
+	if err != nil {
+		return err
+	}
+	if c.Management != "" {
+		calls, err := net.Listen("tcp", c.Management)
+		if err != nil {
+			return fmt.Errorf("listening for the staff's calls: %w", err)
+		}
+		go manage.Serve(context.Background(), calls, b) // to the end: staff may ask while what was taken is answered
+	}
 	reloads := make(chan proxy.Config, 1)
-	go reload(hangups, reloads)
-	if err := proxy.Run(ctx, c, listener, reloads); err != nil {
+	go reload(hangups, c, reloads)
+	if err := b.Run(ctx, reloads); err != nil {
 		return err
 	}
 	slog.Info("stopped", "name", c.Name)
@@ -44,13 +56,14 @@
 }
 
 // reload reads the configuration again on each SIGHUP. A bad one is logged, and the one before stays.
-func reload(hangups <-chan os.Signal, reloads chan<- proxy.Config) {
+func reload(hangups <-chan os.Signal, before proxy.Config, reloads chan<- proxy.Config) {
 	for range hangups {
-		c, err := proxy.ReloadConfig(os.Getenv)
+		c, err := proxy.ReloadConfig(os.Getenv, before)
 		if err != nil {
 			slog.Error("reading the configuration again: the old one stays", "err", err)
 			continue
 		}
+		before = c
 		reloads <- c
 	}
 }
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -7,8 +7,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 
 	"clayladder"
@@ -20,24 +22,27 @@
 
 // Config is what a balancer is told at its start.
 type Config struct {
-	Name      string
-	Listen    string // host:port for clients
-	Discovery string // host:port of discovery
-	Seed      uint64
-	MemoryMB  int
-	Sockets   int
-	Known     listing // the upstreams as last held, maybe stale
-	Settings  clayladder.Settings
-	Links     wire.Links
+	Name       string
+	Listen     string // host:port for clients
+	Discovery  string // host:port of discovery
+	Seed       uint64
+	MemoryMB   int
+	Sockets    int
+	Known      listing // the upstreams as last held, maybe stale
+	Management string  // host:port for the staff's calls; empty: none
+	Settings   clayladder.Settings
+	Links      wire.Links
+	keys       map[string]bool // that the file had, each with its path
 }
 
 // file is the configuration file's form.
 type file struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Discovery  string `json:"discovery"`
+	Seed       string `json:"seed"`
+	Management string `json:"management"`
+	Limits     struct {
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
@@ -59,7 +64,12 @@
 	if err := json.Unmarshal(text, &f); err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
-	for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen, "RELAY_DISCOVERY": &f.Discovery} {
+	var all map[string]any
+	if err := json.Unmarshal(text, &all); err != nil {
+		return Config{}, fmt.Errorf("%s: %w", path, err)
+	}
+	delete(all, "known") // what upstreams there are may change
+	for name, to := range map[string]*string{"RELAY_NAME": &f.Name, "RELAY_LISTEN": &f.Listen, "RELAY_DISCOVERY": &f.Discovery, "RELAY_MANAGEMENT": &f.Management} {
 		if v := getenv(name); v != "" {
 			*to = v
 		}
@@ -68,22 +78,66 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
+	c.keys = keysOf(all)
 	return c, nil
 }
 
-// ReloadConfig reads the file again. RELAY_DISCOVERY still names the address of the start, so the file's goes before it.
-func ReloadConfig(getenv func(string) string) (Config, error) {
-	return LoadConfig(func(name string) string {
+// ReloadConfig reads the file again. RELAY_DISCOVERY still names the address of the start, so the file's goes before it. A
+// key that the file before had and this one lacks is an error: it would be taken for zero, which may be a legal value.
+func ReloadConfig(getenv func(string) string, before Config) (Config, error) {
+	c, err := LoadConfig(func(name string) string {
 		if name == "RELAY_DISCOVERY" {
 			return ""
 		}
 		return getenv(name)
 	})
+	if err != nil {
+		return c, err
+	}
+	for _, key := range slices.Sorted(maps.Keys(before.keys)) {
+		if !c.keys[key] {
+			return c, fmt.Errorf("%s: %s is missing, and stood there before", getenv("RELAY_CONFIG"), key)
+		}
+	}
+	return c, nil
+}
+
+// kindKeys are keys that only some kinds of class have: another class without them lacks nothing.
+var kindKeys = map[string]bool{"group": true, "memory_span_us": true, "late_worth": true, "stream": true}
+
+// keysOf returns the path of each key in a value. A key of a list's entries counts if all of them have it.
+func keysOf(value any) map[string]bool {
+	keys := map[string]bool{}
+	under := func(path string, x any) {
+		for k := range keysOf(x) {
+			keys[path+k] = true
+		}
+	}
+	switch v := value.(type) {
+	case map[string]any:
+		for name, x := range v {
+			keys[name] = true
+			under(name+".", x)
+		}
+	case []any:
+		count := map[string]int{}
+		for _, x := range v {
+			for k := range keysOf(x) {
+				count[k]++
+			}
+		}
+		for k, n := range count {
+			if n == len(v) && !kindKeys[k] {
+				keys["each."+k] = true
+			}
+		}
+	}
+	return keys
 }
 
 // config checks what was read.
 func (f *file) config() (Config, error) {
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Management: f.Management, Known: f.Known,
 		MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets}
 	var err error
 	if _, err = netip.ParseAddrPort(c.Listen); err != nil {
@@ -92,6 +146,9 @@
 	if _, err = netip.ParseAddrPort(c.Discovery); err != nil {
 		return c, fmt.Errorf("discovery: %w", err)
 	}
+	if _, err = netip.ParseAddrPort(c.Management); err != nil && c.Management != "" {
+		return c, fmt.Errorf("management: %w", err)
+	}
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		return c, fmt.Errorf("seed: %w", err)
 	}
@@ -108,6 +165,9 @@
 		return c, err
 	}
 	c.Settings.Limits.Out = c.upstreamConns()
+	if err := c.Settings.Validate(); err != nil {
+		return c, err
+	}
 	if c.Links.KeepAlive <= 0 || c.Links.ConnectTimeout <= 0 {
 		return c, errors.New("settings: limits: keepalive_us and connect_timeout_us must be over zero")
 	}
--- a/internal/proxy/config_test.go
+++ b/internal/proxy/config_test.go
@@ -54,7 +54,7 @@
 		t.Fatal(err)
 	}
 	want(t, "at the start", c.Discovery, "127.0.0.1:1")
-	if c, err = ReloadConfig(getenv); err != nil {
+	if c, err = ReloadConfig(getenv, c); err != nil {
 		t.Fatal(err)
 	}
 	want(t, "read again", c.Discovery, "127.0.0.1:8500")
--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"clayladder"
@@ -30,16 +31,23 @@
 
 // platform is the desk of a platform's balancer: one pool, and the request forms of its protocol.
 type platform struct {
-	classes map[string]clayladder.Class
+	classes atomic.Pointer[map[string]clayladder.Class]
 	loop    *loop
 }
 
 func newPlatform(classes []clayladder.Class, l *loop) *platform {
-	d := &platform{classes: map[string]clayladder.Class{}, loop: l}
+	d := &platform{loop: l}
+	d.adopt(classes)
+	return d
+}
+
+// adopt puts other classes in the place of those that clients may ask for.
+func (d *platform) adopt(classes []clayladder.Class) {
+	m := make(map[string]clayladder.Class, len(classes))
 	for _, class := range classes {
-		d.classes[class.Name] = class
+		m[class.Name] = class
 	}
-	return d
+	d.classes.Store(&m)
 }
 
 func (d *platform) enter(q *request) (answer, error) { q.post(arrived{q}); return answer{}, nil }
@@ -53,7 +61,7 @@
 }
 
 func (d *platform) longest() (most time.Duration) {
-	for _, class := range d.classes {
+	for _, class := range *d.classes.Load() {
 		most = max(most, class.Deadline)
 	}
 	return most
@@ -62,7 +70,7 @@
 // check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
 // served in its place.
 func (d *platform) check(method, target string, h textproto.MIMEHeader) (*request, error) {
-	class, ok := d.classes[h.Get("X-Class")]
+	class, ok := (*d.classes.Load())[h.Get("X-Class")]
 	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
 	first, _, _ := strings.Cut(path, "/")
 	id, key := h.Get("X-Request-Id"), h.Get("Idempotency-Key")
--- a/internal/proxy/directory.go
+++ b/internal/proxy/directory.go
@@ -135,7 +135,7 @@
 	}
 }
 
-// place works out an upstream's state from its list and what the directory told. Until the directory has answered for a
+// place works out an upstream's state from its list, what the directory told, and what is out by hand. Until the directory has answered for a
 // node it gets nothing: other pools must have been told first that they share it.
 func (l *loop) place(p *peer) {
 	p.state = p.listed
@@ -147,6 +147,12 @@
 			p.state = clayladder.Draining
 		}
 	}
+	if back := l.maint.BackAt(p.name); back > 0 { // it was restarted while out, and lists tell of that late
+		p.entry.StartedAt = max(p.entry.StartedAt, back)
+	}
+	if l.maint.IsOut(p.name) && p.state == clayladder.Active {
+		p.state = clayladder.Draining
+	}
 	p.entry.State = p.state
 	if p.state != clayladder.Active {
 		l.Disconnect(p.id)
--- a/internal/proxy/discovery.go
+++ b/internal/proxy/discovery.go
@@ -129,7 +129,7 @@
 	ctx     context.Context // ends all its calls
 	cancel  context.CancelFunc
 	held    atomic.Pointer[uint64] // revision of the list that the loop holds from it; nil: none yet
-	post    func(listed)
+	post    func(event)
 }
 
 // listed is an answer of discovery, or the failure of a call. It names whom it came from: a late one of a discovery
@@ -140,7 +140,7 @@
 	err error
 }
 
-func newDiscovery(ctx context.Context, address string, post func(listed)) *discovery {
+func newDiscovery(ctx context.Context, address string, post func(event)) *discovery {
 	d := &discovery{address: address, url: "http://" + address + "/v1/servers", post: post,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
 	d.ctx, d.cancel = context.WithCancel(ctx)
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -21,6 +21,8 @@
 	// answerMargin is taken off the client's deadline, which counts from its sending: the way here and back, and
 	// a turn of the loop.
 	answerMargin = 4 * time.Millisecond
+	// drainIdle is how long idle connections are kept once a drain has begun: 4 s after it none may be.
+	drainIdle = 2500 * time.Millisecond
 	// lameDuck is how long connections are still taken after SIGTERM: they go on coming for up to 0.4 s.
 	lameDuck = 450 * time.Millisecond
 	// firstBytes is how long a new connection has for its request before it may have to give way: also the last
@@ -112,6 +114,7 @@
 	clients map[*client]struct{}
 	count   [evicted + 1]int // of clients, by their stage
 	leaving bool             // told to stop: every answer closes its connection
+	standby *time.Timer      // drained: every answer closes its connection, and idle ones go when it goes off; nil: it is not
 	closed  bool             // no more connections are taken, and idle ones go
 	gone    sync.WaitGroup
 }
@@ -305,10 +308,32 @@
 	return err
 }
 
+// isLeaving tells whether clients are to go elsewhere.
 func (f *frontend) isLeaving() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leaving
+	return f.leaving || f.standby != nil
+}
+
+// drain begins a drain or ends it. What comes meanwhile is served: the front goes on sending for a while. A connection is
+// closed by its next answer, and one without a request for so long that most have had one: closed at once, many would
+// cross with a request.
+func (f *frontend) drain(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case on && f.standby == nil:
+		f.standby = time.AfterFunc(drainIdle, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.standby != nil {
+				f.close(func(s stage) bool { return s == idle })
+			}
+		})
+	case !on && f.standby != nil:
+		f.standby.Stop()
+		f.standby = nil
+	}
 }
 
 // ask gets the answer to a request, or to a question after this balancer's health if q is nil. A status of 0
@@ -316,7 +341,7 @@
 func (f *frontend) ask(c *client, q *request) (answer, error) {
 	if q == nil {
 		if f.isLeaving() {
-			return answer{status: http.StatusServiceUnavailable, body: []byte("stopping\n"), kind: "text/plain"}, nil
+			return answer{status: http.StatusServiceUnavailable, body: []byte("draining\n"), kind: "text/plain"}, nil
 		}
 		f.desk.alive()
 		return answer{status: http.StatusOK, body: []byte("ok\n"), kind: "text/plain"}, nil
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -9,9 +9,11 @@
 	"reflect"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"clayladder"
+	"clayladder/internal/maintenance"
 	"clayladder/internal/nodeshare"
 )
 
@@ -117,7 +119,7 @@
 	balancer  *clayladder.Balancer
 	ctx       context.Context
 	events    chan event
-	lists     chan listed // taken before any event: no send after a drain that has been told
+	urgent    chan event // taken before any other: no send after a drain that has been told, and staff have their answer under any load
 	logs      chan string
 	origin    time.Time
 	epoch     time.Duration
@@ -134,6 +136,8 @@
 	shares    *sharing      // nil: no other pool of the process may use the same upstreams
 	told      map[string]nodeshare.Share
 
+	maint    maintenance.Ledger // which upstreams are out by hand
+	heard    atomic.Bool        // discovery has told a list
 	names    *names
 	revision uint64
 	serial   uint64
@@ -157,7 +161,7 @@
 var _ clayladder.Host = (*loop)(nil)
 
 func newLoop(ctx context.Context, c Spec) *loop {
-	l := &loop{ctx: ctx, events: make(chan event, 1024), lists: make(chan listed, 4), logs: make(chan string, logQueue),
+	l := &loop{ctx: ctx, events: make(chan event, 1024), urgent: make(chan event, 4), logs: make(chan string, logQueue),
 		origin: time.Now(), names: newNames(), requests: map[clayladder.RequestID]*request{}, open: map[string]bool{},
 		peers: map[clayladder.UpstreamID]*peer{}}
 	l.limit(c)
@@ -188,10 +192,10 @@
 	}
 }
 
-// hand tells the loop of an answer of discovery, or of a list from elsewhere.
-func (l *loop) hand(x listed) {
+// hand tells the loop of what goes before all else: an answer of discovery, a list from elsewhere, a call of the staff.
+func (l *loop) hand(x event) {
 	select {
-	case l.lists <- x:
+	case l.urgent <- x:
 	case <-l.ctx.Done():
 	}
 }
@@ -217,9 +221,9 @@
 	go l.writeLogs()
 	clock := time.NewTimer(0)
 	for {
-		select { // a list goes first
-		case x := <-l.lists:
-			l.hear(x)
+		select { // what is urgent goes first
+		case x := <-l.urgent:
+			x.apply(l)
 			continue
 		default:
 		}
@@ -228,11 +232,11 @@
 			clock.Reset(max(0, l.alarms[0].at-l.now()))
 		}
 		select {
-		case x := <-l.lists:
-			l.hear(x)
+		case x := <-l.urgent:
+			x.apply(l)
 		case e := <-l.events:
-			if len(l.lists) > 0 {
-				l.hear(<-l.lists)
+			if len(l.urgent) > 0 {
+				(<-l.urgent).apply(l)
 			}
 			e.apply(l)
 			l.settle()
@@ -724,12 +728,22 @@
 
 // --- Discovery ---
 
-// reloaded is a new configuration. What it says of discovery holds from now on; the rest is read at a start only.
-type reloaded struct{ Config }
+// reloaded is a new configuration. Its settings and what it says of discovery hold from now on, all of it or nothing; the
+// rest is read at a start only. Requests under way keep the class that they came with.
+type reloaded struct {
+	Config
+	desk *platform
+}
 
 func (e reloaded) apply(l *loop) {
 	if !reflect.DeepEqual(e.Settings, l.settings) {
-		l.Log("configuration: the settings have changed: they take effect at the next start")
+		if err := l.balancer.Configure(l.now(), e.Settings); err != nil {
+			l.Log(fmt.Sprintf("configuration: the old settings stay: %v", err))
+			return
+		}
+		l.limit(e.spec())
+		e.desk.adopt(e.Settings.Classes) // after the module: what a client may ask for it knows
+		l.Log(fmt.Sprintf("configuration: new settings hold, with %d classes", len(e.Settings.Classes)))
 	}
 	if e.Discovery == l.discovery.address {
 		l.Log("configuration read again: discovery is where it was")
@@ -743,8 +757,8 @@
 	}
 }
 
-// hear takes an answer of discovery.
-func (l *loop) hear(x listed) {
+// apply takes an answer of discovery.
+func (x listed) apply(l *loop) {
 	switch {
 	case x.from != l.discovery: // asked before discovery moved
 		return
@@ -756,9 +770,11 @@
 		l.Log(fmt.Sprintf("discovery: revision %d after %d passed over", x.Revision, l.revision))
 	case x.Complete:
 		l.heardAt, l.trouble = l.now(), ""
+		l.heard.Store(true)
 		l.members(clayladder.ListFull, x.listing)
 	default:
 		l.heardAt, l.trouble = l.now(), ""
+		l.heard.Store(true)
 		l.members(clayladder.ListDelta, x.listing)
 	}
 	l.settle()
--- a/internal/proxy/loop_test.go
+++ b/internal/proxy/loop_test.go
@@ -30,7 +30,7 @@
 }
 
 func (h *hand) list(revision uint64, members ...member) {
-	h.hear(listed{from: h.discovery, listing: listing{Revision: revision, Complete: true, Members: members}})
+	listed{from: h.discovery, listing: listing{Revision: revision, Complete: true, Members: members}}.apply(h.loop)
 }
 
 // ask sends a request and turns the loop until it is answered and its attempts are over.
@@ -95,7 +95,7 @@
 		t.Errorf("alarms: %d are left", n)
 	}
 	h.list(90000, draining(up("s-0fffffff", s)))
-	h.hear(listed{from: h.discovery, listing: listing{Revision: 90001, Members: []member{{ID: "s-0ffffffe", Phase: "removed"}}}})
+	listed{from: h.discovery, listing: listing{Revision: 90001, Members: []member{{ID: "s-0ffffffe", Phase: "removed"}}}}.apply(h.loop)
 	want(t, "numbers after the removal of what was never listed", len(h.names.ids), 1)
 }
 
--- /dev/null
+++ b/internal/proxy/operator_test.go
@@ -0,0 +1,210 @@
+package proxy
+
+import (
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"clayladder"
+)
+
+// served sends so many requests and tells how many of them came to each upstream.
+func (b *balancer) served(t *testing.T, n int, at ...*server) []int {
+	t.Helper()
+	counts := make([]int, len(at))
+	for range n {
+		status, _ := b.do(t, b.ask("checkin", ""))
+		want(t, "status", status, 200)
+		for i, s := range at {
+			for len(s.arrivals) > 0 {
+				<-s.arrivals
+				counts[i]++
+			}
+		}
+	}
+	return counts
+}
+
+// An upstream that was taken out by hand gets nothing, whatever discovery says of it, until it is called back.
+func TestOutByHand(t *testing.T) {
+	one, two := newServer(t, okAll), newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", one), up("s-00000002", two))
+	<-b.registry.calls
+	for range 2 { // the call may come twice
+		if err := b.Out("s-00000001"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	list := listing{Revision: 11, Complete: true, Members: []member{up("s-00000001", one), up("s-00000002", two)}}
+	list.Members[0].UpSinceMS = time.Now().UnixMilli() // discovery tells of its restart, and that it is up
+	b.registry.answers <- list
+	<-b.registry.calls
+	want(t, "at the one that is out", b.served(t, 10, one, two)[0], 0)
+	for _, id := range []string{"s-00000009", ""} {
+		if b.Out(id) == nil || b.Back(id) == nil {
+			t.Errorf("%q: an unknown id is owed a no", id)
+		}
+	}
+	if err := b.Back("s-00000001"); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for b.served(t, 5, one, two)[0] == 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("not used after the call back")
+		}
+	}
+}
+
+// One that is called back counts as started at that moment: its cold start is not known from discovery yet.
+func TestBackIsCold(t *testing.T) {
+	h := newHand(t)
+	h.list(1, member{ID: "s-00000001", HostPort: "127.0.0.1:1", Phase: "up", Size: 1})
+	cold := func() bool {
+		views, _ := h.balancer.View(h.now())
+		return views[0].Cold
+	}
+	want(t, "before", cold(), false)
+	done := make(chan error, 2)
+	maintained{"s-00000001", true, done}.apply(h.loop)
+	h.list(2) // gone from the list, and the call holds
+	h.list(3, member{ID: "s-00000001", HostPort: "127.0.0.1:1", Phase: "up", Size: 1})
+	want(t, "state while out", h.peers[1].state, clayladder.Draining)
+	maintained{"s-00000001", false, done}.apply(h.loop)
+	want(t, "state", h.peers[1].state, clayladder.Active)
+	want(t, "after", cold(), true)
+}
+
+// While drained the balancer says no at /healthz, serves what comes and closes behind it, and lets idle connections go.
+func TestDrainOfTheBalancer(t *testing.T) {
+	b := newBalancer(t, up("s-00000001", newServer(t, okAll)))
+	health := func() int {
+		resp, err := http.Get(b.url + "/healthz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	want(t, "health", health(), 200)
+	idle, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	idle.Write([]byte("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"))
+	if _, err := idle.Read(make([]byte, 1<<10)); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	b.Standby()
+	b.Standby()
+	want(t, "health while drained", health(), 503)
+	resp, err := b.client.Do(b.ask("checkin", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	want(t, "status while drained", resp.StatusCode, 200)
+	want(t, "its connection is closed", resp.Close, true)
+	idle.SetReadDeadline(began.Add(4 * time.Second))
+	if _, err := idle.Read(make([]byte, 1)); err == nil || os.IsTimeout(err) {
+		t.Errorf("an idle connection 4 s after the call: %v, want it closed", err)
+	}
+	b.Active()
+	want(t, "health after", health(), 200)
+	resp, err = b.client.Do(b.ask("checkin", ""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	want(t, "connections are kept again", resp.Close, false)
+}
+
+// New settings hold from the reload on, and a request under way keeps its class.
+func TestSettingsChange(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Late") != "" {
+			<-release
+		}
+		return okAll(c, r)
+	})
+	b := newBalancer(t, up("s-00000001", s))
+	late := make(chan int, 1)
+	go func() {
+		resp, err := b.client.Do(b.ask("read", "", "X-Late", "1"))
+		if err != nil {
+			t.Error(err)
+			late <- 0
+			return
+		}
+		resp.Body.Close()
+		late <- resp.StatusCode
+	}()
+	<-s.arrivals
+	status, _ := b.do(t, b.ask("fresh", ""))
+	want(t, "a class that is not known yet", status, 400)
+	c := b.config
+	c.Settings.Classes = append([]clayladder.Class(nil), c.Settings.Classes[1:]...)
+	c.Settings.Classes = append(c.Settings.Classes, clayladder.Class{Name: "fresh", Aim: time.Second, Deadline: 2 * time.Second,
+		Repeat: clayladder.Unsafe, Worth: 1})
+	c.Settings.Limits.MaxAttempts = 1
+	b.reloads <- c
+	b.reloads <- c // the first is with the loop, and what is posted from now on comes after it
+	deadline := time.Now().Add(10 * time.Second)
+	for status, _ = b.do(t, b.ask("fresh", "")); status != 200; status, _ = b.do(t, b.ask("fresh", "")) {
+		if time.Now().After(deadline) {
+			t.Fatal("the new class is not served")
+		}
+	}
+	status, _ = b.do(t, b.ask("read", ""))
+	want(t, "a class that has gone", status, 400)
+	close(release)
+	want(t, "one under way in it", <-late, 200)
+}
+
+// A broken file changes nothing, and the error names what is wrong.
+func TestBrokenFilesAreRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(name string) string { return map[string]string{"RELAY_CONFIG": path}[name] }
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(configText)
+	before, err := LoadConfig(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ from, to, want string }{
+		{configText, "", "unexpected end"},
+		{configText[len(configText)/2:], "", "unexpected end"},
+		{`"worth_by":"work",`, ``, "settings.worth_by is missing"},
+		{`"group":"all","memory_span_us":9000000,"worth":1`, `"group":"all","memory_span_us":9000000`, "settings.profiles.each.worth is missing"},
+		{`"cancel":true,`, ``, "settings.limits.cancel is missing"},
+		{`"limits":{"cores":1.0,`, `"limits":{`, "limits.cores is missing"},
+		{`"max_attempts":3`, `"max_attempts":0`, "Limits.MaxAttempts"},
+		{`"target_us":2000000,"give_up_us":4000000,"repeat":"read_like"`, `"target_us":2000000,"give_up_us":-1,"repeat":"read_like"`, "Deadline"},
+		{`"max_attempts":3`, `"max_attempts":"3"`, "max_attempts"},
+	} {
+		text := strings.Replace(configText, x.from, x.to, 1)
+		if text == configText {
+			t.Fatalf("%q is not in the sample", x.from)
+		}
+		write(text)
+		_, err := ReloadConfig(getenv, before)
+		if err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%q for %q: %v, want %q", x.to, x.from, err, x.want)
+		}
+	}
+	write(strings.Replace(configText, `"members":[{`, `"members":[],"more":[{`, 1))
+	if _, err := ReloadConfig(getenv, before); err != nil {
+		t.Errorf("other upstreams: %v", err)
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,28 +5,44 @@
 	"net"
 )
 
-// Run serves the clients of listener until ctx ends, and then until all that was taken is answered. Each
-// configuration from reloads takes the place of the one before.
-func Run(ctx context.Context, c Config, listener net.Listener, reloads <-chan Config) error {
+// Balancer is a platform's balancer: one front and one pool.
+type Balancer struct {
+	config Config
+	loop   *loop
+	desk   *platform
+	front  *frontend
+	end    context.CancelFunc
+}
+
+// Start makes a balancer for the clients of a listener. Its pool follows discovery at once, and clients are served by Run.
+func Start(c Config, listener net.Listener) (*Balancer, error) {
 	life, end := context.WithCancel(context.Background())
-	defer end()
 	l := newLoop(life, c.spec())
 	if err := l.start(c.Seed, &c.Known); err != nil {
-		return err
+		end()
+		return nil, err
 	}
 	go l.run()
-	f := newFrontend(newPlatform(c.Settings.Classes, l), listener, c.clientConns())
-	f.spare = c.requestConns()
+	b := &Balancer{config: c, loop: l, desk: newPlatform(c.Settings.Classes, l), end: end}
+	b.front = newFrontend(b.desk, listener, c.clientConns())
+	b.front.spare = c.requestConns()
+	return b, nil
+}
+
+// Run serves clients until ctx ends, and then until all that was taken is answered. Each configuration from reloads takes
+// the place of the one before.
+func (b *Balancer) Run(ctx context.Context, reloads <-chan Config) error {
+	defer b.end()
 	served := make(chan error, 1)
-	go func() { served <- f.serve() }()
+	go func() { served <- b.front.serve() }()
 	for {
 		select {
 		case c := <-reloads:
-			l.post(reloaded{c})
+			b.loop.post(reloaded{c, b.desk})
 		case err := <-served:
 			return err
 		case <-ctx.Done():
-			f.stop()
+			b.front.stop()
 			return nil
 		}
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -131,6 +131,7 @@
 
 // balancer is a running balancer.
 type balancer struct {
+	*Balancer
 	url      string
 	registry *registry
 	cancel   context.CancelFunc
@@ -157,7 +158,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1), config: c, reloads: make(chan Config),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
-	go func() { b.ended <- Run(ctx, c, l, b.reloads) }()
+	b.Balancer, err = Start(c, l)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { b.ended <- b.Run(ctx, b.reloads) }()
 	t.Cleanup(func() {
 		b.client.CloseIdleConnections()
 		cancel()
@@ -764,11 +769,11 @@
 	old := l.discovery
 	next := c
 	next.Discovery = "127.0.0.1:9"
-	reloaded{next}.apply(l)
-	l.hear(listed{from: old, listing: listing{Revision: 90, Complete: true}})
+	reloaded{next, newPlatform(next.Settings.Classes, l)}.apply(l)
+	listed{from: old, listing: listing{Revision: 90, Complete: true}}.apply(l)
 	want(t, "upstreams after a late answer", len(l.peers), 1)
 	want(t, "revision after it", l.revision, uint64(0))
-	l.hear(listed{from: l.discovery, listing: listing{Revision: 2, Complete: true}})
+	listed{from: l.discovery, listing: listing{Revision: 2, Complete: true}}.apply(l)
 	want(t, "upstreams after the new list", len(l.peers), 0)
 	want(t, "revision after it", l.revision, uint64(2))
 }
