Upgrades: a new process takes over the listening socket and the clients

internal/handover is a link over a Unix socket in $TMPDIR: listener, clients without a request in them, and what staff have said go over it. The new process serves once it has heard a list; the old one, on SIGTERM, passes each connection as soon as nothing is in it, and ends. A yes to staff waits until the other process has applied it. Without an old process that answers, SO_REUSEPORT is the way out.

--- a/cmd/olivearch/platform.go
+++ b/cmd/olivearch/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -11,6 +12,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"clayladder/internal/manage"
 	"clayladder/internal/proxy"
 )
@@ -31,11 +34,23 @@
 	debug.SetGCPercent(400)
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
 	slog.Info("starting", "name", c.Name, "listen", c.Listen, "known", len(c.Known.Members))
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return fmt.Errorf("listening for clients: %w", err)
+	// An old process of this balancer may still serve: this one then takes its place.
+	var before *proxy.Predecessor
+	var listener net.Listener
+	if c.Meeting != "" {
+		if before, err = proxy.Precede(c.Meeting, c.Listen); err == nil {
+			slog.Info("taking the place of a process that serves")
+			listener = before.Listener
+		} else if !errors.Is(err, os.ErrNotExist) {
+			slog.Warn("no old process hands over", "why", err)
+		}
+	}
+	if listener == nil {
+		if listener, err = listen(c.Listen); err != nil {
+			return fmt.Errorf("listening for clients: %w", err)
+		}
 	}
-	b, err := proxy.Start(c, listener)
+	b, err := proxy.Start(c, listener, before)
 	if err != nil {
 		return err
 	}
@@ -55,6 +70,18 @@
 	return nil
 }
 
+// listen listens for clients beside an old process that may still do, where that does not hand its listener over.
+func listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var set error
+		if err := raw.Control(func(fd uintptr) { set = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); err != nil {
+			return err
+		}
+		return set
+	}}
+	return c.Listen(context.Background(), "tcp", address)
+}
+
 // reload reads the configuration again on each SIGHUP. A bad one is logged, and the one before stays.
 func reload(hangups <-chan os.Signal, before proxy.Config, reloads chan<- proxy.Config) {
 	for range hangups {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 
@@ -29,6 +30,7 @@
 	MemoryMB   int
 	Sockets    int
 	Known      listing // the upstreams as last held, maybe stale
+	Meeting    string  // path at which a later process of this balancer asks to take its place; empty: none does
 	Management string  // host:port for the staff's calls; empty: none
 	Settings   clayladder.Settings
 	Links      wire.Links
@@ -79,6 +81,9 @@
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
 	c.keys = keysOf(all)
+	if folder := getenv("TMPDIR"); folder != "" {
+		c.Meeting = filepath.Join(folder, "olivearch-"+c.Name+".sock")
+	}
 	return c, nil
 }
 
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -14,7 +14,10 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"clayladder/internal/handover"
 )
 
 const (
@@ -89,6 +92,7 @@
 	*stream
 	pace  *pacer
 	stage stage
+	reads bool          // a request is being read
 	since time.Time     // of the stage
 	watch chan struct{} // asks the watcher to look for a byte or the end
 	seen  chan error    // what it saw
@@ -116,17 +120,20 @@
 	leaving bool             // told to stop: every answer closes its connection
 	standby *time.Timer      // drained: every answer closes its connection, and idle ones go when it goes off; nil: it is not
 	closed  bool             // no more connections are taken, and idle ones go
+	heir    *handover.Link   // takes the connections without a request in them; nil: nobody does
+	ended   chan struct{}    // closed once serve takes no more connections
 	gone    sync.WaitGroup
 }
 
 func newFrontend(d desk, l net.Listener, room int) *frontend {
-	f := &frontend{desk: d, listener: l, clients: map[*client]struct{}{}}
+	f := &frontend{desk: d, listener: l, clients: map[*client]struct{}{}, ended: make(chan struct{})}
 	f.room.Store(int64(room))
 	return f
 }
 
 // serve takes connections until stop has been called.
 func (f *frontend) serve() error {
+	defer close(f.ended)
 	for {
 		c, err := f.listener.Accept()
 		switch {
@@ -149,12 +156,16 @@
 	}
 	pace := &pacer{Conn: raw}
 	c := &client{stream: newStream(pace, 4<<10), pace: pace, since: time.Now()}
+	c.SetReadDeadline(time.Now().Add(silentClient))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed {
+	if f.closed && f.heir == nil {
 		raw.Close()
 		return
 	}
+	if f.heir != nil {
+		c.SetReadDeadline(time.Unix(0, 1))
+	}
 	f.clients[c] = struct{}{}
 	f.count[c.stage]++
 	f.gone.Go(func() {
@@ -216,10 +227,17 @@
 func (f *frontend) enter(c *client, s stage) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.stage == evicted || (s == idle && f.closed) {
+	if c.stage == evicted || (s == idle && f.closed && f.heir == nil) {
 		return false
 	}
 	f.move(c, s)
+	c.reads = s == silent
+	if s == idle {
+		c.SetReadDeadline(time.Now().Add(idleClient))
+		if f.heir != nil {
+			c.SetReadDeadline(time.Unix(0, 1))
+		}
+	}
 	if s == idle && f.spare > 0 && f.count[idle]+f.count[busy] > f.spare {
 		f.drop(idle)
 	}
@@ -242,6 +260,41 @@
 	f.mu.Lock()
 	f.close(func(s stage) bool { return s == silent })
 	f.mu.Unlock()
+	f.settle()
+}
+
+// handOver ends service where another process has the listener too: that one gets the connections without a request in
+// them, now or once they are answered. Bytes that come meanwhile wait in the socket, so nothing crosses with a close.
+func (f *frontend) handOver(heir *handover.Link) {
+	f.mu.Lock()
+	f.heir, f.closed = heir, true
+	f.listener.Close()
+	for c := range f.clients {
+		if c.stage == idle || (c.stage == silent && !c.reads) {
+			c.SetReadDeadline(time.Unix(0, 1)) // ends its wait
+		}
+	}
+	f.mu.Unlock()
+	<-f.ended
+	f.settle()
+}
+
+// pass hands a connection over whose wait for a request has ended with an error, if there is somebody to take it and
+// nothing of a request has been read from it.
+func (f *frontend) pass(c *client, err error) {
+	f.mu.Lock()
+	heir := f.heir
+	f.mu.Unlock()
+	if timeout := net.Error(nil); heir == nil || !errors.As(err, &timeout) || !timeout.Timeout() || c.in.Buffered() > 0 {
+		return
+	}
+	if err := heir.Send(handover.Message{Kind: handover.Client}, c.pace.Conn.(syscall.Conn)); err != nil {
+		slog.Warn("handing a client over", "err", err)
+	}
+}
+
+// settle waits until all that was taken is answered.
+func (f *frontend) settle() {
 	answered := make(chan struct{})
 	go func() { f.gone.Wait(); close(answered) }()
 	select {
@@ -266,9 +319,9 @@
 	c.watch, c.seen = make(chan struct{}), make(chan error, 1)
 	go c.watcher()
 	defer close(c.watch)
-	c.SetReadDeadline(time.Now().Add(silentClient))
 	for {
-		if c.await() != nil {
+		if err := c.await(); err != nil {
+			f.pass(c, err)
 			return
 		}
 		if !f.enter(c, silent) {
@@ -293,7 +346,6 @@
 		if a.status == 0 || c.write(a, last) != nil || last || !f.enter(c, idle) {
 			return
 		}
-		c.SetReadDeadline(time.Now().Add(idleClient))
 	}
 }
 
@@ -308,6 +360,13 @@
 	return err
 }
 
+// drained tells whether the balancer is drained by hand.
+func (f *frontend) drained() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.standby != nil
+}
+
 // isLeaving tells whether clients are to go elsewhere.
 func (f *frontend) isLeaving() bool {
 	f.mu.Lock()
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -32,16 +32,25 @@
 func (b *Balancer) Back(id string) error { return b.maintain(id, false) }
 
 // Standby drains the balancer: /healthz says no, and clients' connections are closed.
-func (b *Balancer) Standby() error { b.front.drain(true); return nil }
+func (b *Balancer) Standby() error { return b.drain(true) }
 
 // Active ends the drain.
-func (b *Balancer) Active() error { b.front.drain(false); return nil }
+func (b *Balancer) Active() error { return b.drain(false) }
+
+func (b *Balancer) drain(on bool) error {
+	b.front.drain(on)
+	b.inform()
+	return nil
+}
 
 func (b *Balancer) maintain(id string, out bool) error {
 	done := make(chan error, 1)
 	b.loop.hand(maintained{id, out, done})
 	select {
 	case err := <-done:
+		if err == nil {
+			b.inform()
+		}
 		return err
 	case <-b.loop.ctx.Done():
 		return errors.New("stopping")
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &balancer{url: "http://" + l.Addr().String(), registry: g, cancel: cancel, ended: make(chan error, 1), config: c, reloads: make(chan Config),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}}
-	b.Balancer, err = Start(c, l)
+	b.Balancer, err = Start(c, l, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/proxy/succession.go
@@ -0,0 +1,273 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/handover"
+	"clayladder/internal/maintenance"
+)
+
+// This file is about upgrades: a new process takes the place of the old one while both run, and for clients, upstreams
+// and staff they are one balancer.
+
+const (
+	takeWithin = time.Second            // for the old process to answer a new one
+	tellWithin = 300 * time.Millisecond // for the other process to apply what staff have said
+	readyPause = 5 * time.Millisecond
+)
+
+// Predecessor is an old process that still serves, and what it handed over.
+type Predecessor struct {
+	Listener net.Listener
+	state    handover.Message
+	link     *handover.Link
+}
+
+// Precede asks the process that listens at path for what a new one needs to serve at an address.
+func Precede(path, listen string) (*Predecessor, error) {
+	link, err := handover.Dial(path)
+	if err != nil {
+		return nil, err
+	}
+	p := &Predecessor{link: link}
+	if err := p.take(listen); err != nil {
+		link.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Predecessor) take(listen string) error {
+	if err := p.link.Send(handover.Message{Kind: handover.Take, Listen: listen}, nil); err != nil {
+		return err
+	}
+	p.link.SetReadDeadline(time.Now().Add(takeWithin))
+	m, file, err := p.link.Receive()
+	if err != nil {
+		return err
+	}
+	if file == nil {
+		return errors.New("the old process has handed over no listener")
+	}
+	defer file.Close()
+	if m.Kind != handover.State || m.Listen != listen {
+		return fmt.Errorf("the old process serves %q", m.Listen)
+	}
+	p.state = m
+	p.link.SetReadDeadline(time.Time{})
+	p.Listener, err = net.FileListener(file)
+	return err
+}
+
+// sibling is the other process of this balancer, while there is one.
+type sibling struct {
+	link   *handover.Link
+	ready  atomic.Bool   // it serves
+	ended  chan struct{} // closed once the link has
+	mu     sync.Mutex
+	serial uint64
+	acks   map[uint64]chan struct{}
+}
+
+func newSibling(link *handover.Link) *sibling {
+	return &sibling{link: link, ended: make(chan struct{}), acks: map[uint64]chan struct{}{}}
+}
+
+// tell sends this process's state, and returns once the other has applied it or does not answer in time.
+func (s *sibling) tell(m handover.Message) error {
+	done := make(chan struct{})
+	s.mu.Lock()
+	s.serial++
+	m.Kind, m.Serial = handover.State, s.serial
+	s.acks[m.Serial] = done
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.acks, m.Serial)
+		s.mu.Unlock()
+	}()
+	if err := s.link.Send(m, nil); err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-s.ended:
+		return errors.New("it has ended")
+	case <-time.After(tellWithin):
+		return errors.New("it does not answer")
+	}
+}
+
+func (s *sibling) acknowledged(serial uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if done, ok := s.acks[serial]; ok {
+		close(done)
+		delete(s.acks, serial)
+	}
+}
+
+// follow takes what the other process tells until the link ends.
+func (b *Balancer) follow(s *sibling) {
+	defer func() {
+		close(s.ended)
+		b.other.CompareAndSwap(s, nil)
+		s.link.Close()
+	}()
+	for {
+		m, file, err := s.link.Receive()
+		if err != nil {
+			slog.Info("the link to the other process has ended", "why", err)
+			return
+		}
+		switch m.Kind {
+		case handover.Ready:
+			s.ready.Store(true)
+		case handover.Ack:
+			s.acknowledged(m.Serial)
+		case handover.State:
+			b.adoptState(m)
+			s.link.Send(handover.Message{Kind: handover.Ack, Serial: m.Serial}, nil) // if it fails so does the next Receive
+		case handover.Client:
+			b.welcome(file)
+		}
+		if file != nil {
+			file.Close()
+		}
+	}
+}
+
+// welcome serves a client's connection that the old process has handed over.
+func (b *Balancer) welcome(file *os.File) {
+	if file == nil {
+		return
+	}
+	c, err := net.FileConn(file)
+	if err != nil {
+		slog.Warn("a client's connection was not taken over", "err", err)
+		return
+	}
+	b.front.take(c)
+}
+
+// state is what staff have said so far.
+func (b *Balancer) state() handover.Message {
+	got := make(chan map[string]maintenance.Entry, 1)
+	b.loop.hand(heldNow(got))
+	m := handover.Message{Kind: handover.State, Listen: b.config.Listen, Standby: b.front.drained()}
+	select {
+	case m.Held = <-got:
+	case <-b.loop.ctx.Done():
+	}
+	return m
+}
+
+// adoptState takes what staff have said to the other process.
+func (b *Balancer) adoptState(m handover.Message) {
+	done := make(chan struct{})
+	b.loop.hand(merged{m.Held, done})
+	select {
+	case <-done:
+	case <-b.loop.ctx.Done():
+	}
+	b.front.drain(m.Standby)
+}
+
+// inform tells the other process, if there is one, what staff have said. A yes waits for it: the two count as one.
+func (b *Balancer) inform() {
+	if s := b.other.Load(); s != nil {
+		if err := s.tell(b.state()); err != nil {
+			slog.Warn("telling the other process", "err", err)
+		}
+	}
+}
+
+// heldNow asks for what is out by hand.
+type heldNow chan<- map[string]maintenance.Entry
+
+func (e heldNow) apply(l *loop) { e <- l.maint.Entries() }
+
+// merged is what is out by hand as the other process holds it.
+type merged struct {
+	held map[string]maintenance.Entry
+	done chan<- struct{}
+}
+
+func (e merged) apply(l *loop) {
+	l.maint.Merge(e.held)
+	for id := range e.held {
+		if p := l.peers[l.names.ids[id]]; p != nil && p.name == id && p.listed != clayladder.Gone {
+			l.overlay(p)
+		}
+	}
+	close(e.done)
+}
+
+// await hands over to a new process that asks for it at path, now or later. It returns at once, and the listening ends with the
+// context.
+func (b *Balancer) await(ctx context.Context, path string) error {
+	l, err := handover.Listen(path)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { l.Close() })
+	go func() {
+		for {
+			link, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.bequeath(link)
+		}
+	}()
+	return nil
+}
+
+// bequeath gives a new process what it asks for.
+func (b *Balancer) bequeath(link *handover.Link) {
+	link.SetReadDeadline(time.Now().Add(takeWithin))
+	m, file, err := link.Receive()
+	if file != nil {
+		file.Close()
+	}
+	listener, ok := b.front.listener.(*net.TCPListener)
+	if err != nil || m.Kind != handover.Take || m.Listen != b.config.Listen || !ok {
+		slog.Warn("a process that asked to take over was sent away", "err", err, "listen", m.Listen)
+		link.Close()
+		return
+	}
+	link.SetReadDeadline(time.Time{})
+	s := newSibling(link)
+	b.other.Store(s) // what staff say from now on is told to it
+	if err := link.Send(b.state(), listener); err != nil {
+		slog.Warn("handing over", "err", err)
+	}
+	b.follow(s)
+}
+
+// succeed serves beside the old process from the moment that this one is ready.
+func (b *Balancer) succeed(ctx context.Context, p *Predecessor) {
+	s := newSibling(p.link)
+	s.ready.Store(true)
+	b.other.Store(s)
+	go b.follow(s)
+	for b.Status() != nil {
+		if ctx.Err() != nil {
+			return
+		}
+		time.Sleep(readyPause)
+	}
+	if err := p.link.Send(handover.Message{Kind: handover.Ready}, nil); err != nil {
+		slog.Warn("telling the old process that this one serves", "err", err)
+	}
+}
