--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clayladder"
+	"clayladder/internal/route"
 )
 
 // desk decides where a frontend's requests go, and which of them never reach a module. Frontends call it from many
@@ -70,6 +71,9 @@
 // check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
 // served in its place.
 func (d *platform) check(method, target string, h textproto.MIMEHeader) (*request, error) {
+	if absolute, err := route.ParseTarget(target); err == nil && !strings.HasPrefix(target, "/") { // RFC 9112, section 3.2.2
+		target = absolute.String()
+	}
 	class, ok := (*d.classes.Load())[h.Get("X-Class")]
 	path, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "?")
 	first, _, _ := strings.Cut(path, "/")
--- /dev/null
+++ b/internal/proxy/download.go
@@ -0,0 +1,208 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// promptly is how long the body of an answer may come in before what there is of it goes on. One that comes whole in that time, and
+	// is no longer than maxBody, is judged whole: cut or spoilt, another attempt may take its place where its class allows.
+	promptly = 20 * time.Millisecond
+	// slowBlock is how long a client may take for a block of an answer that goes on as it comes, and quietNode how long a
+	// node may say nothing in the middle of one.
+	slowBlock = 20 * time.Second
+	quietNode = 30 * time.Second
+)
+
+// part is a piece of an answer that goes on as it comes. The last one has none of it, and an error, io.EOF if the answer is whole.
+type part struct {
+	block *[block]byte
+	n     int
+	err   error
+}
+
+// download is an answer that may go on to the client as it comes. The attempt's goroutine receives it, and the client's passes it
+// on; either may end it.
+type download struct {
+	conn  *conn
+	f     framing
+	parts chan part
+	gone  chan struct{} // closed once nobody wants the rest
+	leave func()
+
+	mu    sync.Mutex
+	first []byte // what had come when it began to go on
+	state progress
+}
+
+// progress is what a download has come to.
+type progress uint8
+
+const (
+	gathering progress = iota // nothing has gone on
+	passing                   // it goes on as it comes
+	over                      // no more is read for it
+)
+
+func newDownload(c *conn, f framing) *download {
+	d := &download{conn: c, f: f, parts: make(chan part, 1), gone: make(chan struct{})}
+	d.leave = sync.OnceFunc(func() {
+		close(d.gone)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.state != over { // else the connection may serve another request by now
+			d.conn.SetReadDeadline(time.Unix(0, 1))
+		}
+	})
+	return d
+}
+
+// framed tells whether the client gets chunks: the length is not known.
+func (d *download) framed() bool { return d.f.chunked || d.f.toClose }
+
+// advance moves on from one state to another, if it is in that.
+func (d *download) advance(from, to progress) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state != from {
+		return false
+	}
+	d.state = to
+	return true
+}
+
+// abandon ends what nobody reads. A nil download has nothing to end.
+func (d *download) abandon() {
+	if d != nil {
+		d.leave()
+	}
+}
+
+// receive reads the body. It calls begin, from any goroutine, once there is something to go on with that is not the whole; if it
+// has not, it returns the whole.
+func (d *download) receive(begin func()) (whole []byte, err error) {
+	start := func() {
+		if d.advance(gathering, passing) {
+			begin()
+		}
+	}
+	if !d.framed() { // it is known to be long
+		start()
+	} else {
+		timer := time.AfterFunc(promptly, start)
+		defer timer.Stop()
+	}
+	src := d.conn.reader(d.f)
+	for {
+		b := blocks.Get().(*[block]byte)
+		n, err := src.Read(b[:])
+		d.mu.Lock()
+		if d.state == gathering {
+			d.first = append(d.first, b[:n]...)
+			blocks.Put(b)
+			if err != nil {
+				d.state = over
+			}
+			long := len(d.first) > maxBody
+			d.mu.Unlock()
+			if err == io.EOF {
+				return d.first, nil
+			} else if err != nil {
+				return nil, err
+			}
+			if long {
+				start()
+			}
+			continue
+		}
+		if err != nil {
+			d.state = over
+		}
+		d.mu.Unlock()
+		if err := d.pass(part{b, n, err}); err != nil {
+			d.advance(passing, over)
+			return nil, err
+		}
+		if err == io.EOF {
+			return nil, nil
+		} else if err != nil {
+			return nil, err
+		}
+		if err := d.patient(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// patient bounds the next read from the node, unless nobody wants the rest any more.
+func (d *download) patient() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.gone: // its limit of time stands
+		d.state = over
+		return errStopped
+	default:
+		return d.conn.SetReadDeadline(time.Now().Add(quietNode))
+	}
+}
+
+// pass gives a piece to the client's side, if that is still there.
+func (d *download) pass(p part) error {
+	select {
+	case d.parts <- p:
+		return nil
+	case <-d.gone:
+		blocks.Put(p.block)
+		return errStopped
+	}
+}
+
+// copy passes the body on to a client. If the node fails the client gets no clean end.
+func (d *download) copy(to net.Conn) (err error) {
+	defer d.leave()
+	if err := chunk(to, d.first, d.framed(), slowBlock); err != nil {
+		return err
+	}
+	for {
+		p := <-d.parts
+		err := chunk(to, p.block[:p.n], d.framed(), slowBlock)
+		blocks.Put(p.block)
+		switch {
+		case err != nil:
+			return err
+		case p.err == nil:
+		case !errors.Is(p.err, io.EOF):
+			slog.Warn("an answer that was being passed on is cut", "why", p.err)
+			return p.err
+		case d.framed():
+			to.SetWriteDeadline(time.Now().Add(slowBlock))
+			_, err = io.WriteString(to, lastChunk)
+			return err
+		default:
+			return nil
+		}
+	}
+}
+
+// began is an answer of which the first bytes have come.
+type began struct {
+	*attempt
+	result
+}
+
+func (e began) apply(l *loop) {
+	a := e.attempt
+	if a.told || a.req.closed {
+		e.more.leave()
+		return
+	}
+	a.peer.reported(e.spoilt)
+	l.tell(a, e.result)
+	l.ghost(a.peer, 1) // its connection is held until the last byte
+}
--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -37,12 +37,16 @@
 	silentClient  = 2500 * time.Millisecond
 	stalledClient = 1200 * time.Millisecond
 	slowClient    = 10 * time.Second
-	slowReader    = 5 * time.Second // over reading its answer
+	pausedClient  = 2500 * time.Millisecond // between two pieces of a request
+	uploadFloor   = 8 << 10                 // bytes a second that a body must come with beyond slowClient
+	slowReader    = 5 * time.Second         // over reading its answer
 	idleClient    = 2 * time.Minute
-	// farewell bounds how long, and farewellMost how much, is read and dropped of a client that has been turned
+	// farewellFor bounds how long, and farewellMost how much, is read and dropped of a client that has been turned
 	// away: closed at once, the connection would be reset and the answer lost with it.
-	farewell     = 300 * time.Millisecond
+	farewellFor  = 300 * time.Millisecond
 	farewellMost = 256 << 10
+	// spoolMost is what all clients' bodies may take ahead of their attempts, in bytes, where nothing else is set.
+	spoolMost = 16 << 20
 )
 
 // answer is what a client gets, once.
@@ -52,7 +56,8 @@
 	kind       string
 	header     http.Header // an upstream's, where all of it is passed on
 	retryAfter time.Duration
-	whole      bool // retryAfter goes out in whole seconds, as RFC 9110 (section 10.2.3) has it
+	more       *download // what of the body goes on as it comes; nil: it is whole
+	whole      bool      // retryAfter goes out in whole seconds, as RFC 9110 (section 10.2.3) has it
 }
 
 // stage is what a client's connection is at.
@@ -68,14 +73,36 @@
 // pacer sets a connection's limits of time while a request is read from it.
 type pacer struct {
 	net.Conn
-	until time.Time // for the request; zero: no limits are set here
+	until  time.Time // for the request; zero: no limits are set here
+	born   time.Time // when the connection came
+	served bool      // a request has come on it
+}
+
+// gap is when a client that says nothing more is given up. One on a bad line may pause for longer; but one that has just come is
+// owed a word within 3 s, unless it went on lately.
+func (p *pacer) gap(now time.Time) time.Time {
+	limit := now.Add(pausedClient)
+	if owed := p.born.Add(silentClient); !p.served && owed.Before(limit) {
+		limit = owed
+	}
+	if least := now.Add(stalledClient); limit.Before(least) {
+		limit = least
+	}
+	return limit
+}
+
+// extend gives a body of so many bytes the time that it may take, however slowly it comes.
+func (p *pacer) extend(bytes int) {
+	if p != nil {
+		p.until = p.until.Add(time.Duration(bytes) * time.Second / uploadFloor)
+	}
 }
 
 func (p *pacer) Read(b []byte) (int, error) {
 	if p.until.IsZero() {
 		return p.Conn.Read(b)
 	}
-	limit := time.Now().Add(stalledClient)
+	limit := p.gap(time.Now())
 	if p.until.Before(limit) {
 		limit = p.until
 	}
@@ -122,12 +149,14 @@
 	closed  bool             // no more connections are taken, and idle ones go
 	heir    *handover.Link   // takes the connections without a request in them; nil: nobody does
 	ended   chan struct{}    // closed once serve takes no more connections
+	spool   spool            // for bodies that are read ahead
 	gone    sync.WaitGroup
 }
 
 func newFrontend(d desk, l net.Listener, room int) *frontend {
 	f := &frontend{desk: d, listener: l, clients: map[*client]struct{}{}, ended: make(chan struct{})}
 	f.room.Store(int64(room))
+	f.spool.free.Store(spoolMost)
 	return f
 }
 
@@ -154,7 +183,7 @@
 	for !f.evict() {
 		time.Sleep(firstBytes / 10)
 	}
-	pace := &pacer{Conn: raw}
+	pace := &pacer{Conn: raw, born: time.Now()}
 	c := &client{stream: newStream(pace, 4<<10), pace: pace, since: time.Now()}
 	c.SetReadDeadline(time.Now().Add(silentClient))
 	f.mu.Lock()
@@ -329,7 +358,7 @@
 		}
 		c.pace.until = time.Now().Add(slowClient)
 		q, h, err := f.read(c)
-		c.pace.until = time.Time{}
+		c.pace.until, c.pace.served = time.Time{}, true
 		if err != nil {
 			f.turnAway(c, err)
 			return
@@ -342,8 +371,16 @@
 			f.turnAway(c, err)
 			return
 		}
-		last := closes(h) || f.isLeaving() || a.status == http.StatusConflict
-		if a.status == 0 || c.write(a, last) != nil || last || !f.enter(c, idle) {
+		unread := q != nil && q.message.rest.unread()
+		last := closes(h) || f.isLeaving() || a.status == http.StatusConflict || unread
+		if a.status == 0 || c.write(a, last) != nil {
+			return
+		}
+		if unread { // closed at once, the connection would be reset and the answer lost
+			q.message.rest.stop()
+			c.farewell(slowClient, maxStream)
+		}
+		if last || !f.enter(c, idle) {
 			return
 		}
 	}
@@ -405,10 +442,29 @@
 		f.desk.alive()
 		return answer{status: http.StatusOK, body: []byte("ok\n"), kind: "text/plain"}, nil
 	}
+	rest := q.message.rest
+	if rest != nil {
+		defer rest.release()
+	}
 	if refused, err := f.desk.enter(q); err != nil || refused.status != 0 {
 		return refused, err
 	}
 	defer f.desk.leave(q)
+	if rest.live() {
+		select {
+		case a := <-q.reply: // before the body was in
+			return a, nil
+		case err := <-rest.done:
+			rest.over = true
+			if failed := (clientFailed{}); errors.As(err, &failed) {
+				q.post(left{q})
+				return answer{}, failed.error
+			}
+			if rest.whole = err == nil; err != nil {
+				return <-q.reply, nil
+			}
+		}
+	}
 	c.SetReadDeadline(time.Time{})
 	c.bound.N = maxHead
 	c.watch <- struct{}{}
@@ -417,6 +473,7 @@
 	case a := <-q.reply:
 		select {
 		case err := <-c.seen:
+			a.more.abandon()
 			if c.asked = false; err == nil {
 				return answer{}, errAhead
 			}
@@ -464,16 +521,23 @@
 		r = &refusal{http.StatusRequestTimeout, "the request did not come whole in time"}
 	} else if errors.Is(err, errLong) {
 		r.status = http.StatusRequestHeaderFieldsTooLarge
-	} else if !errors.As(err, &r) && !errors.Is(err, errHead) {
+	} else if errors.Is(err, errLarge) {
+		r.status = http.StatusRequestEntityTooLarge
+	} else if !errors.As(err, &r) && !errors.Is(err, errHead) && !errors.Is(err, errFrame) {
 		return
 	}
 	if c.write(answer{status: r.status, body: []byte(r.why + "\n"), kind: "text/plain"}, true) != nil {
 		return
 	}
+	c.farewell(farewellFor, farewellMost)
+}
+
+// farewell reads and drops what a client still sends, for a time and up to a number of bytes.
+func (c *client) farewell(within time.Duration, most int64) {
 	if half, ok := c.pace.Conn.(*net.TCPConn); ok {
 		half.CloseWrite()
-		half.SetReadDeadline(time.Now().Add(farewell))
-		io.CopyN(io.Discard, half, farewellMost)
+		half.SetReadDeadline(time.Now().Add(within))
+		io.CopyN(io.Discard, half, most)
 	}
 }
 
@@ -491,6 +555,10 @@
 	writeFields(b, a.header)
 	switch {
 	case a.status == http.StatusNoContent || a.status == http.StatusNotModified: // end with their head (RFC 9112, section 6.3)
+	case a.more != nil && a.more.framed():
+		field("Transfer-Encoding: ", "chunked")
+	case a.more != nil:
+		field("Content-Length: ", strconv.FormatUint(a.more.f.length, 10))
 	case len(a.header["Content-Length"]) > 0 && len(a.body) == 0: // an answer to HEAD tells the length that GET would have
 		field("Content-Length: ", a.header.Get("Content-Length"))
 	default:
@@ -510,8 +578,32 @@
 	b.WriteString("\r\n")
 	b.Write(a.body)
 	c.SetWriteDeadline(time.Now().Add(slowReader))
-	_, err := c.Write(b.Bytes())
-	return err
+	if _, err := c.Write(b.Bytes()); err != nil || a.more == nil {
+		a.more.abandon()
+		return err
+	}
+	return a.more.copy(c)
+}
+
+// readBody reads a body, or the part of it that is read ahead.
+func (f *frontend) readBody(c *client, q *request, framed framing) (err error) {
+	body := c.reader(framed)
+	c.pace.extend(maxBody)
+	if q.message.body, err = body.upTo(maxBody); err != nil || body.ended() {
+		return err
+	}
+	rest := &upload{room: &f.spool, conn: c.pace, length: framed.length, known: !framed.chunked, done: make(chan error, 1)}
+	rest.users.Store(1)
+	c.pace.extend(readAhead)
+	if err := rest.fill(body); err != nil {
+		rest.release()
+		return err
+	}
+	if !rest.live() && !rest.known {
+		rest.length, rest.known = uint64(len(q.message.body))+rest.ahead(), true
+	}
+	q.message.rest = rest
+	return nil
 }
 
 // once names the fields of which a second one would leave open which of them counts.
@@ -530,10 +622,6 @@
 	if version != "HTTP/1.1" {
 		return nil, nil, &refusal{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is wanted"}
 	}
-	if len(h["Transfer-Encoding"]) > 0 {
-		// An upstream may go by a Content-Length beside it: the rest of the body would be a request of its own.
-		return nil, nil, &refusal{http.StatusLengthRequired, "a Content-Length and no Transfer-Encoding is wanted"}
-	}
 	for name, values := range h {
 		if len(values) > 1 && slices.Contains(once, name) {
 			return nil, nil, bad("%s stands there more than once", name)
@@ -546,26 +634,31 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if length := h.Get("Content-Length"); length != "" || q.message.bodied {
-		n, ok := digits(length)
-		switch {
-		case length == "":
-			return nil, nil, &refusal{http.StatusLengthRequired, "a Content-Length is wanted"}
-		case !ok && strings.Trim(length, "0123456789") != "":
-			return nil, nil, bad("Content-Length is no number")
-		case !ok || n > maxBody:
-			return nil, nil, &refusal{http.StatusRequestEntityTooLarge, "body over 64 KiB"}
-		case n > 0 && !q.message.bodied:
-			return nil, nil, bad("%s with a body", method)
-		}
+	framed, some, err := framingOf(h)
+	switch {
+	case errors.Is(err, errLarge):
+		return nil, nil, &refusal{http.StatusRequestEntityTooLarge, "a body of that length is not taken"}
+	case err != nil && len(h["Content-Length"]) == 0: // RFC 9112, section 6.1
+		return nil, nil, &refusal{http.StatusNotImplemented, "of transfer codings, chunked is known"}
+	case err != nil && len(h["Transfer-Encoding"]) > 0:
+		// An upstream may go by the other one: the rest of the body would be a request of its own.
+		return nil, nil, bad("Content-Length beside Transfer-Encoding")
+	case err != nil:
+		return nil, nil, bad("Content-Length is no number")
+	case !some && q.message.bodied:
+		return nil, nil, &refusal{http.StatusLengthRequired, "a Content-Length or chunks are wanted"}
+	case (framed.chunked || framed.length > 0) && !q.message.bodied:
+		return nil, nil, bad("%s with a body", method)
+	}
+	if some {
 		if strings.EqualFold(h.Get("Expect"), "100-continue") && c.in.Buffered() == 0 {
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails so does the reading
 		}
-		if q.message.body, err = c.body(n); err != nil {
+		if err := f.readBody(c, q, framed); err != nil {
 			return nil, nil, err
 		}
 	}
-	if c.in.Buffered() > 0 {
+	if c.in.Buffered() > 0 && !q.message.rest.live() {
 		return nil, nil, errAhead
 	}
 	q.at = f.desk.now() // it counts from its last byte
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -302,6 +302,9 @@
 	r.deadline = r.at + r.Budget
 	now := l.now()
 	r.Budget = max(0, r.deadline-now)
+	if r.message.rest.live() { // it counts from its last byte, and that is still with the client
+		r.deadline = now + uploadMost
+	}
 	if l.expired(now) { // what the list says is too old to go by
 		l.answer(r, answer{status: http.StatusServiceUnavailable, retryAfter: min(time.Second, l.settings.Limits.MaxRetry)})
 		return
@@ -316,9 +319,16 @@
 type left struct{ *request }
 
 func (e left) apply(l *loop) {
-	if r := e.request; !r.closed {
+	r := e.request
+	if !r.closed {
 		l.close(r)
 		l.balancer.Gone(l.now(), r.ID)
+		return
+	}
+	select { // the answer came as the client left: nobody else reads it
+	case a := <-r.reply:
+		a.more.abandon()
+	default:
 	}
 }
 
@@ -355,7 +365,14 @@
 	l.unset(&a.limit)
 	q, now := a.req, l.now()
 	if r.status == clayladder.OK && !q.closed {
-		l.answer(q, answer{status: r.code, body: r.body, kind: r.kind, header: r.header})
+		l.answer(q, answer{status: r.code, body: r.body, kind: r.kind, header: r.header, more: r.more})
+	}
+	if r.status != clayladder.OK && !q.closed && q.message.rest.spent() { // the module can't send it anew
+		if r.status == clayladder.Full || r.status == clayladder.ConnectFailed || r.status == clayladder.Moot {
+			l.answer(q, answer{status: http.StatusServiceUnavailable})
+		} else {
+			l.answer(q, answer{status: http.StatusBadGateway})
+		}
 	}
 	q.out--
 	closed := q.closed
@@ -456,6 +473,9 @@
 		l.alarm(&a.limit)
 	}
 	a.wait = wait
+	if r.message.rest.live() {
+		a.wait = min(wait, r.Budget) // from its last byte
+	}
 	if r.closed || wait <= 0 || p.state != clayladder.Active {
 		a.drop()
 		l.due = append(l.due, owing{a, clayladder.Moot})
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -34,6 +34,7 @@
 	b := &Balancer{config: c, loop: l, desk: newPlatform(c.Settings.Classes, l), end: end, before: before}
 	b.front = newFrontend(b.desk, listener, c.clientConns())
 	b.front.spare = c.requestConns()
+	b.front.spool.free.Store(int64(c.MemoryMB) << 20 / 8)
 	b.front.drain(before != nil && before.state.Standby)
 	return b, nil
 }
--- /dev/null
+++ b/internal/proxy/stream_test.go
@@ -0,0 +1,324 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// random returns so many bytes that a mixed-up stream would not repeat.
+func random(n int) []byte {
+	b := make([]byte, n)
+	rand.NewChaCha8([32]byte{7}).Read(b)
+	return b
+}
+
+// chunked writes a body in chunks of odd sizes.
+func chunked(c io.Writer, b []byte) {
+	for n := 1; len(b) > 0; n = n*3 + 1 {
+		size := min(n, len(b))
+		fmt.Fprintf(c, "%x;x=\"y\"\r\n%s\r\n", size, b[:size])
+		b = b[size:]
+	}
+	io.WriteString(c, "0\r\nX-Trailer: 1\r\n\r\n")
+}
+
+// opened sends a request's head and returns its connection.
+func (b *balancer) opened(t *testing.T, fields string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	lastID++
+	io.WriteString(c, checkin(fmt.Sprintf("X-Request-Id: %016x\r\n%s", lastID, fields)))
+	return c, bufio.NewReader(c)
+}
+
+// Bodies and answers of any size and framing come through unchanged, and the connections serve again.
+func TestAnySizeComesThrough(t *testing.T) {
+	for _, size := range []int{0, 1, maxBody, maxBody + 1, maxBody + readAhead, maxBody + readAhead + 1, 6 << 20} {
+		body := random(size)
+		s := newServer(t, func(c net.Conn, r *http.Request) bool {
+			switch r.Header.Get("X-Framing") {
+			case "chunked":
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				chunked(c, body)
+			case "close":
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+				c.Write(body)
+				return false
+			default:
+				return ok(c, string(body))
+			}
+			return true
+		})
+		b := newBalancer(t, up("s-00000001", s))
+		for _, framing := range []string{"length", "chunked", "close"} {
+			q := b.ask("checkin", string(body), "X-Framing", framing)
+			if framing != "length" {
+				q.Body, q.ContentLength = io.NopCloser(bytes.NewReader(body)), -1
+			}
+			status, got := b.do(t, q)
+			want(t, "status", status, 200)
+			if got != string(body) {
+				t.Errorf("%d bytes, %s: the answer is another, of %d bytes", size, framing, len(got))
+			}
+			sent, _ := io.ReadAll((<-s.arrivals).Body)
+			if !bytes.Equal(sent, body) {
+				t.Errorf("%d bytes, %s: the body is another, of %d bytes", size, framing, len(sent))
+			}
+		}
+		free := b.front.spool.free.Load()
+		want(t, "memory for bodies, taken", int64(b.config.MemoryMB)<<20/8-free, int64(0))
+	}
+}
+
+// What a node says goes on at once, not when the rest has come.
+func TestAnswerGoesOnAsItComes(t *testing.T) {
+	next := make(chan string)
+	s := newServer(t, func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for text := range next {
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text)
+		}
+		io.WriteString(c, lastChunk)
+		return true
+	})
+	b := newBalancer(t, up("s-00000001", s))
+	_, in := b.opened(t, "Content-Length: 0\r\n")
+	next <- "one"
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range []string{"one", "two", "three"} {
+		if text != "one" {
+			next <- text
+		}
+		got := make([]byte, len(text))
+		if _, err := io.ReadFull(resp.Body, got); string(got) != text || err != nil {
+			t.Fatalf("got %q, %v, want %q", got, err, text)
+		}
+	}
+	close(next)
+	if rest, err := io.ReadAll(resp.Body); len(rest) > 0 || err != nil {
+		t.Errorf("%q behind it, %v", rest, err)
+	}
+}
+
+// A node that fails in the middle of an answer leaves the client with one that is visibly cut, and nothing runs again.
+func TestCutAnswerLooksCut(t *testing.T) {
+	body := random(3 * maxBody)
+	for _, head := range []string{fmt.Sprintf("Content-Length: %d", len(body)), "Transfer-Encoding: chunked", "X-To: close"} {
+		for _, share := range []int{0, 1, 2} {
+			s := newServer(t, func(c net.Conn, _ *http.Request) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n", head)
+				part := body[:len(body)*share/3]
+				if strings.HasPrefix(head, "Transfer") {
+					fmt.Fprintf(c, "%x\r\n", len(body)) // the chunk's end never comes
+				}
+				c.Write(part)
+				c.(*net.TCPConn).SetLinger(0) // a reset
+				return false
+			})
+			b := newBalancer(t, up("s-00000001", s))
+			_, in := b.opened(t, "Content-Length: 0\r\n")
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := io.ReadAll(resp.Body); err == nil && resp.StatusCode == 200 {
+				t.Errorf("%s, cut after %d of 3 parts: %d bytes look whole", head, share, len(got))
+			}
+			want(t, "executions", len(s.arrivals), 1)
+		}
+	}
+}
+
+// An answer that comes promptly is judged whole: a safe request whose answer is cut goes to another node.
+func TestPromptAnswerIsJudgedWhole(t *testing.T) {
+	bad := newServer(t, func(c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab")
+		return false
+	})
+	good := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", bad), up("s-00000002", good))
+	for range 6 {
+		status, body := b.do(t, b.ask("read", ""))
+		want(t, "status", status, 200)
+		want(t, "body", body, "done")
+	}
+	if len(bad.arrivals) == 0 {
+		t.Error("the bad node was never asked: nothing was tested")
+	}
+}
+
+// A client that sends a body slowly takes no attempt before it is in, as far as it is read ahead.
+func TestSlowBodyTakesNoNode(t *testing.T) {
+	s := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", s))
+	body := random(maxBody + readAhead/2)
+	c, in := b.opened(t, fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+	c.Write(body[:len(body)-1])
+	status, _ := b.do(t, b.ask("checkin", "")) // it came later, and is served first
+	want(t, "status", status, 200)
+	want(t, "connections to the node", s.opened(), 1)
+	want(t, "requests at the node", len(s.arrivals), 1)
+	c.Write(body[len(body)-1:])
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "status", resp.StatusCode, 200)
+}
+
+// A long body goes on while it comes, and its time counts from its last byte.
+func TestTimeCountsFromTheLastByte(t *testing.T) {
+	begun := make(chan struct{})
+	s := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", s))
+	body := random(maxBody + readAhead + 3*block)
+	c, in := b.opened(t, fmt.Sprintf("X-Deadline-Ms: 400\r\nContent-Length: %d\r\n", len(body)))
+	c.Write(body[:len(body)-4])
+	go func() { // another is served meanwhile: the slow one holds nobody up
+		defer close(begun)
+		for deadline := time.Now().Add(10 * time.Second); s.opened() == 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	<-begun
+	for i := len(body) - 4; i < len(body); i++ {
+		time.Sleep(150 * time.Millisecond) // a slow line is what is tried
+		c.Write(body[i : i+1])
+	}
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "status", resp.StatusCode, 200)
+	sent, _ := io.ReadAll((<-s.arrivals).Body)
+	if !bytes.Equal(sent, body) {
+		t.Error("the body is another")
+	}
+}
+
+// A client that ends in the middle of a body that has begun to go on: the node gets no whole request, and all is given back.
+func TestClientEndsInTheMiddle(t *testing.T) {
+	s := newServer(t, okAll)
+	b := newBalancer(t, up("s-00000001", s))
+	for _, framing := range []string{"Content-Length: 4000000\r\n", "Transfer-Encoding: chunked\r\n"} {
+		c, _ := b.opened(t, framing)
+		if strings.HasPrefix(framing, "Transfer") {
+			io.WriteString(c, "3d0900\r\n")
+		}
+		c.Write(random(2 * readAhead))
+		c.(*net.TCPConn).CloseWrite()
+		if text, err := io.ReadAll(c); len(text) > 0 || err != nil {
+			t.Errorf("%q, %v: want a close", text, err)
+		}
+	}
+	status, _ := b.do(t, b.ask("checkin", ""))
+	want(t, "status of the next", status, 200)
+	want(t, "whole requests at the node", len(s.arrivals), 1)
+}
+
+// A node that dies before it has the last byte of a body has not run it: the client is told that trying again is harmless, although
+// the balancer can't. One that answers early is heard.
+func TestNodeEndsInTheMiddle(t *testing.T) {
+	for _, x := range []struct {
+		name, says string
+		status     int
+	}{
+		{"dies", "", 503},
+		{"turns it away", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", 503},
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				io.CopyN(io.Discard, c, maxBody)
+				io.WriteString(c, x.says)
+				c.Close()
+			}
+		}()
+		b := newBalancer(t, member{ID: "s-00000001", HostPort: l.Addr().String(), Locality: "z1", Phase: "up", Size: 1})
+		c, in := b.opened(t, "Content-Length: 30000000\r\n")
+		go c.Write(random(30000000))
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(x.name, err)
+		}
+		want(t, x.name, resp.StatusCode, x.status)
+		want(t, "its connection ends", resp.Close, true)
+	}
+}
+
+// A long request that nobody can take is answered at once, also while its client still sends, who can read the answer.
+func TestLongRequestIsRefusedAtOnce(t *testing.T) {
+	b := newBalancer(t)
+	<-b.registry.calls
+	c, in := b.opened(t, "Content-Length: 8000000\r\n")
+	c.Write(random(maxBody + readAhead + block))
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want(t, "status", resp.StatusCode, 503)
+	c.Write(random(1 << 20))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) && !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("behind the answer: %v", err)
+	}
+}
+
+// Forms that HTTP/1.1 allows and usual clients may use.
+func TestForms(t *testing.T) {
+	s := newServer(t, func(c net.Conn, r *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 \r\ncontent-length:4\r\n\r\ndone")
+		return true
+	})
+	b := newBalancer(t, up("s-00000001", s))
+	for i, text := range []string{
+		"\r\n" + checkin("X-Request-Id: f%d\r\ncontent-length:   2  \r\n") + "ab",
+		strings.Replace(checkin("X-Request-Id: f%d\r\nContent-Length: 2\r\n"), " /checkin", " http://x/checkin", 1) + "ab",
+		checkin("X-Request-Id: f%d\r\nTransfer-Encoding: Chunked\r\nTrailer: X-T\r\n") + "1;a=b\r\na\r\n01\r\nb\r\n000\r\nX-T: 1\r\n\r\n",
+	} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		text = fmt.Sprintf(text, i)
+		for j := range text { // cut at every point
+			io.WriteString(c, text[j:j+1])
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want(t, "status", resp.StatusCode, 200)
+		r := <-s.arrivals
+		body, _ := io.ReadAll(r.Body)
+		want(t, "body", string(body), "ab")
+		want(t, "target", r.RequestURI, "/checkin")
+		c.Close()
+	}
+}
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -25,6 +25,9 @@
 // maxUtil bounds the use that a load report can mean: all cores busy is 1, give or take its noise.
 const maxUtil = 2
 
+// earlyAnswer is how long is waited for the answer of a node that has stopped reading.
+const earlyAnswer = 50 * time.Millisecond
+
 // conn is a connection to an upstream. It belongs to one attempt or, idle, to the
 // loop; nobody else touches it.
 type conn struct {
@@ -113,8 +116,9 @@
 	kind   string      // the body's Content-Type
 	header http.Header // where all of the answer is passed on
 	conn   *conn
-	stray  bool   // there was more than was asked for, before the request or behind the answer
-	spoilt string // why its load report could not be read; empty: it could, or there was none
+	more   *download // what of the body goes on as it comes; nil: it is whole
+	stray  bool      // there was more than was asked for, before the request or behind the answer
+	spoilt string    // why its load report could not be read; empty: it could, or there was none
 }
 
 // dialer opens connections to upstreams.
@@ -158,20 +162,58 @@
 	}
 	// A machine that has gone silent takes bytes until its buffers are full, and then none for ever.
 	c.SetWriteDeadline(time.Now().Add(a.wait))
+	rest := a.req.message.rest
+	if rest != nil {
+		if !rest.hold() { // the client's side has ended
+			return result{status: clayladder.Moot, conn: c}
+		}
+		defer rest.release()
+	}
 	if n, err := c.Write(a.head); err != nil {
 		c.Close()
-		if n < len(a.head) { // certain: the last byte never left this process
+		if n < len(a.head) || rest != nil { // certain: the last byte never left this process
 			return result{status: clayladder.ConnectFailed}
 		}
 		return result{status: clayladder.Reset}
 	}
-	return c.take(d.whole, a.bodiless)
+	if rest != nil {
+		if err := rest.send(c); err != nil {
+			return c.unsent(d.whole, err)
+		}
+		if rest.live() {
+			a.req.post(written{a})
+		}
+	}
+	var begin func(result)
+	if a.req.post != nil {
+		begin = func(r result) { a.req.post(began{a, r}) }
+	}
+	return c.take(d.whole, a.bodiless, begin)
 }
 
-// take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use.
-func (c *conn) take(whole, head bool) result {
-	status, h, body, err := c.answer(head)
-	if err != nil {
+// unsent is the result of an attempt whose last byte was not written: it never ran, unless the node has answered early and
+// says something else.
+func (c *conn) unsent(whole bool, err error) result {
+	if failed := (clientFailed{}); errors.As(err, &failed) {
+		c.Close()
+		return result{status: clayladder.Moot}
+	}
+	c.SetReadDeadline(time.Now().Add(earlyAnswer))
+	r := c.take(whole, false, nil)
+	if r.conn != nil {
+		r.conn.Close() // the node still waits for the body
+		r.conn = nil
+	}
+	if r.status == clayladder.Reset || r.status == clayladder.Error && r.load.Fields == 0 {
+		return result{status: clayladder.ConnectFailed}
+	}
+	return r
+}
+
+// take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use. An answer that is long, or
+// slow and of no known length, is told by begin with its first bytes, and the result is of its end; without begin it is too large.
+func (c *conn) take(whole, head bool, begin func(result)) result {
+	failed := func(err error) result {
 		c.Close()
 		for _, spoilt := range []error{errHead, errLong, errFrame, errLarge} {
 			if errors.Is(err, spoilt) {
@@ -180,18 +222,37 @@
 		}
 		return result{status: clayladder.Reset}
 	}
+	status, h, f, err := c.answer(head)
+	if err != nil {
+		return failed(err)
+	}
 	r := result{status: clayladder.Error}
 	r.load, r.spoilt = loadOf(h["X-Load"])
-	last := closes(h)
+	last := closes(h) || f.toClose
 	switch {
 	case (status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout) &&
 		h.Get("X-Not-Run") == "1": // without that mark it may have run
 		r.status = clayladder.Full
 	case whole && status < http.StatusInternalServerError && status != http.StatusTooManyRequests: // 429 would promise that it never ran
 		dropNamed(h, nil)
-		r.status, r.code, r.body, r.header = clayladder.OK, status, body, http.Header(h)
+		r.status, r.code, r.header = clayladder.OK, status, http.Header(h)
 	case status == http.StatusOK:
-		r.status, r.code, r.body, r.kind = clayladder.OK, status, body, h.Get("Content-Type")
+		r.status, r.code, r.kind = clayladder.OK, status, h.Get("Content-Type")
+	}
+	if begin != nil && r.status == clayladder.OK && (f.length > maxBody || f.chunked || f.toClose) {
+		d := newDownload(c, f)
+		r.body, err = d.receive(func() {
+			first := r
+			first.more = d
+			begin(first)
+		})
+	} else if f.length > maxBody {
+		err = errLarge
+	} else if r.body, err = c.reader(f).upTo(maxBody + 1); err == nil && len(r.body) > maxBody {
+		err = errLarge
+	}
+	if err != nil {
+		return failed(err)
 	}
 	// Bytes behind the answer are a second copy or noise: the next request's answer would be read from them.
 	if r.stray = c.in.Buffered() > 0; last || r.stray {
@@ -251,7 +312,7 @@
 		c.Close()
 		return result{status: clayladder.ConnectFailed}
 	}
-	r = c.take(false, false)
+	r = c.take(false, false, nil)
 	if p.load && r.status == clayladder.OK {
 		if l, why := loadOf([]string{strings.TrimSpace(string(r.body))}); l.Fields != 0 {
 			r.load = l
