Errors turn an upstream into a trial; a new process goes on from what was learnt

After that was mended 37 % were refused for 5 s after an upgrade: the new process began with a bound of 1.5 at each node (seen in its view), where the old one had learnt more.

The module judges answers: an excess of errors over a good part of the fleet by 0.5 gives trials only, as for a silent upstream, and cuts the share from 0.25 on; never to zero, and nobody where all fail. Memory and Recall hand on what was learnt, through the link between the two processes.

--- a/balancer.go
+++ b/balancer.go
@@ -38,6 +38,10 @@
 	idleShare             = 0.0625      // under it a bound may grow without waiting for readings
 	leastDrift            = 0.005       // how fast the least latency is unlearnt
 	patienceDevs          = 5.0         // deviations over its usual latency before an upstream is silent
+	errorWeight           = 0.125       // weight of an answer in the share of errors among them
+	sickOver              = 0.5         // more errors than the fleet by this share of answers: trials only
+	errorNoise            = 0.25        // under it an excess of errors is chance and costs no share
+	sickFloor             = 0.015625    // a share is never cut below this part by errors
 	tipMargin             = 0.6         // part of the cold budget that is used
 	sendSpare             = 2.33        // latencies left to the aim of a held request sent, less its late worth
 	budgetNoise           = 16          // a budget shorter by one in this many is a client's later try
@@ -257,7 +261,9 @@
 // learn draws from an outcome what it tells about its upstream.
 func (b *Balancer) learn(a *attempt, o Outcome, now time.Duration) {
 	u, r := a.up, a.r
-	if o.Status == OK || o.Status == Error || o.Status == Full {
+	if o.Status == OK || o.Status == Error {
+		b.judge(u, o.Status == Error, now)
+	} else if o.Status == Full {
 		b.answered(u, now)
 	}
 	switch o.Status {
@@ -314,6 +320,51 @@
 	}
 }
 
+// judge counts an answer. An upstream that fails fast always has a turn free, and two of fifteen once drew
+// an eighth of all requests: with many more errors than the fleet it gets trials only, as one that is
+// silent, and its share is cut by what is lost there.
+func (b *Balancer) judge(u *upstream, failed bool, now time.Duration) {
+	x := 0.0
+	if failed {
+		x = 1
+	}
+	u.failing, u.answers = u.failing+errorWeight*(x-u.failing), u.answers+1
+	if failed && u.failing > sickOver { // all may have begun to fail since the last step
+		b.failing = b.usual()
+	}
+	if !failed || b.excess(u) <= sickOver {
+		b.answered(u, now)
+		return
+	}
+	if !u.silent {
+		u.silent, u.wait, u.trialAt = true, bandWindow*b.tick, now+bandWindow*b.tick
+		b.log(now, "sick", "upstream %d answers with errors, more than others do: trials only", u.ID)
+	}
+	u.wait = min(u.wait, b.s.Rules.RampTime)
+}
+
+// excess is the share of errors among u's answers over what a good part of the fleet has: errors that all
+// make are of the requests, not of a server.
+func (b *Balancer) excess(u *upstream) float64 { return max(0, u.failing-b.failing) }
+
+// health is the part of its share that u keeps for its errors.
+func (b *Balancer) health(u *upstream) float64 {
+	good := 1 - max(0, b.excess(u)-errorNoise)/(1-errorNoise)
+	return max(sickFloor, good*good*good*good)
+}
+
+// usual is the share of errors among the answers of a good part of the fleet.
+func (b *Balancer) usual() float64 {
+	xs := make([]float64, 0, len(b.near)+1)
+	for _, u := range b.near {
+		if u.member && u.answers > 0 {
+			xs = append(xs, u.failing)
+		}
+	}
+	slices.Sort(xs)
+	return append(xs, 0)[len(xs)/4]
+}
+
 // pause is the wait between attempts at u when its bound is under one.
 func (b *Balancer) pause(u *upstream) time.Duration {
 	return time.Duration(max(0, 1/u.bound-1) * cmp.Or(u.lat, b.lat))
@@ -417,6 +468,7 @@
 		u.area, u.most = 0, max(2*u.bound, boundStart) // or it grew tenfold before a reading told of full use
 	}
 	b.stepAt, b.ceiling = now, b.rank(2, func(u *upstream) float64 { return u.mean })
+	b.failing = b.usual()
 	b.least = b.rank(4, func(u *upstream) float64 { return u.least })
 	b.calm = b.rank(4, func(u *upstream) float64 { return u.calm })
 	b.ups = slices.DeleteFunc(b.ups, func(u *upstream) bool { // forget what is gone and owes nothing
@@ -431,7 +483,7 @@
 
 // share is u's part of the traffic, not scaled.
 func (b *Balancer) share(u *upstream, now time.Duration) float64 {
-	return u.weight * u.factor * b.ramp(u, now)
+	return u.weight * u.factor * b.health(u) * b.ramp(u, now)
 }
 
 // --- Eligibility ---
@@ -450,6 +502,7 @@
 func (b *Balancer) chill(u *upstream, at time.Duration) {
 	u.cold, u.coldAt, u.lat, u.latDev, u.units, u.slow = true, at, 0, 0, 0, 0
 	u.readings, u.mean, u.dev, u.area, u.bound, u.least, u.calm, u.mute = 0, 0, 0, 0, b.start, 0, 0, 0
+	u.failing, u.answers = 0, 0
 	u.spentAt = max(u.spentAt, at) // what it was sent while warm is no debt of the new process
 }
 
--- /dev/null
+++ b/errors_test.go
@@ -0,0 +1,168 @@
+package clayladder
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+)
+
+// flow sends requests one by one, 5 ms apart, and has each answered after 20 ms, or with an error at once where sick says so. It
+// tells how many came to the first upstream, how many failed and how many were sent.
+func flow(t *testing.T, b *Balancer, from time.Duration, first RequestID, n int, sick func(u *upstream) bool) (atFirst, failed, sent int) {
+	t.Helper()
+	now := from
+	type answer struct {
+		at time.Duration
+		o  Outcome
+	}
+	var due []answer
+	seen := map[*attempt]bool{}
+	for i := range n {
+		now += 5 * ms
+		for len(due) > 0 && due[0].at <= now {
+			b.Outcome(now, due[0].o)
+			due = due[1:]
+		}
+		if i%3 == 0 {
+			b.Timer(now, tickToken)
+		}
+		b.Request(now, Request{ID: first + RequestID(i), Class: "write", Budget: time.Second})
+		for again := true; again; { // an outcome may send what is held
+			again = false
+			for _, u := range b.ups {
+				for _, a := range slices.Clone(u.outs) {
+					if seen[a] {
+						continue
+					}
+					seen[a], again = true, true
+					sent++
+					if u == b.ups[0] {
+						atFirst++
+					}
+					o := Outcome{ID: a.r.ID, Upstream: u.ID, Latency: 20 * ms, Status: OK, Closed: true,
+						Load: Load{Fields: HasUtil, Util: 0.3 + float64(i%7)/1000}}
+					if sick(u) {
+						o.Status, o.Latency, o.Closed = Error, ms, false
+						failed++
+						b.Outcome(now, o)
+						continue
+					}
+					due = append(due, answer{now + 20*ms, o})
+				}
+			}
+		}
+	}
+	for _, d := range due {
+		b.Outcome(now+20*ms, d.o)
+	}
+	return atFirst, failed, sent
+}
+
+// An upstream that answers every request with an error at once gets trials only, the rarer the longer it lasts, and its share
+// again once it is well.
+func TestErrorsTurnAnUpstreamIntoATrial(t *testing.T) {
+	b, _ := start(t, settings(), fleet(5))
+	none := func(*upstream) bool { return false }
+	flow(t, b, time.Hour, 1, 1000, none)
+	_, failed, sent := flow(t, b, time.Hour+10*time.Second, 10000, 2000, func(u *upstream) bool { return u == b.ups[0] })
+	if failed == 0 || failed > 20 || sent < 1990 {
+		t.Errorf("%d of %d sent failed within 10 s, want a few trials", failed, sent)
+	}
+	flow(t, b, time.Hour+30*time.Second, 20000, 2000, none)
+	at, _, sent := flow(t, b, time.Hour+50*time.Second, 30000, 1000, none)
+	if at < sent/8 {
+		t.Errorf("%d of %d at it once it is well, want a fifth or so", at, sent)
+	}
+}
+
+// Errors that all upstreams make are of the requests: nobody is cut, and everything is still sent.
+func TestErrorsOfAllCutNobody(t *testing.T) {
+	for _, n := range []int{1, 2, 5} {
+		b, _ := start(t, settings(), fleet(n))
+		flow(t, b, time.Hour, 1, 600, func(*upstream) bool { return true })
+		_, _, sent := flow(t, b, time.Hour+10*time.Second, 10000, 600, func(*upstream) bool { return true })
+		if sent < 590 {
+			t.Errorf("%d upstreams: %d of 600 sent", n, sent)
+		}
+	}
+}
+
+// What one Balancer has learnt goes on in another, through JSON, but for an upstream that has been started since.
+func TestMemory(t *testing.T) {
+	list := fleet(4)
+	b, _ := start(t, settings(), list)
+	flow(t, b, time.Hour, 1, 2000, func(u *upstream) bool { return u == b.ups[0] })
+	b.ups[1].bound, b.ups[1].factor = 7, 0.5
+	text, err := json.Marshal(b.Memory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Memory
+	if err := json.Unmarshal(text, &m); err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour + 12*time.Second
+	list[2].StartedAt = now - time.Second
+	next, _ := start(t, settings(), nil)
+	next.Members(now, ListFull, list)
+	next.Recall(now, m)
+	if next.ups[1].bound != 7 || next.ups[1].factor != 0.5 || next.ups[1].lat != b.ups[1].lat || next.lat != b.lat {
+		t.Errorf("bound %v, share left %v: want what was learnt", next.ups[1].bound, next.ups[1].factor)
+	}
+	if !next.ups[0].silent {
+		t.Error("one that had trials only has them no more")
+	}
+	if u := next.ups[2]; !u.cold || u.bound != next.start || u.readings != 0 {
+		t.Errorf("one that has been started since: cold %v, bound %v, %d readings", u.cold, u.bound, u.readings)
+	}
+	_, failed, sent := flow(t, next, now, 50000, 500, func(u *upstream) bool { return u == next.ups[0] })
+	if failed > 8 || sent < 490 {
+		t.Errorf("%d of %d failed", failed, sent)
+	}
+}
+
+// Figures from outside poison nothing, whatever they are.
+func FuzzRecall(f *testing.F) {
+	f.Add([]byte(`{"figures":{"lat":-1,"carry":1e300},"classes":{"write":1e999},"upstreams":[{"id":1,"window":[1,2,3,4,5,6,7,8,9],"readings":-4}]}`))
+	f.Add([]byte(`{"upstreams":[{"id":1,"readings":8,"window":[1,1],"wait":-5,"silent":true,"trial_at":9e18,"figures":{"bound":0,"factor":90,"lat":1e18,"units":0}}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var m Memory
+		if json.Unmarshal(text, &m) != nil {
+			return
+		}
+		b, _ := start(t, settings(), fleet(3))
+		b.Recall(time.Hour, m)
+		now := time.Hour
+		for id := range RequestID(200) {
+			now += 10 * ms
+			b.Timer(now, tickToken)
+			b.Request(now, Request{ID: id + 1, Class: "write", Budget: 500 * ms})
+			if r := b.requests[id+1]; r != nil && len(r.attempts) > 0 {
+				b.Outcome(now, Outcome{ID: id + 1, Upstream: r.attempts[0].up.ID, Latency: 20 * ms, Status: OK, Closed: true})
+			}
+		}
+		if len(b.requests) > 60 {
+			t.Errorf("%d requests without an answer", len(b.requests))
+		}
+		for _, u := range b.ups {
+			for name, x := range u.figures() {
+				if !amount(*x) {
+					t.Errorf("%s is %v", name, *x)
+				}
+			}
+		}
+	})
+}
+
+// Two runs of one memory are alike: it holds no order of a map.
+func TestMemoryIsTheSameTwice(t *testing.T) {
+	b, _ := start(t, settings(), fleet(4))
+	flow(t, b, time.Hour, 1, 300, func(*upstream) bool { return false })
+	one, _ := json.Marshal(b.Memory())
+	two, _ := json.Marshal(b.Memory())
+	if !reflect.DeepEqual(one, two) {
+		t.Error("they differ")
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"clayladder"
 	"clayladder/internal/maintenance"
 )
 
@@ -34,6 +35,8 @@
 	State  Kind = "state"  // what is out by hand and whether the balancer is drained; the answer to Take brings the listener
 	Ack    Kind = "ack"    // a State has been applied
 	Ready  Kind = "ready"  // the new process serves
+	Recall Kind = "recall" // the new process asks for what has been learnt
+	Memory Kind = "memory" // what has been learnt
 	Client Kind = "client" // a client's connection without a request in it
 )
 
@@ -44,6 +47,7 @@
 	Listen  string                       `json:"listen,omitempty"` // address that the balancer serves
 	Held    map[string]maintenance.Entry `json:"held,omitempty"`
 	Standby bool                         `json:"standby,omitempty"`
+	Memory  *clayladder.Memory           `json:"memory,omitempty"`
 }
 
 // Decode reads a message.
@@ -53,7 +57,7 @@
 		return m, fmt.Errorf("handover: %w", err)
 	}
 	switch m.Kind {
-	case Take, State, Ack, Ready, Client:
+	case Take, State, Ack, Ready, Client, Recall, Memory:
 		return m, nil
 	}
 	return m, fmt.Errorf("handover: a message of kind %q", m.Kind)
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -16,15 +16,22 @@
 
 var _ manage.Operator = (*Balancer)(nil)
 
-// Status tells whether this process is ready: it has heard a list, or discovery has been silent for so long that it goes by the list of
-// its start.
+// Status tells whether this process is ready: it serves, and goes by a list that it has heard itself.
 func (b *Balancer) Status() error {
-	if !b.loop.heard.Load() && time.Since(b.loop.origin) < listPatience {
+	if !b.listed() {
 		return errors.New("no list of upstreams has been told yet")
 	}
+	if !b.began.Load() {
+		return errors.New("taking the place of the process before")
+	}
 	return nil
 }
 
+// listed tells whether a list has been heard, or discovery has been silent for so long that the list of the start has to do.
+func (b *Balancer) listed() bool {
+	return b.loop.heard.Load() || time.Since(b.loop.origin) >= listPatience
+}
+
 // Out takes an upstream out. Once it has returned nothing new is sent there.
 func (b *Balancer) Out(id string) error { return b.maintain(id, true) }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -16,6 +16,7 @@
 	end    context.CancelFunc
 	before *Predecessor // nil: no other process served before this one
 	other  atomic.Pointer[sibling]
+	began  atomic.Bool // to serve clients
 }
 
 // Start makes a balancer for the clients of a listener. Its pool follows discovery at once, and clients are served by Run.
@@ -46,6 +47,7 @@
 	if b.before != nil {
 		b.succeed(ctx, b.before)
 	}
+	b.began.Store(true)
 	if b.config.Meeting != "" {
 		if err := b.await(ctx, b.config.Meeting); err != nil {
 			slog.Warn("a later process can't take this one's place", "why", err)
--- a/internal/proxy/succession.go
+++ b/internal/proxy/succession.go
@@ -70,16 +70,20 @@
 
 // sibling is the other process of this balancer, while there is one.
 type sibling struct {
-	link   *handover.Link
-	ready  atomic.Bool   // it serves
-	ended  chan struct{} // closed once the link has
-	mu     sync.Mutex
-	serial uint64
-	acks   map[uint64]chan struct{}
+	link     *handover.Link
+	ready    atomic.Bool   // it serves
+	ended    chan struct{} // closed once the link has
+	mu       sync.Mutex
+	serial   uint64
+	acks     map[uint64]chan struct{}
+	memory   chan struct{} // closed once it has told what it has learnt
+	recalled func()
 }
 
 func newSibling(link *handover.Link) *sibling {
-	return &sibling{link: link, ended: make(chan struct{}), acks: map[uint64]chan struct{}{}}
+	s := &sibling{link: link, ended: make(chan struct{}), acks: map[uint64]chan struct{}{}, memory: make(chan struct{})}
+	s.recalled = sync.OnceFunc(func() { close(s.memory) })
+	return s
 }
 
 // tell sends this process's state, and returns once the other has applied it or does not answer in time.
@@ -140,6 +144,14 @@
 			s.link.Send(handover.Message{Kind: handover.Ack, Serial: m.Serial}, nil) // if it fails so does the next Receive
 		case handover.Client:
 			b.welcome(file)
+		case handover.Recall:
+			m := b.memory()
+			if err := s.link.Send(handover.Message{Kind: handover.Memory, Memory: &m}, nil); err != nil { // a fleet too large for a message
+				slog.Warn("telling the other process what has been learnt", "err", err)
+			}
+		case handover.Memory:
+			b.recall(m.Memory)
+			s.recalled()
 		}
 		if file != nil {
 			file.Close()
@@ -192,6 +204,47 @@
 	}
 }
 
+// memory is what the module has learnt.
+func (b *Balancer) memory() (m clayladder.Memory) {
+	got := make(chan clayladder.Memory, 1)
+	b.loop.hand(learntNow(got))
+	select {
+	case m = <-got:
+	case <-b.loop.ctx.Done():
+	}
+	return m
+}
+
+// recall lets the module go on from what another has learnt.
+func (b *Balancer) recall(m *clayladder.Memory) {
+	if m == nil {
+		return
+	}
+	done := make(chan struct{})
+	b.loop.hand(recalled{m, done})
+	select {
+	case <-done:
+	case <-b.loop.ctx.Done():
+	}
+}
+
+// learntNow asks for what the module has learnt.
+type learntNow chan<- clayladder.Memory
+
+func (e learntNow) apply(l *loop) { e <- l.balancer.Memory() }
+
+// recalled is what another module has learnt.
+type recalled struct {
+	*clayladder.Memory
+	done chan<- struct{}
+}
+
+func (e recalled) apply(l *loop) {
+	l.balancer.Recall(l.now(), *e.Memory)
+	l.settle()
+	close(e.done)
+}
+
 // heldNow asks for what is out by hand.
 type heldNow chan<- map[string]maintenance.Entry
 
@@ -261,12 +314,20 @@
 	s.ready.Store(true)
 	b.other.Store(s)
 	go b.follow(s)
-	for b.Status() != nil {
+	for !b.listed() {
 		if ctx.Err() != nil {
 			return
 		}
 		time.Sleep(readyPause)
 	}
+	if err := p.link.Send(handover.Message{Kind: handover.Recall}, nil); err == nil {
+		select {
+		case <-s.memory:
+		case <-s.ended:
+		case <-time.After(tellWithin): // it serves without
+		}
+	}
+	b.began.Store(true)
 	if err := p.link.Send(handover.Message{Kind: handover.Ready}, nil); err != nil {
 		slog.Warn("telling the old process that this one serves", "err", err)
 	}
--- a/state.go
+++ b/state.go
@@ -59,6 +59,8 @@
 	window                      [bandWindow]float64
 	readings                    int
 	mute                        int     // answers in a row without a report
+	answers                     int     // with and without an error
+	failing                     float64 // share of errors among them, the newest first
 	mean, dev, area             float64 // of the window; band gap integrated since the last step
 	readAt, spentAt             time.Duration
 	last                        Load
@@ -93,6 +95,7 @@
 	start                   float64       // an upstream's bound before anything is learnt
 	ceiling                 float64       // the fleet's middle level: what all carry is no one's excess
 	carry                   float64       // work a period that warm upstreams carry for their weight and use
+	failing                 float64       // usual share of errors among answers
 	least, calm             float64       // those of an upstream, as a good part of the fleet has them
 	tick, stepAt, watchWait time.Duration
 	tightAt                 time.Duration // last time that no upstream could take a request
