The end of an answer is told after its beginning: one was served empty

Read out of the code: the timer that lets an answer go on had marked it so, but not yet told the loop, when the last piece came and fitted into the channel; the loop heard of the end first, with no body, and served that.

The attempt's goroutine now returns only after the beginning has been told.

--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"log/slog"
@@ -34,6 +35,7 @@
 	parts chan part
 	gone  chan struct{} // closed once nobody wants the rest
 	leave func()
+	begun chan struct{} // closed once it has been told that it goes on
 
 	mu    sync.Mutex
 	first []byte // what had come when it began to go on
@@ -50,7 +52,7 @@
 )
 
 func newDownload(c *conn, f framing) *download {
-	d := &download{conn: c, f: f, parts: make(chan part, 1), gone: make(chan struct{})}
+	d := &download{conn: c, f: f, parts: make(chan part, 1), gone: make(chan struct{}), begun: make(chan struct{})}
 	d.leave = sync.OnceFunc(func() {
 		close(d.gone)
 		d.mu.Lock()
@@ -84,11 +86,13 @@
 }
 
 // receive reads the body. It calls begin, from any goroutine, once there is something to go on with that is not the whole; if it
-// has not, it returns the whole.
+// has not, it returns the whole. It returns after begin has: what is told of the end must not come before what was told of the
+// beginning, or the end of a short answer would pass for an empty one.
 func (d *download) receive(begin func()) (whole []byte, err error) {
 	start := func() {
 		if d.advance(gathering, passing) {
 			begin()
+			close(d.begun)
 		}
 	}
 	if !d.framed() { // it is known to be long
@@ -124,18 +128,19 @@
 			d.state = over
 		}
 		d.mu.Unlock()
-		if err := d.pass(part{b, n, err}); err != nil {
-			d.advance(passing, over)
-			return nil, err
+		gone := d.pass(part{b, n, err})
+		if gone == nil && err == nil {
+			gone = d.patient()
 		}
-		if err == io.EOF {
-			return nil, nil
-		} else if err != nil {
-			return nil, err
+		if gone == nil && err == nil {
+			continue
 		}
-		if err := d.patient(); err != nil {
-			return nil, err
+		d.advance(passing, over)
+		<-d.begun
+		if gone == nil && err == io.EOF {
+			return nil, nil
 		}
+		return nil, cmp.Or(gone, err)
 	}
 }
 
