--- a/internal/proxy/frontend.go
+++ b/internal/proxy/frontend.go
@@ -35,11 +35,10 @@
 	// one that stops in the middle of a request after stalledClient. One that goes on, however slowly, may be a usual
 	// client on a bad line, and has until slowClient.
 	silentClient  = 2500 * time.Millisecond
-	stalledClient = 1200 * time.Millisecond
+	stalledClient = 2300 * time.Millisecond
 	slowClient    = 10 * time.Second
-	pausedClient  = 2500 * time.Millisecond // between two pieces of a request
-	uploadFloor   = 8 << 10                 // bytes a second that a body must come with beyond slowClient
-	slowReader    = 5 * time.Second         // over reading its answer
+	uploadFloor   = 8 << 10         // bytes a second that a body must come with beyond slowClient
+	slowReader    = 5 * time.Second // over reading its answer
 	idleClient    = 2 * time.Minute
 	// farewellFor bounds how long, and farewellMost how much, is read and dropped of a client that has been turned
 	// away: closed at once, the connection would be reset and the answer lost with it.
@@ -73,22 +72,7 @@
 // pacer sets a connection's limits of time while a request is read from it.
 type pacer struct {
 	net.Conn
-	until  time.Time // for the request; zero: no limits are set here
-	born   time.Time // when the connection came
-	served bool      // a request has come on it
-}
-
-// gap is when a client that says nothing more is given up. One on a bad line may pause for longer; but one that has just come is
-// owed a word within 3 s, unless it went on lately.
-func (p *pacer) gap(now time.Time) time.Time {
-	limit := now.Add(pausedClient)
-	if owed := p.born.Add(silentClient); !p.served && owed.Before(limit) {
-		limit = owed
-	}
-	if least := now.Add(stalledClient); limit.Before(least) {
-		limit = least
-	}
-	return limit
+	until time.Time // for the request; zero: no limits are set here
 }
 
 // extend gives a body of so many bytes the time that it may take, however slowly it comes.
@@ -102,7 +86,7 @@
 	if p.until.IsZero() {
 		return p.Conn.Read(b)
 	}
-	limit := p.gap(time.Now())
+	limit := time.Now().Add(stalledClient)
 	if p.until.Before(limit) {
 		limit = p.until
 	}
@@ -183,7 +167,7 @@
 	for !f.evict() {
 		time.Sleep(firstBytes / 10)
 	}
-	pace := &pacer{Conn: raw, born: time.Now()}
+	pace := &pacer{Conn: raw}
 	c := &client{stream: newStream(pace, 4<<10), pace: pace, since: time.Now()}
 	c.SetReadDeadline(time.Now().Add(silentClient))
 	f.mu.Lock()
@@ -358,7 +342,7 @@
 		}
 		c.pace.until = time.Now().Add(slowClient)
 		q, h, err := f.read(c)
-		c.pace.until, c.pace.served = time.Time{}, true
+		c.pace.until = time.Time{}
 		if err != nil {
 			f.turnAway(c, err)
 			return
