What a node says before it has a whole body counts as it stands; two flaky tests mended

Read again: a node that answered 500 to a part of a body, and reported no load, counted as one that had not run it, which only a connection that breaks before the last byte proves. Now its answer counts (502), and an early 200 is passed on; both have a test.

Under the race detector with all cores busy two tests failed: the first discovery call could start before the list of the start was noted (it is noted first now; that was older), and an error from setting a limit of time kept the last piece from the client's side (the read tells it now; seen with net.Pipe, whose other end had closed).

--- a/internal/proxy/download.go
+++ b/internal/proxy/download.go
@@ -153,7 +153,8 @@
 		d.state = over
 		return errStopped
 	default:
-		return d.conn.SetReadDeadline(time.Now().Add(quietNode))
+		d.conn.SetReadDeadline(time.Now().Add(quietNode)) // if it fails so does the read, which is told to the client's side
+		return nil
 	}
 }
 
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -202,12 +202,14 @@
 
 // start makes the Balancer and tells it the upstreams that were known before; nil if nothing was.
 func (l *loop) start(seed uint64, known *listing) error {
+	if known != nil { // before the module begins to follow discovery, or the first call would ask for the whole list
+		l.discovery.hold(known.Revision)
+	}
 	var err error
 	if l.balancer, err = clayladder.New(l.settings, seed, l.now(), l); err != nil {
 		return err
 	}
 	if known != nil {
-		l.discovery.hold(known.Revision)
 		l.members(clayladder.ListCached, *known)
 	}
 	if !l.settings.OnRequest { // lists that are pushed come without the module's asking
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -243,6 +243,8 @@
 	}{
 		{"dies", "", 503},
 		{"turns it away", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", 503},
+		{"fails at it", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", 502},
+		{"answers early", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok", 200},
 	} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
--- a/internal/proxy/upstream.go
+++ b/internal/proxy/upstream.go
@@ -204,10 +204,10 @@
 		r.conn.Close() // the node still waits for the body
 		r.conn = nil
 	}
-	if r.status == clayladder.Reset || r.status == clayladder.Error && r.load.Fields == 0 {
+	if r.status == clayladder.Reset {
 		return result{status: clayladder.ConnectFailed}
 	}
-	return r
+	return r // what a node says of a part of a request may tell of work on that part
 }
 
 // take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use. An answer that is long, or
