A call of staff during a handover no longer passes for the answer to the new process

Read again: the old process counted the new one as its sibling before it had sent the listener, so a call of staff at that moment was told first, without it, and the new process took that for the answer and listened on its own. The listener goes first now, and what staff said meanwhile is told once more.

--- a/internal/proxy/succession.go
+++ b/internal/proxy/succession.go
@@ -301,10 +301,13 @@
 	}
 	link.SetReadDeadline(time.Time{})
 	s := newSibling(link)
-	b.other.Store(s) // what staff say from now on is told to it
 	if err := link.Send(b.state(), listener); err != nil {
 		slog.Warn("handing over", "err", err)
 	}
+	// What staff say is told to it from now on, and not before: a state without the listener would pass for the answer. What
+	// they have said meanwhile is told once more.
+	b.other.Store(s)
+	go b.inform()
 	b.follow(s)
 }
 
