--- a/internal/proxy/download.go
+++ b/internal/body/download.go
@@ -1,4 +1,4 @@
-package proxy
+package body
 
 import (
 	"cmp"
@@ -8,12 +8,16 @@
 	"net"
 	"sync"
 	"time"
+
+	"clayladder/internal/http1"
 )
 
 const (
-	// promptly is how long the body of an answer may come in before what there is of it goes on. One that comes whole in that time, and
-	// is no longer than maxBody, is judged whole: cut or spoilt, another attempt may take its place where its class allows.
-	promptly = 20 * time.Millisecond
+	// Whole is up to how many bytes an answer's body may be held back to be judged whole.
+	Whole = 64 << 10
+	// Promptly is how long the body of an answer may come in before what there is of it goes on. One that comes whole in that time, and
+	// is no longer than Whole, is judged whole: cut or spoilt, another attempt may take its place where its class allows.
+	Promptly = 20 * time.Millisecond
 	// slowBlock is how long a client may take for a block of an answer that goes on as it comes, and quietNode how long a
 	// node may say nothing in the middle of one.
 	slowBlock = 20 * time.Second
@@ -22,16 +26,16 @@
 
 // part is a piece of an answer that goes on as it comes. The last one has none of it, and an error, io.EOF if the answer is whole.
 type part struct {
-	block *[block]byte
+	block *[Block]byte
 	n     int
 	err   error
 }
 
-// download is an answer that may go on to the client as it comes. The attempt's goroutine receives it, and the client's passes it
+// Download is an answer that may go on to the client as it comes. The attempt's goroutine receives it, and the client's passes it
 // on; either may end it.
-type download struct {
-	conn  *conn
-	f     framing
+type Download struct {
+	conn  Source
+	f     http1.Framing
 	parts chan part
 	gone  chan struct{} // closed once nobody wants the rest
 	leave func()
@@ -51,8 +55,15 @@
 	over                      // no more is read for it
 )
 
-func newDownload(c *conn, f framing) *download {
-	d := &download{conn: c, f: f, parts: make(chan part, 1), gone: make(chan struct{}), begun: make(chan struct{})}
+// Source is a connection to a node that a download is read from. *http1.Stream is one.
+type Source interface {
+	Body(http1.Framing) *http1.Body
+	SetReadDeadline(time.Time) error
+}
+
+// NewDownload returns the answer that comes from c.
+func NewDownload(c Source, f http1.Framing) *Download {
+	d := &Download{conn: c, f: f, parts: make(chan part, 1), gone: make(chan struct{}), begun: make(chan struct{})}
 	d.leave = sync.OnceFunc(func() {
 		close(d.gone)
 		d.mu.Lock()
@@ -64,11 +75,14 @@
 	return d
 }
 
-// framed tells whether the client gets chunks: the length is not known.
-func (d *download) framed() bool { return d.f.chunked || d.f.toClose }
+// Length is the body's, where Framed is false.
+func (d *Download) Length() uint64 { return d.f.Length }
+
+// Framed tells whether the client gets chunks: the length is not known.
+func (d *Download) Framed() bool { return d.f.Chunked || d.f.ToClose }
 
 // advance moves on from one state to another, if it is in that.
-func (d *download) advance(from, to progress) bool {
+func (d *Download) advance(from, to progress) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.state != from {
@@ -78,32 +92,32 @@
 	return true
 }
 
-// abandon ends what nobody reads. A nil download has nothing to end.
-func (d *download) abandon() {
+// Abandon ends what nobody reads. A nil download has nothing to end.
+func (d *Download) Abandon() {
 	if d != nil {
 		d.leave()
 	}
 }
 
-// receive reads the body. It calls begin, from any goroutine, once there is something to go on with that is not the whole; if it
+// Receive reads the body. It calls begin, from any goroutine, once there is something to go on with that is not the whole; if it
 // has not, it returns the whole. It returns after begin has: what is told of the end must not come before what was told of the
 // beginning, or the end of a short answer would pass for an empty one.
-func (d *download) receive(begin func()) (whole []byte, err error) {
+func (d *Download) Receive(begin func()) (whole []byte, err error) {
 	start := func() {
 		if d.advance(gathering, passing) {
 			begin()
 			close(d.begun)
 		}
 	}
-	if !d.framed() { // it is known to be long
+	if !d.Framed() { // it is known to be long
 		start()
 	} else {
-		timer := time.AfterFunc(promptly, start)
+		timer := time.AfterFunc(Promptly, start)
 		defer timer.Stop()
 	}
-	src := d.conn.reader(d.f)
+	src := d.conn.Body(d.f)
 	for {
-		b := blocks.Get().(*[block]byte)
+		b := blocks.Get().(*[Block]byte)
 		n, err := src.Read(b[:])
 		d.mu.Lock()
 		if d.state == gathering {
@@ -112,7 +126,7 @@
 			if err != nil {
 				d.state = over
 			}
-			long := len(d.first) > maxBody
+			long := len(d.first) > Whole
 			d.mu.Unlock()
 			if err == io.EOF {
 				return d.first, nil
@@ -145,7 +159,7 @@
 }
 
 // patient bounds the next read from the node, unless nobody wants the rest any more.
-func (d *download) patient() error {
+func (d *Download) patient() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	select {
@@ -159,7 +173,7 @@
 }
 
 // pass gives a piece to the client's side, if that is still there.
-func (d *download) pass(p part) error {
+func (d *Download) pass(p part) error {
 	select {
 	case d.parts <- p:
 		return nil
@@ -169,15 +183,15 @@
 	}
 }
 
-// copy passes the body on to a client. If the node fails the client gets no clean end.
-func (d *download) copy(to net.Conn) (err error) {
+// Copy passes the body on to a client. If the node fails the client gets no clean end.
+func (d *Download) Copy(to net.Conn) (err error) {
 	defer d.leave()
-	if err := chunk(to, d.first, d.framed(), slowBlock); err != nil {
+	if err := http1.Chunk(to, d.first, d.Framed(), slowBlock); err != nil {
 		return err
 	}
 	for {
 		p := <-d.parts
-		err := chunk(to, p.block[:p.n], d.framed(), slowBlock)
+		err := http1.Chunk(to, p.block[:p.n], d.Framed(), slowBlock)
 		blocks.Put(p.block)
 		switch {
 		case err != nil:
@@ -186,29 +200,10 @@
 		case !errors.Is(p.err, io.EOF):
 			slog.Warn("an answer that was being passed on is cut", "why", p.err)
 			return p.err
-		case d.framed():
-			to.SetWriteDeadline(time.Now().Add(slowBlock))
-			_, err = io.WriteString(to, lastChunk)
-			return err
+		case d.Framed():
+			return http1.End(to, slowBlock)
 		default:
 			return nil
 		}
 	}
 }
-
-// began is an answer of which the first bytes have come.
-type began struct {
-	*attempt
-	result
-}
-
-func (e began) apply(l *loop) {
-	a := e.attempt
-	if a.told || a.req.closed {
-		e.more.leave()
-		return
-	}
-	a.peer.reported(e.spoilt)
-	l.tell(a, e.result)
-	l.ghost(a.peer, 1) // its connection is held until the last byte
-}
--- /dev/null
+++ b/internal/body/upload.go
@@ -0,0 +1,240 @@
+// Package body carries long bodies and answers between two connections: what was read ahead of an attempt, what goes on as it
+// comes, and who may end it.
+package body
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"clayladder/internal/http1"
+)
+
+const (
+	// ReadAhead is how much of a body is taken ahead of an attempt, if there is room: a slow client must not hold a
+	// node's place.
+	ReadAhead = 1 << 20
+	// uploadStall is how long a client may send nothing of a body that goes on as it comes, and Most how long all of it may take.
+	uploadStall = 5 * time.Second
+	Most        = 5 * time.Minute
+	// slowNode is how long a node may take no byte of it.
+	slowNode = 5 * time.Second
+	// Block is what is copied at once, in bytes.
+	Block = 32 << 10
+)
+
+var blocks = sync.Pool{New: func() any { return new([Block]byte) }}
+
+// Spool is the memory that clients' bodies may take beyond what each may have for itself, in bytes.
+type Spool struct{ free atomic.Int64 }
+
+// Set gives the spool so many bytes. It is called before anybody takes of it.
+func (s *Spool) Set(bytes int64) { s.free.Store(bytes) }
+
+// Free tells how many bytes are not taken.
+func (s *Spool) Free() int64 { return s.free.Load() }
+
+func (s *Spool) take(n int64) bool {
+	if s.free.Add(-n) >= 0 {
+		return true
+	}
+	s.free.Add(n)
+	return false
+}
+
+// Upload is what a request's body has beyond the part that stands in its message: blocks that were read ahead, and, if it
+// is larger, the client's connection.
+type Upload struct {
+	room   *Spool
+	blocks [][]byte
+	length uint64 // of the whole body, if known
+	known  bool
+
+	// These are the client's side's.
+	over  bool // the attempt that has read from the client does so no more
+	whole bool // it has read all
+
+	src  *http1.Body // nil: the blocks are the rest
+	conn net.Conn    // that src reads
+
+	users atomic.Int32 // the client's side, and each attempt that sends it
+
+	mu      sync.Mutex
+	begun   bool // an attempt has read from the client: what it read can't be sent again
+	stopped bool // no attempt may read any more
+	done    chan error
+}
+
+// ErrSlow says that a client did not send its body in the time that one may take.
+var ErrSlow = errors.New("the body did not come whole in time")
+
+var errStopped = errors.New("the body is not wanted any more")
+
+// NewUpload returns the rest of a body that comes from src, which reads conn. The client's side holds it until it calls Release.
+func NewUpload(room *Spool, conn net.Conn, f http1.Framing) *Upload {
+	u := &Upload{room: room, conn: conn, length: f.Length, known: !f.Chunked, done: make(chan error, 1)}
+	u.users.Store(1)
+	return u
+}
+
+// Settle gives the body the length that it turned out to have, if it is whole: before is how much of it stands elsewhere.
+func (u *Upload) Settle(before int) {
+	if !u.Live() && !u.known {
+		u.length, u.known = uint64(before)+u.Ahead(), true
+	}
+}
+
+// Length is that of the whole body, if it is known.
+func (u *Upload) Length() (bytes uint64, known bool) { return u.length, u.known }
+
+// Done tells, once, how the one attempt that read from the client has ended: nil if all was read and written.
+func (u *Upload) Done() <-chan error { return u.done }
+
+// Finish notes, on the client's side, what Done told.
+func (u *Upload) Finish(err error) { u.over, u.whole = true, err == nil }
+
+// Fill reads ahead. It returns once the body is whole, or there is no more room.
+func (u *Upload) Fill(src *http1.Body) error {
+	for range ReadAhead / Block {
+		if !u.room.take(Block) {
+			break
+		}
+		b := blocks.Get().(*[Block]byte)
+		n, err := io.ReadFull(src, b[:])
+		u.blocks = append(u.blocks, b[:n])
+		if err != nil && !errors.Is(err, io.EOF) && !(errors.Is(err, io.ErrUnexpectedEOF) && src.Ended()) {
+			return err
+		}
+		if src.Ended() {
+			return nil
+		}
+	}
+	u.src = src
+	return nil
+}
+
+// Ahead is how much has been read ahead, in bytes.
+func (u *Upload) Ahead() (n uint64) {
+	for _, b := range u.blocks {
+		n += uint64(len(b))
+	}
+	return n
+}
+
+// Hold keeps the blocks for an attempt. It fails if they have been given back.
+func (u *Upload) Hold() bool {
+	for {
+		n := u.users.Load()
+		if n == 0 {
+			return false
+		}
+		if u.users.CompareAndSwap(n, n+1) {
+			return true
+		}
+	}
+}
+
+// Release gives the blocks back once nobody holds them.
+func (u *Upload) Release() {
+	if u.users.Add(-1) > 0 {
+		return
+	}
+	for _, b := range u.blocks {
+		blocks.Put((*[Block]byte)(b[:Block]))
+		u.room.free.Add(Block)
+	}
+	u.blocks = nil
+}
+
+// Live tells whether a part of the body is still with the client.
+func (u *Upload) Live() bool { return u != nil && u.src != nil }
+
+// Unread tells whether the client has still something of the body to send.
+func (u *Upload) Unread() bool { return u.Live() && !u.whole }
+
+// Spent tells whether the body can't be sent once more.
+func (u *Upload) Spent() bool {
+	if !u.Live() {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.begun
+}
+
+// begin lets one attempt read from the client, or none if the body is not wanted any more.
+func (u *Upload) begin() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.begun || u.stopped {
+		return false
+	}
+	u.begun = true
+	return true
+}
+
+// Stop keeps attempts from reading on, and returns once none does.
+func (u *Upload) Stop() {
+	u.mu.Lock()
+	u.stopped = true
+	reads := u.begun && !u.over
+	u.conn.SetReadDeadline(time.Unix(0, 1))
+	u.mu.Unlock()
+	if reads {
+		<-u.done
+	}
+}
+
+// read reads from the client, within its limits of time.
+func (u *Upload) read(b []byte) (int, error) {
+	u.mu.Lock()
+	if u.stopped {
+		u.mu.Unlock()
+		return 0, errStopped
+	}
+	u.conn.SetReadDeadline(time.Now().Add(uploadStall))
+	u.mu.Unlock()
+	return u.src.Read(b)
+}
+
+// ClientFailed says that a body did not come whole from its client.
+type ClientFailed struct{ error }
+
+func (e ClientFailed) Unwrap() error { return e.error }
+
+// Send writes the rest of a body to an upstream. The last byte is written only if it returns nil.
+func (u *Upload) Send(c net.Conn) (err error) {
+	for _, b := range u.blocks {
+		if err := http1.Chunk(c, b, !u.known, slowNode); err != nil {
+			return err
+		}
+	}
+	if !u.Live() {
+		return nil
+	}
+	if !u.begin() {
+		return ClientFailed{errStopped}
+	}
+	defer func() { u.done <- err }()
+	b := blocks.Get().(*[Block]byte)
+	defer blocks.Put(b)
+	for began := time.Now(); ; {
+		n, err := u.read(b[:])
+		if werr := http1.Chunk(c, b[:n], !u.known, slowNode); werr != nil {
+			return werr
+		}
+		switch {
+		case errors.Is(err, io.EOF) && !u.known:
+			return http1.End(c, slowNode)
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return ClientFailed{err}
+		case time.Since(began) > Most:
+			return ClientFailed{ErrSlow}
+		}
+	}
+}
--- a/internal/proxy/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,16 +1,16 @@
-package proxy
+// Package discovery follows the list of upstreams that a discovery service tells, by calls that may wait for news. It never asks
+// again by itself after a failure: when to ask is the decision module's to say.
+package discovery
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -21,21 +21,21 @@
 const (
 	watchWait    = 10 * time.Second // how long one watch call may wait for news
 	callPatience = 3 * time.Second  // and how much later its answer may come
-	// watchPause is the least time from one watch call to the next: an agent that answers at once must not keep the
+	// WatchPause is the least time from one watch call to the next: an agent that answers at once must not keep the
 	// core busy. Discovery takes a call 200 ms after the last answer for a new watch.
-	watchPause = 100 * time.Millisecond
+	WatchPause = 100 * time.Millisecond
 	maxListing = 4 << 20
 )
 
-// listing is a discovery answer: the whole list, or the entries that changed.
-type listing struct {
+// Listing is a discovery answer: the whole list, or the entries that changed.
+type Listing struct {
 	Revision uint64   `json:"revision"`
 	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
+	Members  []Member `json:"members"`
 }
 
-// member is an entry of a listing.
-type member struct {
+// Member is an entry of a Listing.
+type Member struct {
 	ID        string  `json:"id"`
 	HostPort  string  `json:"host_port"`
 	Locality  string  `json:"locality"`
@@ -47,8 +47,8 @@
 
 var phases = map[string]clayladder.State{"up": clayladder.Active, "draining": clayladder.Draining, "removed": clayladder.Gone}
 
-// check tells what makes the entry unusable.
-func (m *member) check() error {
+// Check tells what makes the entry unusable.
+func (m *Member) Check() error {
 	state, ok := phases[m.Phase]
 	switch {
 	case m.ID == "":
@@ -64,100 +64,54 @@
 	return nil
 }
 
-// upstream is the entry as the module takes it.
-func (m *member) upstream(id clayladder.UpstreamID) clayladder.Upstream {
+// Upstream is the entry as the module takes it.
+func (m *Member) Upstream(id clayladder.UpstreamID) clayladder.Upstream {
 	return clayladder.Upstream{ID: id, Zone: m.Locality, Cell: m.Cell, Weight: m.Size, State: phases[m.Phase],
 		StartedAt: time.Duration(m.UpSinceMS) * time.Millisecond} // the loop's clock is Unix time at its start, so 0 stays 0
 }
 
-// names maps discovery's ids to the module's. The module orders upstreams by these
-// numbers, so all balancers must come to the same: "s-" and up to eight hex digits
-// gives that number, and any other id the FNV-1a hash of its text. If two ids come
-// to one number, the later one is hashed on with a count behind it until a number
-// is free. The entries of a list are named in the order of their ids, so balancers
-// differ at most in which of two such ids came first: their rings differ then, but
-// no two upstreams are ever mixed up. An id keeps its number until it is gone and nothing is out there.
-type names struct {
-	ids   map[string]clayladder.UpstreamID
-	taken map[clayladder.UpstreamID]bool
-}
-
-func newNames() *names {
-	return &names{ids: map[string]clayladder.UpstreamID{}, taken: map[clayladder.UpstreamID]bool{}}
-}
-
-func (n *names) id(text string) clayladder.UpstreamID {
-	if id, ok := n.ids[text]; ok {
-		return id
-	}
-	id := plainID(text)
-	for i := 0; n.taken[id]; i++ {
-		id = hashed(text + "#" + strconv.Itoa(i))
-	}
-	n.ids[text], n.taken[id] = id, true
-	return id
-}
-
-// forget frees the number of an id that is gone for good: upstreams come and go all day under ids that are ever new.
-// Should it come back it gets the number that its text gives.
-func (n *names) forget(text string) {
-	delete(n.taken, n.ids[text])
-	delete(n.ids, text)
-}
-
-func plainID(text string) clayladder.UpstreamID {
-	if digits, ok := strings.CutPrefix(text, "s-"); ok {
-		if x, err := strconv.ParseUint(digits, 16, 32); err == nil {
-			return clayladder.UpstreamID(x)
-		}
-	}
-	return hashed(text)
-}
-
-func hashed(text string) clayladder.UpstreamID {
-	h := fnv.New32a()
-	io.WriteString(h, text) // never fails
-	return clayladder.UpstreamID(h.Sum32())
-}
-
-// discovery asks one address for the list of upstreams and posts what it hears. It
+// Client asks one address for the list of upstreams and posts what it hears. It
 // never asks again by itself after a failure: that is the module's to time.
-type discovery struct {
-	address string
+type Client struct {
+	Address string
 	url     string
 	client  *http.Client
 	ctx     context.Context // ends all its calls
 	cancel  context.CancelFunc
 	held    atomic.Pointer[uint64] // revision of the list that the loop holds from it; nil: none yet
-	post    func(event)
+	post    func(Heard)
 }
 
-// listed is an answer of discovery, or the failure of a call. It names whom it came from: a late one of a discovery
+// Heard is an answer of discovery, or the failure of a call. It names whom it came from: a late one of a discovery
 // that a new configuration has replaced must not be taken for news.
-type listed struct {
-	from *discovery
-	listing
-	err error
+type Heard struct {
+	From *Client
+	Listing
+	Err error
 }
 
-func newDiscovery(ctx context.Context, address string, post func(event)) *discovery {
-	d := &discovery{address: address, url: "http://" + address + "/v1/servers", post: post,
+// New returns a Client of the service at an address. What it hears it posts.
+func New(ctx context.Context, address string, post func(Heard)) *Client {
+	d := &Client{Address: address, url: "http://" + address + "/v1/servers", post: post,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
 	d.ctx, d.cancel = context.WithCancel(ctx)
 	return d
 }
 
-// end ends all calls and closes the connections.
-func (d *discovery) end() {
+// End ends all calls and closes the connections.
+func (d *Client) End() {
 	d.cancel()
 	d.client.CloseIdleConnections()
 }
 
-// watch follows the list until a call fails or ctx ends. Revisions of another discovery mean nothing to this one, so
+// Watch follows the list until a call fails or ctx ends. Revisions of another discovery mean nothing to this one, so
 // without a list of its own it asks for the whole.
-func (d *discovery) watch(ctx context.Context) {
+func (d *Client) Watch(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.ctx, cancel)()
 	for ctx.Err() == nil {
-		next := time.After(watchPause)
+		next := time.After(WatchPause)
 		url, patience := d.url, callPatience
 		if held := d.held.Load(); held != nil {
 			url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", d.url, *held, watchWait.Milliseconds())
@@ -169,37 +123,37 @@
 		}
 		if err != nil {
 			<-next // what the module does on a failure may be to ask again at once
-			d.post(listed{d, l, err})
+			d.post(Heard{d, l, err})
 			return
 		}
-		d.post(listed{d, l, nil})
-		d.hold(l.Revision)
+		d.post(Heard{d, l, nil})
+		d.Hold(l.Revision)
 		<-next
 	}
 }
 
-// fetch asks for the whole list once.
-func (d *discovery) fetch() {
+// Fetch asks for the whole list once.
+func (d *Client) Fetch() {
 	l, err := d.call(d.ctx, d.url, callPatience)
 	if d.ctx.Err() != nil {
 		return
 	}
-	d.post(listed{d, l, err})
+	d.post(Heard{d, l, err})
 	if err == nil {
-		d.hold(l.Revision)
+		d.Hold(l.Revision)
 	}
 }
 
-// hold notes a revision that has been posted; it never goes back.
-func (d *discovery) hold(revision uint64) {
+// Hold notes a revision that has been posted; it never goes back.
+func (d *Client) Hold(revision uint64) {
 	for held := d.held.Load(); (held == nil || revision > *held) && !d.held.CompareAndSwap(held, &revision); held = d.held.Load() {
 	}
 }
 
-func (d *discovery) call(ctx context.Context, url string, patience time.Duration) (listing, error) {
+func (d *Client) call(ctx context.Context, url string, patience time.Duration) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	var l listing
+	var l Listing
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return l, fmt.Errorf("discovery: %w", err)
@@ -220,13 +174,13 @@
 		return l, fmt.Errorf("discovery: %w", err)
 	}
 	for i := range l.Members {
-		if err := l.Members[i].check(); err != nil {
+		if err := l.Members[i].Check(); err != nil {
 			return l, fmt.Errorf("discovery: %w", err)
 		}
 	}
 	if !l.Complete && d.held.Load() == nil {
 		return l, errors.New("discovery: changes to a list that was never told")
 	}
-	slices.SortFunc(l.Members, func(a, b member) int { return strings.Compare(a.ID, b.ID) })
+	slices.SortFunc(l.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	return l, nil
 }
--- /dev/null
+++ b/internal/edge/front.go
@@ -0,0 +1,323 @@
+// Package edge serves the connections of clients: it lets them in within bounds, reads their requests, hands these to a desk and
+// writes the one answer that each of them gets.
+package edge
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"clayladder/internal/body"
+	"clayladder/internal/handover"
+	"clayladder/internal/http1"
+)
+
+const (
+	// drainIdle is how long idle connections are kept once a drain has begun: 4 s after it none may be.
+	drainIdle = 2500 * time.Millisecond
+	// lameDuck is how long connections are still taken after SIGTERM: they go on coming for up to 0.4 s.
+	lameDuck = 450 * time.Millisecond
+	// firstBytes is how long a new connection has for its request before it may have to give way: also the last
+	// one that is taken after SIGTERM.
+	firstBytes = 50 * time.Millisecond
+	// Within 3 s of connecting a client is owed a word or a close. One that says nothing gets it after SilentClient,
+	// one that stops in the middle of a request after StalledClient. One that goes on, however slowly, may be a usual
+	// client on a bad line, and has until slowClient.
+	SilentClient  = 2500 * time.Millisecond
+	StalledClient = 2300 * time.Millisecond
+	slowClient    = 10 * time.Second
+	uploadFloor   = 8 << 10         // bytes a second that a body must come with beyond slowClient
+	slowReader    = 5 * time.Second // over reading its answer
+	idleClient    = 2 * time.Minute
+	// farewellFor bounds how long, and farewellMost how much, is read and dropped of a client that has been turned
+	// away: closed at once, the connection would be reset and the answer lost with it.
+	farewellFor  = 300 * time.Millisecond
+	farewellMost = 256 << 10
+	// spoolMost is what all clients' bodies may take ahead of their attempts, in bytes, where nothing else is set.
+	spoolMost = 16 << 20
+	// readBuffer is what a client's connection is read into, in bytes.
+	readBuffer = 4 << 10
+	// maxBody is what of a body each request may take for itself, in bytes.
+	maxBody = 64 << 10
+)
+
+// stage is what a client's connection is at.
+type stage uint8
+
+const (
+	silent  stage = iota // no whole request has come yet, or it is being turned away
+	idle                 // between requests
+	busy                 // a request is in it
+	evicted              // closed to make room
+)
+
+// Front takes requests from clients, hands them to the loop and writes its answers.
+type Front struct {
+	desk     Desk
+	listener net.Listener
+	room     atomic.Int64 // connections at most
+	spare    int          // connections with a request or behind one, over which the longest idle one goes; 0: none goes
+
+	mu      sync.Mutex
+	clients map[*client]struct{}
+	count   [evicted + 1]int // of clients, by their stage
+	leaving bool             // told to stop: every answer closes its connection
+	standby *time.Timer      // drained: every answer closes its connection, and idle ones go when it goes off; nil: it is not
+	closed  bool             // no more connections are taken, and idle ones go
+	heir    *handover.Link   // takes the connections without a request in them; nil: nobody does
+	ended   chan struct{}    // closed once serve takes no more connections
+	spool   body.Spool       // for bodies that are read ahead
+	gone    sync.WaitGroup
+}
+
+// New returns a Front for so many connections of clients.
+func New(d Desk, l net.Listener, room int) *Front {
+	f := &Front{desk: d, listener: l, clients: map[*client]struct{}{}, ended: make(chan struct{})}
+	f.room.Store(int64(room))
+	f.spool.Set(spoolMost)
+	return f
+}
+
+// Spare closes the connection that idles longest whenever more than so many have a request in them or behind them.
+func (f *Front) Spare(connections int) { f.spare = connections }
+
+// Spool gives clients' bodies so many bytes to be read ahead into. It is called before Serve.
+func (f *Front) Spool(bytes int64) { f.spool.Set(bytes) }
+
+// SpoolFree tells how much of that is not taken, in bytes.
+func (f *Front) SpoolFree() int64 { return f.spool.Free() }
+
+// Listener is where it takes connections.
+func (f *Front) Listener() net.Listener { return f.listener }
+
+// Resize sets how many connections it takes. Those over it go as soon as they are idle and another comes.
+func (f *Front) Resize(connections int) { f.room.Store(int64(connections)) }
+
+// Connections tells how many there are.
+func (f *Front) Connections() (open, limit int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.clients), int(f.room.Load())
+}
+
+// Serve takes connections until stop has been called.
+func (f *Front) Serve() error {
+	defer close(f.ended)
+	for {
+		c, err := f.listener.Accept()
+		switch {
+		case err == nil:
+			f.Take(c)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default: // out of descriptors, or a connection that broke in the queue: neither ends the service
+			slog.Warn("taking a connection", "err", err)
+			f.evict()
+			time.Sleep(firstBytes / 10)
+		}
+	}
+}
+
+// Take begins to serve a connection, once there is room for it.
+func (f *Front) Take(raw net.Conn) {
+	for !f.evict() {
+		time.Sleep(firstBytes / 10)
+	}
+	pace := &pacer{Conn: raw}
+	c := &client{Stream: http1.NewStream(pace, readBuffer), pace: pace, since: time.Now()}
+	c.SetReadDeadline(time.Now().Add(SilentClient))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed && f.heir == nil {
+		raw.Close()
+		return
+	}
+	if f.heir != nil {
+		c.SetReadDeadline(time.Unix(0, 1))
+	}
+	f.clients[c] = struct{}{}
+	f.count[c.stage]++
+	f.gone.Go(func() {
+		f.converse(c)
+		c.Close()
+		f.mu.Lock()
+		f.remove(c)
+		f.mu.Unlock()
+	})
+}
+
+// move takes c to a stage, and remove takes it out. The caller holds the lock.
+func (f *Front) move(c *client, s stage) {
+	f.count[c.stage]--
+	f.count[s]++
+	c.stage, c.since = s, time.Now()
+}
+
+func (f *Front) remove(c *client) {
+	if _, ok := f.clients[c]; ok {
+		f.count[c.stage]--
+		delete(f.clients, c)
+	}
+}
+
+// evict tells whether there is room for one more connection. Where there is none it closes the one that has been
+// silent for longest, or else idle for longest, never one with a request in it. Descriptors that run out would be
+// missed by upstreams and discovery too.
+func (f *Front) evict() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.clients) < int(f.room.Load()) {
+		return true
+	}
+	return f.drop(silent)
+}
+
+// drop closes the connection that has been longest at the first of the stages from the given one on that has any, but
+// none with a request in it. The caller holds the lock.
+func (f *Front) drop(from stage) bool {
+	var victim *client
+	for c := range f.clients {
+		if c.stage < from || c.stage == busy || c.stage == evicted || (c.stage == silent && time.Since(c.since) < firstBytes) {
+			continue
+		}
+		if victim == nil || c.stage < victim.stage || (c.stage == victim.stage && c.since.Before(victim.since)) {
+			victim = c
+		}
+	}
+	if victim != nil {
+		f.move(victim, evicted)
+		victim.Close()
+		f.remove(victim)
+	}
+	return victim != nil
+}
+
+// enter moves c to a stage. It fails if c has been closed meanwhile, or is to go.
+func (f *Front) enter(c *client, s stage) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.stage == evicted || (s == idle && f.closed && f.heir == nil) {
+		return false
+	}
+	f.move(c, s)
+	c.reads = s == silent
+	if s == idle {
+		c.SetReadDeadline(time.Now().Add(idleClient))
+		if f.heir != nil {
+			c.SetReadDeadline(time.Unix(0, 1))
+		}
+	}
+	if s == idle && f.spare > 0 && f.count[idle]+f.count[busy] > f.spare {
+		f.drop(idle)
+	}
+	return c.stage != evicted
+}
+
+// Stop ends service without losing a request: connections that are still on their way are taken, then the
+// listener and idle connections are closed, and what has been taken is answered.
+func (f *Front) Stop() {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	time.Sleep(lameDuck)
+	f.mu.Lock()
+	f.closed = true
+	f.listener.Close()
+	f.close(func(s stage) bool { return s == idle })
+	f.mu.Unlock()
+	time.Sleep(firstBytes)
+	f.mu.Lock()
+	f.close(func(s stage) bool { return s == silent })
+	f.mu.Unlock()
+	f.settle()
+}
+
+// HandOver ends service where another process has the listener too: that one gets the connections without a request in
+// them, now or once they are answered. Bytes that come meanwhile wait in the socket, so nothing crosses with a close.
+func (f *Front) HandOver(heir *handover.Link) {
+	f.mu.Lock()
+	f.heir, f.closed = heir, true
+	f.listener.Close()
+	for c := range f.clients {
+		if c.stage == idle || (c.stage == silent && !c.reads) {
+			c.SetReadDeadline(time.Unix(0, 1)) // ends its wait
+		}
+	}
+	f.mu.Unlock()
+	<-f.ended
+	f.settle()
+}
+
+// pass hands a connection over whose wait for a request has ended with an error, if there is somebody to take it and
+// nothing of a request has been read from it.
+func (f *Front) pass(c *client, err error) {
+	f.mu.Lock()
+	heir := f.heir
+	f.mu.Unlock()
+	if timeout := net.Error(nil); heir == nil || !errors.As(err, &timeout) || !timeout.Timeout() || c.Buffered() > 0 {
+		return
+	}
+	if err := heir.Send(handover.Message{Kind: handover.Client}, c.pace.Conn.(syscall.Conn)); err != nil {
+		slog.Warn("handing a client over", "err", err)
+	}
+}
+
+// settle waits until all that was taken is answered.
+func (f *Front) settle() {
+	answered := make(chan struct{})
+	go func() { f.gone.Wait(); close(answered) }()
+	select {
+	case <-answered:
+	case <-time.After(f.desk.Longest() + lameDuck):
+		slog.Warn("clients that did not read their answers are left")
+	}
+}
+
+// close closes the connections at a stage. The caller holds the lock.
+func (f *Front) close(at func(stage) bool) {
+	for c := range f.clients {
+		if at(c.stage) {
+			f.move(c, evicted)
+			c.Close()
+		}
+	}
+}
+
+// Drained tells whether the balancer is drained by hand.
+func (f *Front) Drained() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.standby != nil
+}
+
+// isLeaving tells whether clients are to go elsewhere.
+func (f *Front) isLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving || f.standby != nil
+}
+
+// Drain begins a drain or ends it. What comes meanwhile is served: the front goes on sending for a while. A connection is
+// closed by its next answer, and one without a request for so long that most have had one: closed at once, many would
+// cross with a request.
+func (f *Front) Drain(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case on && f.standby == nil:
+		f.standby = time.AfterFunc(drainIdle, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.standby != nil {
+				f.close(func(s stage) bool { return s == idle })
+			}
+		})
+	case !on && f.standby != nil:
+		f.standby.Stop()
+		f.standby = nil
+	}
+}
--- /dev/null
+++ b/internal/edge/read.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	"clayladder/internal/body"
+	"clayladder/internal/http1"
+	"clayladder/internal/pool"
+)
+
+// readBody reads a body, or the part of it that is read ahead.
+func (f *Front) readBody(c *client, q *pool.Request, framed http1.Framing) (err error) {
+	src := c.Body(framed)
+	c.pace.extend(maxBody)
+	if q.Message.Body, err = src.UpTo(maxBody); err != nil || src.Ended() {
+		return err
+	}
+	rest := body.NewUpload(&f.spool, c.pace, framed)
+	c.pace.extend(body.ReadAhead)
+	if err := rest.Fill(src); err != nil {
+		rest.Release()
+		return err
+	}
+	rest.Settle(len(q.Message.Body))
+	q.Message.Rest = rest
+	return nil
+}
+
+// Once names the fields of which a second one would leave open which of them counts.
+var Once = []string{"Host", "Content-Length", "X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms", "Idempotency-Key",
+	"X-Retry", "X-Cost-Hint", "X-Extras", "Cookie"}
+
+// ReadRequest reads one request off a connection as a Front does, for who wants to know what becomes of it; nil is a question after
+// the balancer's health.
+func ReadRequest(d Desk, c net.Conn) (Call, error) {
+	s := &client{Stream: http1.NewStream(c, readBuffer)}
+	s.Limit(http1.MaxHead)
+	call, _, err := New(d, nil, 1).read(s)
+	return call, err
+}
+
+// read reads a client's request; nil is a question after this balancer's health. What is malformed never reaches the
+// module.
+func (f *Front) read(c *client) (Call, http1.Fields, error) {
+	line, h, err := c.Head()
+	if err != nil {
+		return nil, nil, err
+	}
+	method, rest, _ := strings.Cut(line, " ")
+	target, version, _ := strings.Cut(rest, " ")
+	if version != "HTTP/1.1" {
+		return nil, nil, &Refusal{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is wanted"}
+	}
+	for _, name := range Once {
+		if h.Count(name) > 1 {
+			return nil, nil, Bad("%s stands there more than once", name)
+		}
+	}
+	if method == http.MethodGet && target == "/healthz" && h.Get("X-Request-Id") == "" {
+		return nil, h, nil
+	}
+	call, err := f.desk.Check(method, target, &h)
+	if err != nil {
+		return nil, nil, err
+	}
+	q := call.Asked()
+	framed, some, err := http1.FramingOf(h)
+	switch {
+	case errors.Is(err, http1.ErrLarge):
+		return nil, nil, &Refusal{http.StatusRequestEntityTooLarge, "a body of that length is not taken"}
+	case err != nil && !h.Has("Content-Length"): // RFC 9112, section 6.1
+		return nil, nil, &Refusal{http.StatusNotImplemented, "of transfer codings, chunked is known"}
+	case err != nil && h.Has("Transfer-Encoding"):
+		// An upstream may go by the other one: the rest of the body would be a request of its own.
+		return nil, nil, Bad("Content-Length beside Transfer-Encoding")
+	case err != nil:
+		return nil, nil, Bad("Content-Length is no number")
+	case !some && q.Message.Bodied:
+		return nil, nil, &Refusal{http.StatusLengthRequired, "a Content-Length or chunks are wanted"}
+	case (framed.Chunked || framed.Length > 0) && !q.Message.Bodied:
+		return nil, nil, Bad("%s with a body", method)
+	}
+	if some {
+		if strings.EqualFold(h.Get("Expect"), "100-continue") && c.Buffered() == 0 {
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails so does the reading
+		}
+		if err := f.readBody(c, q, framed); err != nil {
+			return nil, nil, err
+		}
+	}
+	if c.Buffered() > 0 && !q.Message.Rest.Live() {
+		return nil, nil, errAhead
+	}
+	q.At = f.desk.Now() // it counts from its last byte
+	return call, h, nil
+}
--- /dev/null
+++ b/internal/edge/write.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"clayladder/internal/body"
+	"clayladder/internal/http1"
+	"clayladder/internal/pool"
+)
+
+// turnAway answers a client whose request can't be served, and closes the connection: where its next request begins
+// is not certain. One whose connection broke gets no answer.
+func (f *Front) turnAway(c *client, err error) {
+	if !f.enter(c, silent) {
+		return
+	}
+	r := &Refusal{http.StatusBadRequest, err.Error()}
+	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+		r = &Refusal{http.StatusRequestTimeout, "the request did not come whole in time"}
+	} else if errors.Is(err, body.ErrSlow) {
+		r.Status = http.StatusRequestTimeout
+	} else if errors.Is(err, http1.ErrLong) {
+		r.Status = http.StatusRequestHeaderFieldsTooLarge
+	} else if errors.Is(err, http1.ErrLarge) {
+		r.Status = http.StatusRequestEntityTooLarge
+	} else if !errors.As(err, &r) && !errors.Is(err, http1.ErrHead) && !errors.Is(err, http1.ErrFrame) {
+		return
+	}
+	if c.write(pool.Answer{Status: r.Status, Body: []byte(r.Why + "\n"), Kind: "text/plain"}, true) != nil {
+		return
+	}
+	c.farewell(farewellFor, farewellMost)
+}
+
+// farewell reads and drops what a client still sends, for a time and up to a number of bytes.
+func (c *client) farewell(within time.Duration, most int64) {
+	if half, ok := c.pace.Conn.(*net.TCPConn); ok {
+		half.CloseWrite()
+		half.SetReadDeadline(time.Now().Add(within))
+		io.CopyN(io.Discard, half, most)
+	}
+}
+
+// write writes an answer. If it fails the client has gone, and can tell that the answer is not whole.
+func (c *client) write(a pool.Answer, last bool) error {
+	b := http1.Buffer()
+	defer http1.Done(b)
+	field := func(name, value string) {
+		b.WriteString(name)
+		b.WriteString(value)
+		b.WriteString("\r\n")
+	}
+	field("HTTP/1.1 ", strconv.Itoa(a.Status)+" "+http.StatusText(a.Status))
+	http1.WriteFields(b, a.Header)
+	switch {
+	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified: // end with their head (RFC 9112, section 6.3)
+	case a.More != nil && a.More.Framed():
+		field("Transfer-Encoding: ", "chunked")
+	case a.More != nil:
+		field("Content-Length: ", strconv.FormatUint(a.More.Length(), 10))
+	case a.Header.Has("Content-Length") && len(a.Body) == 0: // an answer to HEAD tells the length that GET would have
+		field("Content-Length: ", a.Header.Get("Content-Length"))
+	default:
+		field("Content-Length: ", strconv.Itoa(len(a.Body)))
+	}
+	if a.Kind != "" {
+		field("Content-Type: ", a.Kind)
+	}
+	if a.RetryAfter > 0 && a.Whole {
+		field("Retry-After: ", strconv.FormatInt(int64((a.RetryAfter+time.Second-1)/time.Second), 10))
+	} else if a.RetryAfter > 0 {
+		field("Retry-After: ", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	if last {
+		field("Connection: ", "close")
+	}
+	b.WriteString("\r\n")
+	b.Write(a.Body)
+	c.SetWriteDeadline(time.Now().Add(slowReader))
+	if _, err := c.Write(b.Bytes()); err != nil || a.More == nil {
+		a.More.Abandon()
+		return err
+	}
+	return a.More.Copy(c)
+}
--- a/internal/emulator/module.go
+++ b/internal/emulator/module.go
@@ -25,7 +25,7 @@
 	told   bool
 }
 
-// module is the decision module under the same owner's rules as internal/proxy's loop: outcomes that come up while it is
+// module is the decision module under the same owner's rules as internal/pool's loop: outcomes that come up while it is
 // calling are told after it has returned; at a request's deadline what is out ends as timed out.
 type module struct {
 	w       *world
--- /dev/null
+++ b/internal/http1/body.go
@@ -0,0 +1,119 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/http/httputil"
+	"strings"
+)
+
+// MaxStream bounds bodies and answers that go on as they come, in bytes.
+const MaxStream = 48 << 20
+
+// Framing says where a body ends (RFC 9112, section 6.3).
+type Framing struct {
+	Length  uint64
+	Chunked bool
+	ToClose bool // by the end of the connection, for answers only
+}
+
+// FramingOf reads a message's framing. Two of them, or one that is not known, are errors: others might read another end.
+func FramingOf(h Fields) (f Framing, some bool, err error) {
+	te, cl := h.Count("Transfer-Encoding"), h.Count("Content-Length")
+	switch {
+	case te > 0 && cl > 0, te > 1, cl > 1:
+		return f, true, ErrFrame
+	case te == 1:
+		if !strings.EqualFold(h.Get("Transfer-Encoding"), "chunked") {
+			return f, true, ErrFrame
+		}
+		return Framing{Chunked: true}, true, nil
+	case cl == 1:
+		text := h.Get("Content-Length")
+		n, ok := Digits(text)
+		switch {
+		case !ok && (text == "" || strings.Trim(text, "0123456789") != ""):
+			return f, true, ErrFrame
+		case !ok || n > MaxStream:
+			return f, true, ErrLarge
+		}
+		return Framing{Length: n}, true, nil
+	}
+	return f, false, nil
+}
+
+// Body reads a message's body to its end and no byte further. Only a body that is certain to be complete ends with io.EOF.
+type Body struct {
+	s      *Stream
+	f      Framing
+	left   uint64 // that may still come
+	chunks io.Reader
+	err    error
+
+	trailer Fields
+}
+
+// Body returns the reader of a message's body, whose head has been read.
+func (s *Stream) Body(f Framing) *Body {
+	b := &Body{s: s, f: f, left: f.Length}
+	s.bound.N = math.MaxInt64 // bounded by what is left
+	if f.Chunked {
+		b.chunks, b.left = httputil.NewChunkedReader(s.in), MaxStream
+	} else if f.ToClose {
+		b.left = MaxStream
+	}
+	return b
+}
+
+func (b *Body) Read(p []byte) (n int, err error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	defer func() {
+		if b.left -= uint64(n); err != nil {
+			b.err = err
+		}
+	}()
+	switch {
+	case b.chunked():
+		n, err = b.chunks.Read(p)
+		if err == io.EOF {
+			b.s.bound.N = MaxHead
+			if b.trailer, err = b.s.trailer(); err == nil {
+				err = io.EOF
+			} else if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+		} else if broken := net.Error(nil); err != nil && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &broken) {
+			err = ErrFrame
+		}
+	case b.f.ToClose:
+		n, err = b.s.in.Read(p)
+	case b.left == 0:
+		return 0, io.EOF
+	default:
+		n, err = b.s.in.Read(p[:min(uint64(len(p)), b.left)])
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+	}
+	if uint64(n) > b.left {
+		return int(b.left), ErrLarge
+	}
+	return n, err
+}
+
+func (b *Body) chunked() bool { return b.chunks != nil }
+
+// Ended tells whether the whole body has been read. It may wait for the end that a frame has.
+func (b *Body) Ended() bool {
+	return b.err == io.EOF || (b.chunks == nil && !b.f.ToClose && b.left == 0)
+}
+
+// Trailer is what stood behind the last chunk, once the body has ended.
+func (b *Body) Trailer() Fields { return b.trailer }
+
+// UpTo reads so many bytes, or fewer if the body ends there. Memory grows with what comes, not with what was claimed.
+func (b *Body) UpTo(n int) ([]byte, error) { return io.ReadAll(io.LimitReader(b, int64(n))) }
--- /dev/null
+++ b/internal/http1/stream_test.go
@@ -0,0 +1,62 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// said is a connection on which all has been said.
+type said struct {
+	net.Conn
+	io.Reader
+}
+
+func (s said) Read(b []byte) (int, error)      { return s.Reader.Read(b) }
+func (s said) Write(b []byte) (int, error)     { return len(b), nil }
+func (s said) SetReadDeadline(time.Time) error { return nil }
+
+// FuzzAnswer reads what an upstream may say. What is taken for whole must be so for net/http too, with the same body.
+func FuzzAnswer(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+		"HTTP/1.1 200 OK\r\n\r\nto the close",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"HTTP/1.1 200\nTransfer-Encoding: chunked\n\n0\r\n\n", // cut inside its last line end
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Load: util=1\r\n\r\n",
+		"HTTP/1.1 200 OK\nContent-Length: 2\n\nab", "ICY 200 OK\r\n\r\n", "",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s := NewStream(said{Reader: bytes.NewReader(text)}, 2<<10)
+		status, _, framed, err := s.Answer(false)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(s.Body(framed))
+		if err != nil {
+			return
+		}
+		in := bufio.NewReader(bytes.NewReader(text))
+		resp, err := http.ReadResponse(in, nil)
+		for err == nil && resp.StatusCode < 200 {
+			resp, err = http.ReadResponse(in, nil)
+		}
+		if err != nil {
+			t.Fatalf("taken, but unreadable for others: %v", err)
+		}
+		if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
+			return // these have no body there
+		}
+		other, err := io.ReadAll(resp.Body)
+		if status != resp.StatusCode || err != nil || !bytes.Equal(body, other) {
+			t.Errorf("got %d, %q; others read %d, %q, %v", status, body, resp.StatusCode, other, err)
+		}
+	})
+}
--- a/internal/proxy/directory.go
+++ b/internal/pool/directory.go
@@ -1,4 +1,4 @@
-package proxy
+package pool
 
 import (
 	"context"
@@ -72,8 +72,11 @@
 	d.ask(func(s *directory) { s.ledger.Limit(connections) })
 }
 
-// join returns a new pool's tie.
+// join returns a new pool's tie; a nil directory has none.
 func (d *Directory) join(pool string, weight float64, own bool) *sharing {
+	if d == nil {
+		return nil
+	}
 	s := &sharing{directory: d, pool: pool, weight: weight, own: own, mail: make(chan map[string]nodeshare.Share, 1)}
 	d.ask(func(state *directory) { state.pools[pool] = s })
 	return s
@@ -96,6 +99,9 @@
 }
 
 func (s *sharing) leave() {
+	if s == nil {
+		return
+	}
 	s.directory.ask(func(d *directory) {
 		d.ledger.Leave(s.pool)
 		delete(d.pools, s.pool)
@@ -135,30 +141,6 @@
 	}
 }
 
-// place works out an upstream's state from its list, what the directory told, and what is out by hand. Until the directory has answered for a
-// node it gets nothing: other pools must have been told first that they share it.
-func (l *loop) place(p *peer) {
-	p.state = p.listed
-	if l.shares != nil {
-		share, known := l.told[p.address]
-		p.share = share
-		p.entry.Part, p.entry.Most = share.Part, p.most()
-		if p.listed == clayladder.Active && (!known || (share.Draining && !l.shares.own)) {
-			p.state = clayladder.Draining
-		}
-	}
-	if back := l.maint.BackAt(p.name); back > 0 { // it was restarted while out, and lists tell of that late
-		p.entry.StartedAt = max(p.entry.StartedAt, back)
-	}
-	if l.maint.IsOut(p.name) && p.state == clayladder.Active {
-		p.state = clayladder.Draining
-	}
-	p.entry.State = p.state
-	if p.state != clayladder.Active {
-		l.Disconnect(p.id)
-	}
-}
-
 // most is how many attempts may be out at p: as many as connections that are shared out to this pool, less those that are
 // held by attempts which the module takes for ended.
 func (p *peer) most() int { return max(1, p.share.Connections-p.ghosts) }
--- /dev/null
+++ b/internal/pool/host.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"clayladder"
+)
+
+// This file has what the module asks for, but for sends (attempt.go) and what concerns connections (conns.go).
+
+// Refuse answers a client that another try is harmless.
+func (l *loop) Refuse(id clayladder.RequestID, retryAfter time.Duration) {
+	if r := l.requests[id]; r != nil {
+		if !l.settings.Limits.RetryAfter {
+			retryAfter = 0
+		}
+		l.answer(r, Answer{Status: http.StatusServiceUnavailable, RetryAfter: min(retryAfter, l.settings.Limits.MaxRetry)})
+	}
+}
+
+// Fail answers a client with no promise.
+func (l *loop) Fail(id clayladder.RequestID) {
+	if r := l.requests[id]; r != nil {
+		status := http.StatusBadGateway
+		if l.now() >= r.deadline {
+			status = http.StatusGatewayTimeout
+		}
+		l.answer(r, Answer{Status: status})
+	}
+}
+
+// Cancel stops waiting for an attempt.
+func (l *loop) Cancel(id clayladder.RequestID, n int) {
+	if r := l.requests[id]; r != nil && n >= 0 && n < len(r.attempts) {
+		l.due = append(l.due, owing{r.attempts[n], clayladder.Cancelled})
+	}
+}
+
+// SetTimer asks for a Timer event.
+func (l *loop) SetTimer(after time.Duration, token uint64) {
+	l.alarms.set(&alarm{at: l.now() + max(after, 0), token: token})
+}
+
+// Log writes a line to the log, or drops it rather than wait.
+func (l *loop) Log(text string) {
+	select {
+	case l.logs <- text:
+	default:
+	}
+}
+
+func (l *loop) writeLogs() {
+	for {
+		select {
+		case text := <-l.logs:
+			slog.Info(text)
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// Watch begins to follow discovery, or ends it.
+func (l *loop) Watch(on bool) {
+	if l.stopWatch != nil {
+		l.stopWatch()
+		l.stopWatch = nil
+	}
+	if on && l.discovery != nil { // else lists are told from outside
+		ctx, cancel := context.WithCancel(l.ctx)
+		l.stopWatch = cancel
+		go l.discovery.Watch(ctx)
+	}
+}
+
+// Fetch asks discovery for the whole list.
+func (l *loop) Fetch() {
+	if l.discovery != nil {
+		go l.discovery.Fetch()
+	}
+}
--- /dev/null
+++ b/internal/pool/loop.go
@@ -0,0 +1,171 @@
+package pool
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/discovery"
+	"clayladder/internal/maintenance"
+	"clayladder/internal/nodeshare"
+	"clayladder/internal/upstream"
+)
+
+const logQueue = 256
+
+// event is something that happened outside, told to the loop.
+type event interface{ apply(l *loop) }
+
+// loop owns the Balancer, from one goroutine. Everything here runs on that goroutine but for post, now and what is
+// started with go. It never waits for anything but its channels.
+type loop struct {
+	balancer  *clayladder.Balancer
+	ctx       context.Context
+	events    chan event
+	urgent    chan event // taken before any other: no send after a drain that has been told, and staff have their answer under any load
+	logs      chan string
+	origin    time.Time
+	epoch     time.Duration
+	discovery *discovery.Client  // nil: lists come by Tell
+	stopWatch context.CancelFunc // nil: the module does not follow discovery
+	transport upstream.Transport
+	whole     bool // clients are told in HTTP's usual terms
+	settings  clayladder.Settings
+	idleFor   time.Duration
+	maxConns  int
+	trust     bool          // connections rest only where strays were seen
+	hold      time.Duration // how long a list holds with no word from its source; 0: for ever
+	heardAt   time.Duration // last good word from it
+	trouble   string        // why there is none since, if that is known
+	shares    *sharing      // nil: no other pool of the process may use the same upstreams
+	told      map[string]nodeshare.Share
+
+	maint    maintenance.Ledger // which upstreams are out by hand
+	heard    atomic.Bool        // discovery has told a list
+	names    *discovery.Names
+	revision uint64
+	serial   uint64
+	alarms   alarms
+	requests map[clayladder.RequestID]*Request
+	open     map[string]bool // the clients' ids of these
+	peers    map[clayladder.UpstreamID]*peer
+	conns    int     // connections to upstreams, open or opening
+	due      []owing // outcomes that are known but not told: the module is not called while it calls
+	sweepAt  time.Duration
+
+	served, refused, failed uint64 // requests, by their final answer
+}
+
+var _ clayladder.Host = (*loop)(nil)
+
+func newLoop(ctx context.Context, c Spec) *loop {
+	l := &loop{ctx: ctx, events: make(chan event, 1024), urgent: make(chan event, 4), logs: make(chan string, logQueue),
+		origin: time.Now(), names: discovery.NewNames(), requests: map[clayladder.RequestID]*Request{}, open: map[string]bool{},
+		peers: map[clayladder.UpstreamID]*peer{}}
+	l.limit(c)
+	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
+	// is, also from before this process, and a clock that is set does not move it.
+	l.epoch = time.Duration(l.origin.UnixNano())
+	l.heardAt = l.now()
+	l.follow(c.Discovery)
+	return l
+}
+
+// limit takes what may change while the loop runs, but for the module's settings.
+func (l *loop) limit(c Spec) {
+	l.transport, l.whole = upstream.HTTP1{Timeout: c.Links.ConnectTimeout, Whole: c.Whole}, c.Whole
+	l.settings, l.maxConns, l.hold, l.trust = c.Settings, c.Connections, c.Hold, c.Trust
+	l.idleFor = max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2)
+}
+
+func (l *loop) now() time.Duration { return l.epoch + time.Since(l.origin) }
+
+// post tells the loop of an event. It may wait; the loop never waits for who posts.
+func (l *loop) post(e event) {
+	select {
+	case l.events <- e:
+	case <-l.ctx.Done(): // it has ended, with nothing owed
+	}
+}
+
+// hand tells the loop of what goes before all else: an answer of discovery, a list from elsewhere, a call of the staff.
+func (l *loop) hand(x event) {
+	select {
+	case l.urgent <- x:
+	case <-l.ctx.Done():
+	}
+}
+
+// start makes the Balancer and tells it the upstreams that were known before; nil if nothing was.
+func (l *loop) start(seed uint64, known *discovery.Listing) error {
+	if known != nil { // before the module begins to follow discovery, or the first call would ask for the whole list
+		l.discovery.Hold(known.Revision)
+	}
+	var err error
+	if l.balancer, err = clayladder.New(l.settings, seed, l.now(), l); err != nil {
+		return err
+	}
+	if known != nil {
+		l.members(clayladder.ListCached, *known)
+	}
+	if !l.settings.OnRequest { // lists that are pushed come without the module's asking
+		l.Watch(true)
+	}
+	return nil
+}
+
+// run handles events until the context ends.
+func (l *loop) run() {
+	go l.writeLogs()
+	clock := time.NewTimer(0)
+	for {
+		select { // what is urgent goes first
+		case x := <-l.urgent:
+			x.apply(l)
+			continue
+		default:
+		}
+		l.ring()
+		if at, some := l.alarms.next(); some {
+			clock.Reset(max(0, at-l.now()))
+		}
+		select {
+		case x := <-l.urgent:
+			x.apply(l)
+		case e := <-l.events:
+			if len(l.urgent) > 0 {
+				(<-l.urgent).apply(l)
+			}
+			e.apply(l)
+			l.settle()
+		case x := <-l.shares.news():
+			l.shared(x)
+			l.settle()
+		case <-clock.C:
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+// ring lets the alarms go off that are due.
+func (l *loop) ring() {
+	for a := l.alarms.due(l.now()); a != nil; a = l.alarms.due(l.now()) {
+		switch {
+		case a.attempt != nil:
+			l.expire(a.attempt)
+		case a.request != nil:
+			for _, at := range a.request.attempts {
+				l.expire(at)
+			}
+		default:
+			l.balancer.Timer(l.now(), a.token)
+		}
+		l.settle()
+	}
+	if now := l.now(); now >= l.sweepAt {
+		l.sweepAt = now + sweepEvery
+		l.sweep(now)
+	}
+}
--- /dev/null
+++ b/internal/pool/loop_test.go
@@ -0,0 +1,287 @@
+package pool
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/discovery"
+	"clayladder/internal/http1"
+	"clayladder/internal/standin/scripted"
+	"clayladder/internal/upstream"
+	"clayladder/internal/wire"
+)
+
+// hand is a loop that a test turns by hand.
+type hand struct {
+	*loop
+	t *testing.T
+}
+
+// testSpec is a pool that follows discovery where nothing listens.
+func testSpec() Spec {
+	class := func(name string, repeat clayladder.Repeat) clayladder.Class {
+		return clayladder.Class{Name: name, Aim: 2 * time.Second, Deadline: 4 * time.Second, Repeat: repeat, Worth: 1}
+	}
+	return Spec{Name: "n0", Discovery: "127.0.0.1:9", Connections: 400, Known: &discovery.Listing{},
+		Links: wire.Links{KeepAlive: time.Minute, ConnectTimeout: 500 * time.Millisecond},
+		Settings: clayladder.Settings{Zone: "z1", Balancers: 1, OnRequest: true, Reports: clayladder.ReportAnswers,
+			Classes: []clayladder.Class{class("read", clayladder.Safe), class("checkin", clayladder.Unsafe)},
+			Limits:  clayladder.Limits{MaxAttempts: 3, Cancel: true},
+			Rules:   clayladder.Rules{AskWithin: 320 * time.Millisecond, ColdFrom: 0.3, RampTime: 9 * time.Second, TipMultiple: 3, TipAfter: 1500 * time.Millisecond}}}
+}
+
+func newHand(t *testing.T, spec Spec) *hand {
+	t.Helper()
+	l := newLoop(t.Context(), spec)
+	if err := l.start(1, spec.Known); err != nil {
+		t.Fatal(err)
+	}
+	l.Watch(false) // nothing listens there
+	return &hand{l, t}
+}
+
+func up(id string, s *scripted.Node) discovery.Member {
+	return discovery.Member{ID: id, HostPort: s.Addr, Locality: "z1", Phase: "up", Size: 1}
+}
+
+func draining(m discovery.Member) discovery.Member { m.Phase = "draining"; return m }
+
+func want(t *testing.T, what string, got, want any) {
+	t.Helper()
+	if got != want {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+func (h *hand) list(revision uint64, members ...discovery.Member) {
+	listed{From: h.discovery, Listing: discovery.Listing{Revision: revision, Complete: true, Members: members}}.apply(h.loop)
+}
+
+// ask sends a request and turns the loop until it is answered and its attempts are over.
+func (h *hand) ask(name string, budget time.Duration) Answer {
+	h.t.Helper()
+	r := &Request{loop: h.loop, Name: name, At: h.now(), Reply: make(chan Answer, 1)}
+	r.Class, r.Budget = "checkin", budget
+	r.Message = upstream.Message{Line: "POST /checkin", Host: "x", Header: http1.Fields{{Name: "X-Request-Id", Value: name}}}
+	arrived{r}.apply(h.loop)
+	h.settle()
+	for len(h.requests) > 0 || h.busy() {
+		select {
+		case e := <-h.events:
+			e.apply(h.loop)
+			h.settle()
+		case <-time.After(10 * time.Second):
+			h.t.Fatal("nothing happens")
+		}
+	}
+	return <-r.Reply
+}
+
+func (h *hand) busy() bool {
+	for _, p := range h.peers {
+		if len(p.out) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Thousands of upstreams come and go under new ids, each at the address of the one before, with ever new requests: what
+// the loop keeps returns to its size, and no connection crosses over from an old id to a new one.
+func TestStateReturnsToItsSize(t *testing.T) {
+	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool { return scripted.OK(c, r.Header.Get("X-Request-Id")) })
+	go func() {
+		for range s.Arrivals {
+		}
+	}()
+	h := newHand(t, testSpec())
+	const ids = 2000
+	for i := range ids {
+		h.list(uint64(i+100), up(fmt.Sprintf("s-%08x", i), s))
+		name := fmt.Sprintf("%016x", i)
+		a := h.ask(name, 50*time.Millisecond)
+		if a.Status != 200 || string(a.Body) != name {
+			t.Fatalf("request %d: got %d, %q", i, a.Status, a.Body)
+		}
+	}
+	want(t, "connections opened", s.Opened(), ids)
+	want(t, "upstreams", len(h.peers), 1)
+	want(t, "numbers", h.names.Len(), 1)
+	want(t, "requests", len(h.requests), 0)
+	want(t, "their ids", len(h.open), 0)
+	want(t, "connections", h.conns, 1)
+	for deadline := h.now() + 50*time.Millisecond; h.now() < deadline; {
+		time.Sleep(time.Millisecond)
+	}
+	h.ring()
+	if n := len(h.alarms.heap); n > 5 { // the module's own timers
+		t.Errorf("alarms: %d are left", n)
+	}
+	h.list(90000, draining(up("s-0fffffff", s)))
+	listed{From: h.discovery, Listing: discovery.Listing{Revision: 90001, Members: []discovery.Member{{ID: "s-0ffffffe", Phase: "removed"}}}}.apply(h.loop)
+	want(t, "numbers after the removal of what was never listed", h.names.Len(), 1)
+}
+
+// At the bound of connections the one that idles longest makes room, at whatever upstream: the one that is asked is not
+// to blame.
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	one, two := scripted.Start(t, scripted.Done), scripted.Start(t, scripted.Done)
+	h := newHand(t, testSpec())
+	h.maxConns = 1
+	h.list(20, up("s-00000001", one))
+	want(t, "first", h.ask("1", time.Second).Status, 200)
+	h.list(21, up("s-00000001", one), up("s-00000002", two))
+	for i := 0; len(two.Arrivals) == 0; i++ {
+		if i > 20 {
+			t.Fatal("the second upstream is never asked")
+		}
+		want(t, "next", h.ask(fmt.Sprint("a", i), time.Second).Status, 200)
+		want(t, "connections", h.conns, 1)
+	}
+}
+
+// A second copy that comes behind an answer, in a segment of its own, is not taken for the next request's answer.
+func TestLateSecondCopyIsNotAnAnswer(t *testing.T) {
+	copied := make(chan struct{}, 2)
+	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		scripted.OK(c, r.Header.Get("X-Request-Id"))
+		if r.Header.Get("X-Request-Id") == "1" {
+			time.Sleep(restFor / 2) // later than the answer, sooner than the connection has rested
+			scripted.OK(c, "1")
+			copied <- struct{}{}
+		}
+		return true
+	})
+	h := newHand(t, testSpec())
+	h.list(20, up("s-00000001", s))
+	want(t, "first", string(h.ask("1", time.Second).Body), "1")
+	<-copied
+	want(t, "second", string(h.ask("2", time.Second).Body), "2")
+	want(t, "connections opened", s.Opened(), 2)
+}
+
+// Where connections rest only after strays, one does not rest at first; once a second copy was seen, they rest, and the next
+// late copy is no answer.
+func TestRestsAfterAStray(t *testing.T) {
+	copied := make(chan struct{}, 2)
+	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		id := r.Header.Get("X-Request-Id")
+		scripted.OK(c, id)
+		if id == "2" {
+			scripted.OK(c, id)
+			copied <- struct{}{}
+		}
+		if id == "3" {
+			time.Sleep(restFor / 2)
+			scripted.OK(c, id)
+			copied <- struct{}{}
+		}
+		return true
+	})
+	h := newHand(t, testSpec())
+	h.trust = true
+	h.list(20, up("s-00000001", s))
+	var p *peer
+	for _, p = range h.peers {
+	}
+	want(t, "rest at first", h.rest(p), time.Duration(0))
+	for i := 1; i <= 4; i++ {
+		want(t, "answer", string(h.ask(fmt.Sprint(i), time.Second).Body), fmt.Sprint(i))
+		if i == 2 || i == 3 {
+			<-copied
+		}
+	}
+	if h.rest(p) != restFor || p.strays == 0 {
+		t.Errorf("after %d strays connections rest for %v", p.strays, h.rest(p))
+	}
+}
+
+// An upstream that is gone with an attempt out is forgotten once that ends, and its connection is not kept.
+func TestGoneUpstreamEndsWithItsAttempt(t *testing.T) {
+	release := make(chan struct{})
+	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool { <-release; return scripted.Done(c, r) })
+	h := newHand(t, testSpec())
+	h.list(20, up("s-00000001", s))
+	r := &Request{loop: h.loop, Name: "1", At: h.now(), Reply: make(chan Answer, 1)}
+	r.Class, r.Budget = "checkin", 4*time.Second
+	r.Message = upstream.Message{Line: "POST /checkin", Host: "x", Header: nil}
+	arrived{r}.apply(h.loop)
+	h.settle()
+	<-s.Arrivals
+	h.list(21, up("s-00000002", s))
+	want(t, "upstreams while it is out", len(h.peers), 2)
+	close(release)
+	(<-h.events).apply(h.loop)
+	want(t, "answer", (<-r.Reply).Status, 200)
+	want(t, "upstreams", len(h.peers), 1)
+	want(t, "connections", h.conns, 0)
+}
+
+// An attempt for which there is no connection was never sent, through no fault of the upstream's.
+func TestNoRoomIsMoot(t *testing.T) {
+	h := newHand(t, testSpec())
+	h.maxConns = 0
+	s := scripted.Start(t, scripted.Done)
+	h.list(20, up("s-00000001", s))
+	want(t, "status", h.ask("1", time.Second).Status, http.StatusServiceUnavailable)
+	want(t, "connections", h.conns, 0)
+	want(t, "upstreams asked", s.Opened(), 0)
+}
+
+// One that is called back counts as started at that moment: its cold start is not known from discovery yet.
+func TestBackIsCold(t *testing.T) {
+	h := newHand(t, testSpec())
+	h.list(1, discovery.Member{ID: "s-00000001", HostPort: "127.0.0.1:1", Phase: "up", Size: 1})
+	cold := func() bool {
+		views, _ := h.balancer.View(h.now())
+		return views[0].Cold
+	}
+	want(t, "before", cold(), false)
+	done := make(chan error, 2)
+	maintained{"s-00000001", true, done}.apply(h.loop)
+	h.list(2) // gone from the list, and the call holds
+	h.list(3, discovery.Member{ID: "s-00000001", HostPort: "127.0.0.1:1", Phase: "up", Size: 1})
+	want(t, "state while out", h.peers[1].state, clayladder.Draining)
+	maintained{"s-00000001", false, done}.apply(h.loop)
+	want(t, "state", h.peers[1].state, clayladder.Active)
+	want(t, "after", cold(), true)
+}
+
+// With no connection left to open, an attempt could not connect: the module is told so, once, and nothing is owed.
+func TestNoConnectionLeft(t *testing.T) {
+	spec := testSpec()
+	spec.Connections = 0
+	spec.Known.Members = []discovery.Member{{ID: "s-00000001", HostPort: "127.0.0.1:9", Phase: "up", Size: 1}}
+	l := newHand(t, spec).loop
+	r := &Request{loop: l, At: l.now(), Reply: make(chan Answer, 1)}
+	r.Class, r.Budget = "checkin", time.Second
+	arrived{r}.apply(l)
+	l.settle()
+	if len(r.attempts) == 0 {
+		t.Fatal("no attempt was made")
+	}
+	want(t, "attempts owed", r.out, 0)
+	want(t, "written", r.attempts[0].GiveUp(time.Now()), false)
+	want(t, "connections", l.conns, 0)
+}
+
+// An answer that was on its way from the old discovery when the configuration changed is dropped.
+func TestAnswerOfTheOldDiscoveryIsDropped(t *testing.T) {
+	spec := testSpec()
+	spec.Known.Members = []discovery.Member{{ID: "s-00000001", HostPort: "127.0.0.1:9", Phase: "up", Size: 1}}
+	l := newHand(t, spec).loop
+	old := l.discovery
+	next := spec
+	next.Discovery = "127.0.0.1:10"
+	reloaded{next, func() { t.Error("the settings are the same") }}.apply(l)
+	listed{From: old, Listing: discovery.Listing{Revision: 90, Complete: true}}.apply(l)
+	want(t, "upstreams after a late answer", len(l.peers), 1)
+	want(t, "revision after it", l.revision, uint64(0))
+	listed{From: l.discovery, Listing: discovery.Listing{Revision: 2, Complete: true}}.apply(l)
+	want(t, "upstreams after the new list", len(l.peers), 0)
+	want(t, "revision after it", l.revision, uint64(2))
+}
--- /dev/null
+++ b/internal/pool/members.go
@@ -0,0 +1,181 @@
+package pool
+
+import (
+	"fmt"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/discovery"
+	"clayladder/internal/nodeshare"
+)
+
+// peer is what the loop knows of an upstream's address and connections.
+type peer struct {
+	id        clayladder.UpstreamID
+	name      string // discovery's id
+	address   string
+	listed    clayladder.State // by this pool's own list
+	state     clayladder.State // with what the other pools of the process were told, and what is out by hand
+	idle      []*link          // the most recently used last
+	out       map[*attempt]struct{}
+	lingering int
+	ghosts    int             // attempts among those out that the module takes for ended
+	conns     int             // to it, open or opening
+	share     nodeshare.Share // where other pools of the process may use it too
+	entry     clayladder.Upstream
+	strays    uint64 // connections on which it sent what nobody had asked for
+	spoilt    uint64 // load reports that could not be read
+	why       string // the last of them could not
+}
+
+// reported notes a load report that could not be read.
+func (p *peer) reported(why string) {
+	if why != "" {
+		p.spoilt, p.why = p.spoilt+1, why
+	}
+}
+
+// listed is an answer of discovery, or a list that was told from elsewhere.
+type listed discovery.Heard
+
+func (x listed) apply(l *loop) {
+	switch {
+	case x.From != l.discovery: // asked before discovery moved
+		return
+	case x.Err != nil:
+		l.trouble = x.Err.Error()
+		l.Log(l.trouble)
+		l.balancer.Members(l.now(), clayladder.ListFailed, nil)
+	case x.Revision < l.revision: // overtaken by a newer one: it must not undo that
+		l.Log(fmt.Sprintf("discovery: revision %d after %d passed over", x.Revision, l.revision))
+	default:
+		l.heardAt, l.trouble = l.now(), ""
+		l.heard.Store(true)
+		mode := clayladder.ListDelta
+		if x.Complete {
+			mode = clayladder.ListFull
+		}
+		l.members(mode, x.Listing)
+	}
+	l.settle()
+}
+
+// follow begins to ask discovery at an address; empty: nowhere. What was asked before is ended.
+func (l *loop) follow(address string) {
+	if l.discovery != nil {
+		l.discovery.End()
+		l.discovery = nil
+	}
+	l.revision = 0 // of another source: it means nothing to the next
+	if address != "" {
+		l.discovery = discovery.New(l.ctx, address, func(x discovery.Heard) { l.hand(listed(x)) })
+	}
+}
+
+// followed is the address of discovery; empty: none is followed.
+func (l *loop) followed() string {
+	if l.discovery == nil {
+		return ""
+	}
+	return l.discovery.Address
+}
+
+// expired tells whether the list has been without a word from its source for longer than it holds.
+func (l *loop) expired(now time.Duration) bool { return l.hold > 0 && now-l.heardAt > l.hold }
+
+// members applies a list: first to the peers, so that nothing goes to one that drains, then to the module, which
+// may send at once.
+func (l *loop) members(mode clayladder.ListMode, x discovery.Listing) {
+	l.revision = x.Revision
+	list := make([]clayladder.Upstream, 0, len(x.Members))
+	named := make(map[clayladder.UpstreamID]bool, len(x.Members))
+	for i := range x.Members {
+		m := &x.Members[i]
+		u := m.Upstream(l.names.ID(m.ID))
+		named[u.ID] = true
+		if p := l.peer(u, m); p != nil {
+			u = p.entry
+		}
+		list = append(list, u)
+	}
+	for id, p := range l.peers {
+		if mode != clayladder.ListDelta && !named[id] {
+			p.state, p.listed = clayladder.Gone, clayladder.Gone
+			l.Disconnect(id)
+		}
+		l.withdraw(p)
+	}
+	l.claim()
+	l.balancer.Members(l.now(), mode, list)
+	l.settle()
+	for _, p := range l.peers {
+		l.forget(p)
+	}
+}
+
+// withdraw drops what waits for a connection to an upstream that has left.
+func (l *loop) withdraw(p *peer) {
+	if p.state == clayladder.Active {
+		return
+	}
+	for a := range p.out {
+		if a.Drop() {
+			l.due = append(l.due, owing{a, clayladder.Moot})
+		}
+	}
+}
+
+// forget drops an upstream that is gone and has nothing out.
+func (l *loop) forget(p *peer) {
+	if p.state == clayladder.Gone && len(p.out) == 0 && l.peers[p.id] == p {
+		delete(l.peers, p.id)
+		l.names.Forget(p.name)
+	}
+}
+
+// peer applies a list's entry; nil if it is of no concern.
+func (l *loop) peer(u clayladder.Upstream, m *discovery.Member) *peer {
+	p, address := l.peers[u.ID], m.HostPort
+	if p == nil {
+		if u.State == clayladder.Gone {
+			l.names.Forget(m.ID)
+			return nil
+		}
+		p = &peer{id: u.ID, name: m.ID, out: map[*attempt]struct{}{}}
+		l.peers[u.ID] = p
+	}
+	if u.State != clayladder.Gone {
+		if address != p.address && p.address != "" {
+			l.Disconnect(u.ID)
+		}
+		p.address = address
+	}
+	p.listed = u.State
+	p.entry = u
+	l.place(p)
+	return p
+}
+
+// place works out an upstream's state from its list, what the directory told, and what is out by hand. Until the directory has
+// answered for a node it gets nothing: other pools must have been told first that they share it.
+func (l *loop) place(p *peer) {
+	p.state = p.listed
+	if l.shares != nil {
+		share, known := l.told[p.address]
+		p.share = share
+		p.entry.Part, p.entry.Most = share.Part, p.most()
+		if p.listed == clayladder.Active && (!known || (share.Draining && !l.shares.own)) {
+			p.state = clayladder.Draining
+		}
+	}
+	if back := l.maint.BackAt(p.name); back > 0 { // it was restarted while out, and lists tell of that late
+		p.entry.StartedAt = max(p.entry.StartedAt, back)
+	}
+	if l.maint.IsOut(p.name) && p.state == clayladder.Active {
+		p.state = clayladder.Draining
+	}
+	p.entry.State = p.state
+	if p.state != clayladder.Active {
+		l.Disconnect(p.id)
+	}
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,182 @@
+// Package pool runs a decision module: one goroutine owns it with its requests, timers, connections and list of nodes, and carries
+// out what it says. It decides nothing itself.
+package pool
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/discovery"
+	"clayladder/internal/maintenance"
+	"clayladder/internal/nodelist"
+	"clayladder/internal/wire"
+)
+
+// Spec is what a pool is told. Of these Name, Seed and Known are for its start only.
+type Spec struct {
+	Name        string
+	Settings    clayladder.Settings
+	Links       wire.Links
+	Seed        uint64
+	Known       *discovery.Listing // the list as discovery last told it, maybe stale; nil: none
+	Discovery   string             // address of a discovery service; empty: lists come by Tell
+	Hold        time.Duration      // how long a list holds with no word from its source; 0: for ever
+	Connections int                // to all upstreams
+	Queue       int                // requests at once, sent or waiting
+	Share       float64            // weight on nodes that other pools list too
+	OwnDrains   bool               // drains that other pools were told do not count here
+	Trust       bool               // connections rest between requests only where an upstream has sent what nobody asked for
+	Whole       bool               // clients get all that upstreams say, not 200 and the body only
+}
+
+// retired is a bit of Pool.users: the pool takes no more requests.
+const retired = math.MinInt64
+
+// Pool is a group of upstreams with a module, a goroutine and limits of its own. Its methods may be called from any
+// goroutine.
+type Pool struct {
+	loop   *loop
+	name   string
+	end    context.CancelFunc
+	users  atomic.Int64 // requests in it; below zero: retired
+	queue  atomic.Int64
+	away   atomic.Uint64 // turned away since the queue was full
+	ended  chan struct{} // closed once it is retired and no request is left
+	source atomic.Uint64 // revision of the list last told
+}
+
+// New starts a pool. A nil Directory is for one whose nodes no other pool of the process uses; held is what is out by hand from
+// the start.
+func New(ctx context.Context, spec Spec, d *Directory, held map[string]maintenance.Entry) (*Pool, error) {
+	ctx, end := context.WithCancel(ctx)
+	p := &Pool{loop: newLoop(ctx, spec), name: spec.Name, end: end, ended: make(chan struct{})}
+	p.queue.Store(int64(spec.Queue))
+	p.loop.shares = d.join(spec.Name, spec.Share, spec.OwnDrains)
+	p.loop.maint.Merge(held)
+	if err := p.loop.start(spec.Seed, spec.Known); err != nil {
+		p.loop.shares.leave()
+		end()
+		return nil, err
+	}
+	go p.loop.run()
+	return p, nil
+}
+
+// Name is the pool's, as it was told at its start.
+func (p *Pool) Name() string { return p.name }
+
+// Ask hands a request over. Exactly one answer follows, unless Left is called first. The caller has counted the request in, where
+// the pool has a queue.
+func (p *Pool) Ask(q *Request) {
+	q.loop = p.loop
+	p.loop.post(arrived{q})
+}
+
+// Now is the time on the pool's clock: Unix time at its start, going on by the monotonic clock.
+func (p *Pool) Now() time.Duration { return p.loop.now() }
+
+// Alive returns once the pool's goroutine has had a turn, or has ended.
+func (p *Pool) Alive() {
+	turned := make(turn)
+	p.loop.post(turned)
+	select {
+	case <-turned:
+	case <-p.loop.ctx.Done():
+	}
+}
+
+// turn is closed when the loop comes to it: it is alive.
+type turn chan struct{}
+
+func (t turn) apply(*loop) { close(t) }
+
+// Enter counts a request in. It fails if the pool is retired or full.
+func (p *Pool) Enter() (ok, full bool) {
+	n := p.users.Add(1)
+	switch {
+	case n < 0:
+		p.Leave()
+		return false, false
+	case n > p.queue.Load():
+		p.Leave()
+		p.away.Add(1)
+		return false, true
+	}
+	return true, false
+}
+
+// Leave counts a request out.
+func (p *Pool) Leave() {
+	if p.users.Add(-1) == retired {
+		p.finish()
+	}
+}
+
+// finish ends a pool that is retired and empty. An entry that fails at that moment comes here once more.
+func (p *Pool) finish() {
+	p.loop.post(ending{p})
+}
+
+// ending is the end of a pool. What is still out belongs to requests that have their answer.
+type ending struct{ *Pool }
+
+func (e ending) apply(l *loop) {
+	select {
+	case <-e.ended:
+		return
+	default:
+		close(e.ended)
+	}
+	if l.discovery != nil {
+		l.discovery.End()
+	}
+	for _, p := range l.peers {
+		l.Disconnect(p.id)
+	}
+	l.shares.leave()
+	e.end()
+}
+
+// Retire takes no more requests, and ends the pool when those that it has are answered.
+func (p *Pool) Retire() {
+	if p.users.Add(retired) == retired {
+		p.finish()
+	}
+}
+
+// Ended is closed when a retired pool has ended.
+func (p *Pool) Ended() <-chan struct{} { return p.ended }
+
+// Tell gives the pool its list, complete.
+func (p *Pool) Tell(nodes []nodelist.Node) {
+	x := discovery.Listing{Revision: p.source.Add(1), Complete: true}
+	for _, n := range nodes {
+		m := discovery.Member{ID: n.ID, HostPort: n.Address, Locality: n.Zone, Cell: n.Cell, Phase: string(n.Phase), Size: n.Weight}
+		if !n.Started.IsZero() {
+			m.UpSinceMS = n.Started.UnixMilli()
+		}
+		x.Members = append(x.Members, m)
+	}
+	p.loop.hand(listed{Listing: x})
+}
+
+// Silent tells the pool why there is no good word from its list's source. The last list holds.
+func (p *Pool) Silent(why error) { p.loop.hand(listed{Err: why}) }
+
+// Configure changes the pool while it serves. What its module has learnt stays. An error changes nothing.
+func (p *Pool) Configure(spec Spec) error {
+	done := make(chan error, 1)
+	p.loop.post(configured{spec, done})
+	err, ended := told(p.loop, done)
+	if ended != nil {
+		return errors.New("pool " + p.name + " has ended")
+	}
+	if err == nil {
+		p.queue.Store(int64(spec.Queue))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/pool/request.go
@@ -0,0 +1,121 @@
+package pool
+
+import (
+	"net/http"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/body"
+	"clayladder/internal/http1"
+	"clayladder/internal/upstream"
+)
+
+// Request is a client's request. Who takes it from the client fills in what is exported; from the moment that it is asked it is
+// the pool's.
+type Request struct {
+	clayladder.Request
+	Name    string // the client's id of it
+	Message upstream.Message
+	At      time.Duration // when its last byte had come, on the pool's clock
+	Reply   chan Answer   // holds the one answer; room for it is made beforehand
+
+	loop     *loop // of the pool that it was asked of
+	deadline time.Duration
+	attempts []*attempt
+	out      int // attempts whose outcome the module has not had
+	closed   bool
+	end      alarm // at the deadline
+}
+
+// Answer is what a client gets, once.
+type Answer struct {
+	Status     int // 0: none, the client has gone
+	Body       []byte
+	Kind       string         // the body's Content-Type
+	Header     http1.Fields   // an upstream's, where all of it is passed on
+	RetryAfter time.Duration  // 0: nothing is said of it
+	More       *body.Download // what of the body goes on as it comes; nil: it is whole
+	Whole      bool           // RetryAfter goes out in whole seconds, as RFC 9110 (section 10.2.3) has it
+}
+
+// Left tells that the client of a request that was asked has gone.
+func (q *Request) Left() { q.loop.post(left{q}) }
+
+// arrived is a client's request.
+type arrived struct{ *Request }
+
+func (e arrived) apply(l *loop) {
+	r := e.Request
+	if l.open[r.Name] { // an upstream could not tell the two apart: the newcomer goes, the first is spared
+		r.closed = true
+		r.Reply <- Answer{Status: http.StatusConflict}
+		return
+	}
+	l.open[r.Name] = true
+	l.serial++
+	r.ID = clayladder.RequestID(l.serial) // the module's own: what clients send need not be unique
+	r.deadline = r.At + r.Budget
+	now := l.now()
+	r.Budget = max(0, r.deadline-now)
+	if r.Message.Rest.Live() { // it counts from its last byte, and that is still with the client
+		r.deadline = now + body.Most
+	}
+	if l.expired(now) { // what the list says is too old to go by
+		l.answer(r, Answer{Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, l.settings.Limits.MaxRetry)})
+		return
+	}
+	l.requests[r.ID] = r
+	r.end = alarm{at: r.deadline, request: r}
+	l.alarms.set(&r.end)
+	l.balancer.Request(now, r.Request)
+}
+
+// left tells that a client has closed its connection.
+type left struct{ *Request }
+
+func (e left) apply(l *loop) {
+	r := e.Request
+	if !r.closed {
+		l.close(r)
+		l.balancer.Gone(l.now(), r.ID)
+		return
+	}
+	select { // the answer came as the client left: nobody else reads it
+	case a := <-r.Reply:
+		a.More.Abandon()
+	default:
+	}
+}
+
+// answer gives a client the one answer.
+func (l *loop) answer(r *Request, a Answer) {
+	if r.closed {
+		return
+	}
+	switch a.Status {
+	case http.StatusServiceUnavailable:
+		l.refused++
+	case http.StatusBadGateway, http.StatusGatewayTimeout:
+		l.failed++
+	default:
+		l.served++
+	}
+	a.Whole = l.whole
+	r.Reply <- a
+	l.close(r)
+}
+
+// close notes that nothing more is owed for r.
+func (l *loop) close(r *Request) {
+	r.closed = true
+	l.release(r)
+}
+
+// release forgets a request that is closed and has nothing out.
+func (l *loop) release(r *Request) {
+	if r.closed && r.out == 0 {
+		delete(l.requests, r.ID)
+		delete(l.open, r.Name)
+		l.alarms.unset(&r.end)
+	}
+}
--- /dev/null
+++ b/internal/pool/staff.go
@@ -0,0 +1,147 @@
+package pool
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/maintenance"
+)
+
+// This file is about what the staff say of a pool's upstreams, and what a pool hands to one in another process.
+
+var errEnded = errors.New("stopping")
+
+// told waits for what the loop answers to an event that has been handed to it.
+func told[T any](l *loop, got <-chan T) (x T, err error) {
+	select {
+	case x = <-got:
+		return x, nil
+	case <-l.ctx.Done():
+		return x, errEnded
+	}
+}
+
+// Maintain takes an upstream out by hand, or puts it back as one that has just been started. Once it has returned nil, nothing new
+// goes to one that is out.
+func (p *Pool) Maintain(id string, out bool) error {
+	done := make(chan error, 1)
+	p.loop.hand(maintained{id, out, done})
+	err, ended := told(p.loop, done)
+	return cmp.Or(ended, err)
+}
+
+// Held is what is out by hand.
+func (p *Pool) Held() map[string]maintenance.Entry {
+	got := make(chan map[string]maintenance.Entry, 1)
+	p.loop.hand(heldNow(got))
+	held, _ := told(p.loop, got) // of a pool that has ended there is nothing to tell
+	return held
+}
+
+// Merge takes what is out by hand as another process holds it.
+func (p *Pool) Merge(held map[string]maintenance.Entry) {
+	done := make(chan struct{}, 1)
+	p.loop.hand(merged{held, done})
+	told(p.loop, done)
+}
+
+// Memory is what the module has learnt.
+func (p *Pool) Memory() clayladder.Memory {
+	got := make(chan clayladder.Memory, 1)
+	p.loop.hand(learntNow(got))
+	m, _ := told(p.loop, got)
+	return m
+}
+
+// Recall lets the module go on from what another has learnt.
+func (p *Pool) Recall(m clayladder.Memory) {
+	done := make(chan struct{}, 1)
+	p.loop.hand(recalled{m, done})
+	told(p.loop, done)
+}
+
+// Listed tells whether a list has been heard, or its source has been silent for so long that the list of the start has to do.
+func (p *Pool) Listed(patience time.Duration) bool {
+	return p.loop.heard.Load() || time.Since(p.loop.origin) >= patience
+}
+
+// learntNow asks for what the module has learnt.
+type learntNow chan<- clayladder.Memory
+
+func (e learntNow) apply(l *loop) { e <- l.balancer.Memory() }
+
+// recalled is what another module has learnt.
+type recalled struct {
+	clayladder.Memory
+	done chan<- struct{}
+}
+
+func (e recalled) apply(l *loop) {
+	l.balancer.Recall(l.now(), e.Memory)
+	l.settle()
+	e.done <- struct{}{}
+}
+
+// heldNow asks for what is out by hand.
+type heldNow chan<- map[string]maintenance.Entry
+
+func (e heldNow) apply(l *loop) { e <- l.maint.Entries() }
+
+// merged is what is out by hand as the other process holds it.
+type merged struct {
+	held map[string]maintenance.Entry
+	done chan<- struct{}
+}
+
+func (e merged) apply(l *loop) {
+	l.maint.Merge(e.held)
+	for id := range e.held {
+		l.overlay(l.named(id))
+	}
+	e.done <- struct{}{}
+}
+
+// maintained takes an upstream out by hand, or puts it back.
+type maintained struct {
+	id   string
+	out  bool
+	done chan<- error
+}
+
+func (e maintained) apply(l *loop) {
+	p := l.named(e.id)
+	if p == nil && !l.maint.IsOut(e.id) {
+		e.done <- fmt.Errorf("there is no upstream %.40q", e.id)
+		return
+	}
+	if e.out {
+		l.maint.Out(e.id, l.now())
+	} else {
+		l.maint.Back(e.id, l.now())
+	}
+	l.overlay(p)
+	e.done <- nil
+}
+
+// named is the upstream that is listed under a name; nil if none is.
+func (l *loop) named(name string) *peer {
+	id, ok := l.names.Known(name)
+	if p := l.peers[id]; ok && p != nil && p.name == name && p.listed != clayladder.Gone {
+		return p
+	}
+	return nil
+}
+
+// overlay applies anew to p what is out by hand. A nil one is not listed: what holds counts once it is.
+func (l *loop) overlay(p *peer) {
+	if p == nil {
+		return
+	}
+	l.place(p)
+	l.withdraw(p)
+	l.balancer.Members(l.now(), clayladder.ListDelta, []clayladder.Upstream{p.entry})
+	l.settle()
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -1,6 +1,6 @@
-// Package proxy is the real balancer round the decision module: clients, upstreams
-// and discovery on TCP sockets. It decides nothing; what is sent where, again or
-// not at all is the module's to say.
+// Package proxy puts the rooms of the data path together: the desks, which read what requests ask for (a platform's forms, or
+// routes to pools), and the balancer that a platform runs, with its staff's calls and upgrades. It decides nothing; what is sent
+// where, again or not at all is the module's to say.
 package proxy
 
 import (
@@ -15,12 +15,11 @@
 	"strconv"
 
 	"clayladder"
+	"clayladder/internal/discovery"
+	"clayladder/internal/pool"
 	"clayladder/internal/wire"
 )
 
-// maxBody bounds the bodies of requests and answers, as the protocol does.
-const maxBody = 64 << 10
-
 // Config is what a balancer is told at its start.
 type Config struct {
 	Name       string
@@ -29,9 +28,9 @@
 	Seed       uint64
 	MemoryMB   int
 	Sockets    int
-	Known      listing // the upstreams as last held, maybe stale
-	Meeting    string  // path at which a later process of this balancer asks to take its place; empty: none does
-	Management string  // host:port for the staff's calls; empty: none
+	Known      discovery.Listing // the upstreams as last held, maybe stale
+	Meeting    string            // path at which a later process of this balancer asks to take its place; empty: none does
+	Management string            // host:port for the staff's calls; empty: none
 	Settings   clayladder.Settings
 	Links      wire.Links
 	keys       map[string]bool // that the file had, each with its path
@@ -48,8 +47,8 @@
 		MemoryMB int `json:"memory_mb"`
 		Sockets  int `json:"sockets"`
 	} `json:"limits"`
-	Known    listing         `json:"known"`
-	Settings json.RawMessage `json:"settings"`
+	Known    discovery.Listing `json:"known"`
+	Settings json.RawMessage   `json:"settings"`
 }
 
 // LoadConfig reads the file that RELAY_CONFIG names. The other RELAY_ variables go before what it says.
@@ -177,7 +176,7 @@
 		return c, errors.New("settings: limits: keepalive_us and connect_timeout_us must be over zero")
 	}
 	for _, m := range c.Known.Members {
-		if err := m.check(); err != nil {
+		if err := m.Check(); err != nil {
 			return c, fmt.Errorf("known: %w", err)
 		}
 	}
@@ -197,7 +196,7 @@
 func (c *Config) upstreamConns() int { return c.Sockets/2 - max(c.Sockets/16, 16) }
 
 // spec is the one pool of a platform's balancer.
-func (c *Config) spec() Spec {
-	return Spec{Name: c.Name, Settings: c.Settings, Links: c.Links, Seed: c.Seed, Discovery: c.Discovery,
+func (c *Config) spec() pool.Spec {
+	return pool.Spec{Name: c.Name, Settings: c.Settings, Links: c.Links, Seed: c.Seed, Discovery: c.Discovery, Known: &c.Known,
 		Connections: c.upstreamConns()}
 }
--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -2,42 +2,34 @@
 
 import (
 	"net/http"
-	"net/textproto"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"clayladder"
+	"clayladder/internal/discovery"
+	"clayladder/internal/edge"
+	"clayladder/internal/http1"
+	"clayladder/internal/pool"
 	"clayladder/internal/route"
+	"clayladder/internal/upstream"
 )
 
-// desk decides where a frontend's requests go, and which of them never reach a module. Frontends call it from many
-// goroutines.
-type desk interface {
-	// check reads what a request's head says. What is malformed is refused with a reason.
-	check(method, target string, h textproto.MIMEHeader) (*request, error)
-	// enter hands a whole request to its pool. A status tells that the pool does not take it, and what is answered.
-	enter(q *request) (answer, error)
-	// leave follows each request that was taken, once it is answered or its client has gone.
-	leave(q *request)
-	// alive returns once all pools have had a turn.
-	alive()
-	// now is the time on the pools' clock.
-	now() time.Duration
-	// longest is the longest time that a client waits.
-	longest() time.Duration
-}
+// answerMargin is taken off the client's deadline, which counts from its sending: the way here and back, and
+// a turn of the pool's goroutine.
+const answerMargin = 4 * time.Millisecond
 
 // platform is the desk of a platform's balancer: one pool, and the request forms of its protocol.
 type platform struct {
 	classes atomic.Pointer[map[string]clayladder.Class]
-	loop    *loop
+	pool    *pool.Pool
 }
 
-func newPlatform(classes []clayladder.Class, l *loop) *platform {
-	d := &platform{loop: l}
+var _ edge.Desk = (*platform)(nil)
+
+func newPlatform(classes []clayladder.Class, p *pool.Pool) *platform {
+	d := &platform{pool: p}
 	d.adopt(classes)
 	return d
 }
@@ -51,26 +43,31 @@
 	d.classes.Store(&m)
 }
 
-func (d *platform) enter(q *request) (answer, error) { q.post(arrived{q}); return answer{}, nil }
-func (d *platform) leave(*request)                   {}
-func (d *platform) now() time.Duration               { return d.loop.now() }
+func (d *platform) Now() time.Duration { return d.pool.Now() }
+func (d *platform) Alive()             { d.pool.Alive() }
+
+// platformCall is a request for the one pool that there is.
+type platformCall struct {
+	asked
+	pool *pool.Pool
+}
 
-func (d *platform) alive() {
-	turned := make(turn)
-	d.loop.post(turned)
-	<-turned
+func (c *platformCall) Enter() (pool.Answer, error) {
+	c.pool.Ask(&c.Request)
+	return pool.Answer{}, nil
 }
+func (c *platformCall) Leave() {}
 
-func (d *platform) longest() (most time.Duration) {
+func (d *platform) Longest() (most time.Duration) {
 	for _, class := range *d.classes.Load() {
 		most = max(most, class.Deadline)
 	}
 	return most
 }
 
-// check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
+// Check reads what a request says of itself. A field that is there must be right: a guess at what was meant would be
 // served in its place.
-func (d *platform) check(method, target string, h textproto.MIMEHeader) (*request, error) {
+func (d *platform) Check(method, target string, h *http1.Fields) (edge.Call, error) {
 	if absolute, err := route.ParseTarget(target); err == nil && !strings.HasPrefix(target, "/") { // RFC 9112, section 3.2.2
 		target = absolute.String()
 	}
@@ -80,87 +77,84 @@
 	id, key := h.Get("X-Request-Id"), h.Get("Idempotency-Key")
 	switch {
 	case !strings.HasPrefix(target, "/") || strings.ContainsFunc(target, func(r rune) bool { return r <= ' ' || r >= 0x7f }):
-		return nil, bad("the target is no path")
+		return nil, edge.Bad("the target is no path")
 	case h.Get("Host") == "":
-		return nil, bad("Host is wanted")
+		return nil, edge.Bad("Host is wanted")
 	case !ok:
-		return nil, bad("X-Class names no known class")
+		return nil, edge.Bad("X-Class names no known class")
 	case first != class.Name:
-		return nil, bad("the path does not begin with the class")
+		return nil, edge.Bad("the path does not begin with the class")
 	case id == "":
-		return nil, bad("X-Request-Id is wanted")
+		return nil, edge.Bad("X-Request-Id is wanted")
 	case (class.Repeat == clayladder.Safe) != (method == http.MethodGet),
 		class.Repeat != clayladder.Safe && method != http.MethodPost:
-		return nil, bad("the method does not fit the class")
-	case (class.Repeat == clayladder.Keyed) != (key != ""), key == "" && len(h["Idempotency-Key"]) > 0:
-		return nil, bad("Idempotency-Key does not fit the class")
+		return nil, edge.Bad("the method does not fit the class")
+	case (class.Repeat == clayladder.Keyed) != (key != ""), key == "" && h.Has("Idempotency-Key"):
+		return nil, edge.Bad("Idempotency-Key does not fit the class")
 	}
-	q := &request{name: id, reply: make(chan answer, 1), post: d.loop.post}
+	q := &platformCall{pool: d.pool, asked: asked{Request: pool.Request{Name: id, Reply: make(chan pool.Answer, 1)}}}
 	if err := q.describe(h); err != nil {
 		return nil, err
 	}
-	q.about(h, "obj")
+	q.about(*h, "obj")
 	q.assign(class, class.Deadline)
-	q.message = message{line: method + " " + target, header: http.Header(h), host: h.Get("Host"), bodied: method == http.MethodPost}
+	q.Message = upstream.Message{Line: method + " " + target, Header: *h, Host: h.Get("Host"), Bodied: method == http.MethodPost}
 	return q, nil
 }
 
+// asked is a request with what its client says of it.
+type asked struct {
+	pool.Request
+	patience time.Duration // that the client claims; 0: none
+}
+
+// Asked is what goes to the pool.
+func (q *asked) Asked() *pool.Request { return &q.Request }
+
 // describe reads the fields that say what a request is like, whatever its class.
-func (q *request) describe(h textproto.MIMEHeader) error {
+func (q *asked) describe(h *http1.Fields) error {
 	q.Tenant, q.Retry = h.Get("X-Tenant"), h.Get("X-Retry") == "1"
-	if len(h["X-Deadline-Ms"]) > 0 {
-		ms, ok := digits(h.Get("X-Deadline-Ms"))
+	if h.Has("X-Deadline-Ms") {
+		ms, ok := http1.Digits(h.Get("X-Deadline-Ms"))
 		if !ok || ms == 0 {
-			return bad("X-Deadline-Ms is no time")
+			return edge.Bad("X-Deadline-Ms is no time")
 		}
 		q.patience = time.Duration(min(ms, maxPatience)) * time.Millisecond
 	}
-	if len(h["X-Cost-Hint"]) > 0 {
-		us, ok := digits(h.Get("X-Cost-Hint"))
+	if h.Has("X-Cost-Hint") {
+		us, ok := http1.Digits(h.Get("X-Cost-Hint"))
 		if !ok {
-			return bad("X-Cost-Hint is no number")
+			return edge.Bad("X-Cost-Hint is no number")
 		}
 		q.Cost = time.Duration(min(us, maxPatience)) * time.Microsecond
 	}
-	dropNamed(h, once) // what the protocol wants passed on can't be taken out
+	http1.DropNamed(h, edge.Once) // what the protocol wants passed on can't be taken out
 	return nil
 }
 
-// dropNamed takes out the fields that a message's Connection field names: they were meant for that connection only (RFC
-// 9110, section 7.6.1).
-func dropNamed(h textproto.MIMEHeader, but []string) {
-	for _, named := range h["Connection"] {
-		for name := range strings.SplitSeq(named, ",") {
-			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
-			if !slices.Contains(but, name) {
-				h.Del(name)
-			}
-		}
-	}
-}
-
 // maxPatience bounds what a client may claim, in its unit, so that no sum overflows.
 const maxPatience = 1 << 40
 
 // about takes a cookie's value for what the request is about.
-func (q *request) about(h textproto.MIMEHeader, cookie string) {
+func (q *asked) about(h http1.Fields, cookie string) {
 	q.Key, q.HasKey = 0, false
-	if len(h["Cookie"]) == 0 {
+	cookies := h.Values("Cookie")
+	if len(cookies) == 0 {
 		return
 	}
-	c, err := (&http.Request{Header: http.Header(h)}).Cookie(cookie)
+	c, err := (&http.Request{Header: http.Header{"Cookie": cookies}}).Cookie(cookie)
 	if err != nil {
 		return
 	}
 	q.HasKey = true
 	if q.Key, err = strconv.ParseUint(c.Value, 16, 64); err != nil {
-		q.Key = uint64(hashed(c.Value))
+		q.Key = uint64(discovery.Hashed(c.Value))
 	}
 }
 
 // assign gives a request its class and the shortest of the times that it may take: the client's, the class's, and the
 // limit of where it goes.
-func (q *request) assign(class clayladder.Class, limit time.Duration) {
+func (q *asked) assign(class clayladder.Class, limit time.Duration) {
 	q.Class, q.Budget = class.Name, min(class.Deadline, limit)
 	if q.patience > 0 {
 		q.Budget = min(q.Budget, q.patience)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -5,14 +5,18 @@
 	"log/slog"
 	"net"
 	"sync/atomic"
+
+	"clayladder/internal/edge"
+	"clayladder/internal/maintenance"
+	"clayladder/internal/pool"
 )
 
 // Balancer is a platform's balancer: one front and one pool.
 type Balancer struct {
 	config Config
-	loop   *loop
+	pool   *pool.Pool
 	desk   *platform
-	front  *frontend
+	front  *edge.Front
 	end    context.CancelFunc
 	before *Predecessor // nil: no other process served before this one
 	other  atomic.Pointer[sibling]
@@ -23,20 +27,20 @@
 // before is the process whose place it takes, and whose listener this is; nil: none.
 func Start(c Config, listener net.Listener, before *Predecessor) (*Balancer, error) {
 	life, end := context.WithCancel(context.Background())
-	l := newLoop(life, c.spec())
+	var held map[string]maintenance.Entry
 	if before != nil {
-		l.maint.Merge(before.state.Held)
+		held = before.state.Held
 	}
-	if err := l.start(c.Seed, &c.Known); err != nil {
+	p, err := pool.New(life, c.spec(), nil, held)
+	if err != nil {
 		end()
 		return nil, err
 	}
-	go l.run()
-	b := &Balancer{config: c, loop: l, desk: newPlatform(c.Settings.Classes, l), end: end, before: before}
-	b.front = newFrontend(b.desk, listener, c.clientConns())
-	b.front.spare = c.requestConns()
-	b.front.spool.free.Store(int64(c.MemoryMB) << 20 / 8)
-	b.front.drain(before != nil && before.state.Standby)
+	b := &Balancer{config: c, pool: p, desk: newPlatform(c.Settings.Classes, p), end: end, before: before}
+	b.front = edge.New(b.desk, listener, c.clientConns())
+	b.front.Spare(c.requestConns())
+	b.front.Spool(int64(c.MemoryMB) << 20 / 8)
+	b.front.Drain(before != nil && before.state.Standby)
 	return b, nil
 }
 
@@ -54,18 +58,18 @@
 		}
 	}
 	served := make(chan error, 1)
-	go func() { served <- b.front.serve() }()
+	go func() { served <- b.front.Serve() }()
 	for {
 		select {
 		case c := <-reloads:
-			b.loop.post(reloaded{c, b.desk})
+			b.pool.Reload(c.spec(), func() { b.desk.adopt(c.Settings.Classes) }) // after the module: what a client may ask for it knows
 		case err := <-served:
 			return err
 		case <-ctx.Done():
 			if s := b.other.Load(); s != nil && s.ready.Load() {
-				b.front.handOver(s.link)
+				b.front.HandOver(s.link)
 			} else {
-				b.front.stop()
+				b.front.Stop()
 			}
 			return nil
 		}
--- a/internal/proxy/succession.go
+++ b/internal/proxy/succession.go
@@ -11,9 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"clayladder"
 	"clayladder/internal/handover"
-	"clayladder/internal/maintenance"
 )
 
 // This file is about upgrades: a new process takes the place of the old one while both run, and for clients, upstreams
@@ -145,12 +143,14 @@
 		case handover.Client:
 			b.welcome(file)
 		case handover.Recall:
-			m := b.memory()
+			m := b.pool.Memory()
 			if err := s.link.Send(handover.Message{Kind: handover.Memory, Memory: &m}, nil); err != nil { // a fleet too large for a message
 				slog.Warn("telling the other process what has been learnt", "err", err)
 			}
 		case handover.Memory:
-			b.recall(m.Memory)
+			if m.Memory != nil {
+				b.pool.Recall(*m.Memory)
+			}
 			s.recalled()
 		}
 		if file != nil {
@@ -169,30 +169,18 @@
 		slog.Warn("a client's connection was not taken over", "err", err)
 		return
 	}
-	b.front.take(c)
+	b.front.Take(c)
 }
 
 // state is what staff have said so far.
 func (b *Balancer) state() handover.Message {
-	got := make(chan map[string]maintenance.Entry, 1)
-	b.loop.hand(heldNow(got))
-	m := handover.Message{Kind: handover.State, Listen: b.config.Listen, Standby: b.front.drained()}
-	select {
-	case m.Held = <-got:
-	case <-b.loop.ctx.Done():
-	}
-	return m
+	return handover.Message{Kind: handover.State, Listen: b.config.Listen, Standby: b.front.Drained(), Held: b.pool.Held()}
 }
 
 // adoptState takes what staff have said to the other process.
 func (b *Balancer) adoptState(m handover.Message) {
-	done := make(chan struct{})
-	b.loop.hand(merged{m.Held, done})
-	select {
-	case <-done:
-	case <-b.loop.ctx.Done():
-	}
-	b.front.drain(m.Standby)
+	b.pool.Merge(m.Held)
+	b.front.Drain(m.Standby)
 }
 
 // inform tells the other process, if there is one, what staff have said. A yes waits for it: the two count as one.
@@ -204,68 +192,6 @@
 	}
 }
 
-// memory is what the module has learnt.
-func (b *Balancer) memory() (m clayladder.Memory) {
-	got := make(chan clayladder.Memory, 1)
-	b.loop.hand(learntNow(got))
-	select {
-	case m = <-got:
-	case <-b.loop.ctx.Done():
-	}
-	return m
-}
-
-// recall lets the module go on from what another has learnt.
-func (b *Balancer) recall(m *clayladder.Memory) {
-	if m == nil {
-		return
-	}
-	done := make(chan struct{})
-	b.loop.hand(recalled{m, done})
-	select {
-	case <-done:
-	case <-b.loop.ctx.Done():
-	}
-}
-
-// learntNow asks for what the module has learnt.
-type learntNow chan<- clayladder.Memory
-
-func (e learntNow) apply(l *loop) { e <- l.balancer.Memory() }
-
-// recalled is what another module has learnt.
-type recalled struct {
-	*clayladder.Memory
-	done chan<- struct{}
-}
-
-func (e recalled) apply(l *loop) {
-	l.balancer.Recall(l.now(), *e.Memory)
-	l.settle()
-	close(e.done)
-}
-
-// heldNow asks for what is out by hand.
-type heldNow chan<- map[string]maintenance.Entry
-
-func (e heldNow) apply(l *loop) { e <- l.maint.Entries() }
-
-// merged is what is out by hand as the other process holds it.
-type merged struct {
-	held map[string]maintenance.Entry
-	done chan<- struct{}
-}
-
-func (e merged) apply(l *loop) {
-	l.maint.Merge(e.held)
-	for id := range e.held {
-		if p := l.peers[l.names.ids[id]]; p != nil && p.name == id && p.listed != clayladder.Gone {
-			l.overlay(p)
-		}
-	}
-	close(e.done)
-}
-
 // await hands over to a new process that asks for it at path, now or later. It returns at once, and the listening ends with the
 // context.
 func (b *Balancer) await(ctx context.Context, path string) error {
@@ -293,7 +219,7 @@
 	if file != nil {
 		file.Close()
 	}
-	listener, ok := b.front.listener.(*net.TCPListener)
+	listener, ok := b.front.Listener().(*net.TCPListener)
 	if err != nil || m.Kind != handover.Take || m.Listen != b.config.Listen || !ok {
 		slog.Warn("a process that asked to take over was sent away", "err", err, "listen", m.Listen)
 		link.Close()
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -55,10 +55,16 @@
 	total uint64
 }
 
+// Fields are a request's header fields.
+type Fields interface {
+	// Only returns the value of a field that the request has exactly once. Names are compared without regard to case.
+	Only(name string) (value string, ok bool)
+}
+
 // Query is what a request is matched by. Host and Path are in canonical form.
 type Query struct {
 	Host, Path, Method, Class string
-	Fields                    textproto.MIMEHeader
+	Fields                    Fields
 }
 
 // Table finds rules. Its cost follows the length of host and path, not the number of rules.
@@ -341,8 +347,8 @@
 		return false
 	}
 	for i := range r.Headers {
-		values := q.Fields[r.Headers[i].Name]
-		if len(values) != 1 || values[0] != r.Headers[i].Value { // of two values a server may read the other
+		value, once := q.Fields.Only(r.Headers[i].Name)
+		if !once || value != r.Headers[i].Value { // of two values a server may read the other
 			return false
 		}
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -18,8 +18,10 @@
 	"time"
 
 	"clayladder/internal/config"
+	"clayladder/internal/edge"
 	"clayladder/internal/live"
 	"clayladder/internal/nodelist"
+	"clayladder/internal/pool"
 	"clayladder/internal/proxy"
 	"clayladder/internal/wire"
 )
@@ -33,7 +35,7 @@
 	started   time.Time
 	ctx       context.Context
 	end       context.CancelFunc
-	directory *proxy.Directory
+	directory *pool.Directory
 	desk      *proxy.Desk
 	state     atomic.Pointer[state]
 	failed    chan error
@@ -44,21 +46,21 @@
 type state struct {
 	config  *config.Loaded
 	fronts  map[string]*front // by the address in the configuration
-	pools   map[string]*pool
+	pools   map[string]*member
 	admin   *admin
 	reloads int
 }
 
 type front struct {
-	*proxy.Front
+	*edge.Front
 	name    string
 	address net.Addr
 }
 
-// pool is a pool with what follows its list.
-type pool struct {
-	*proxy.Pool
-	spec   proxy.Spec
+// member is a pool with what follows its list.
+type member struct {
+	*pool.Pool
+	spec   pool.Spec
 	source config.NodeSource
 	stop   func() // ends the following, and returns when it has
 }
@@ -67,8 +69,8 @@
 func Start(c *config.Loaded, version string) (*Service, error) {
 	s := &Service{version: version, started: time.Now(), failed: make(chan error, 1)}
 	s.ctx, s.end = context.WithCancel(context.Background())
-	s.directory = proxy.NewDirectory(s.ctx, c.Limits.NodeConnections)
-	s.state.Store(&state{fronts: map[string]*front{}, pools: map[string]*pool{}, reloads: -1})
+	s.directory = pool.NewDirectory(s.ctx, c.Limits.NodeConnections)
+	s.state.Store(&state{fronts: map[string]*front{}, pools: map[string]*member{}, reloads: -1})
 	if err := s.Apply(c); err != nil {
 		s.end()
 		return nil, err
@@ -84,7 +86,7 @@
 	next      *state
 	listeners map[string]net.Listener
 	lists     map[string][]nodelist.Node // first lists of pools whose source is new
-	specs     map[string]proxy.Spec
+	specs     map[string]pool.Spec
 }
 
 // drop undoes a plan that is not carried out.
@@ -136,8 +138,8 @@
 
 // plan checks and opens what a configuration needs.
 func (s *Service) plan(now *state, c *config.Loaded) (*plan, error) {
-	p := &plan{next: &state{config: c, fronts: map[string]*front{}, pools: map[string]*pool{}, reloads: now.reloads + 1},
-		listeners: map[string]net.Listener{}, lists: map[string][]nodelist.Node{}, specs: map[string]proxy.Spec{}}
+	p := &plan{next: &state{config: c, fronts: map[string]*front{}, pools: map[string]*member{}, reloads: now.reloads + 1},
+		listeners: map[string]net.Listener{}, lists: map[string][]nodelist.Node{}, specs: map[string]pool.Spec{}}
 	var errs []error
 	for name, x := range c.Pools {
 		p.specs[name] = spec(c, name)
@@ -187,29 +189,29 @@
 }
 
 // spec is what a pool is told of a configuration.
-func spec(c *config.Loaded, name string) proxy.Spec {
+func spec(c *config.Loaded, name string) pool.Spec {
 	x := c.Pools[name]
-	return proxy.Spec{Name: name, Settings: c.Settings(name), Discovery: x.Nodes.Discovery, Hold: time.Duration(x.Nodes.Hold),
+	return pool.Spec{Name: name, Settings: c.Settings(name), Discovery: x.Nodes.Discovery, Hold: time.Duration(x.Nodes.Hold),
 		Links:       wire.Links{KeepAlive: time.Duration(x.IdleTimeout), ConnectTimeout: time.Duration(x.ConnectTimeout)},
 		Connections: x.Connections, Queue: x.Queue, Share: x.Share, OwnDrains: x.Drains == "own", Trust: x.Rest == "after_stray", Whole: true}
 }
 
 // open starts a pool and gives it its list.
-func (s *Service) open(p *plan, name string, spec proxy.Spec, source config.NodeSource) error {
+func (s *Service) open(p *plan, name string, spec pool.Spec, source config.NodeSource) error {
 	spec.Seed = rand.Uint64()
-	x, err := proxy.NewPool(s.ctx, spec, s.directory)
+	x, err := pool.New(s.ctx, spec, s.directory, nil)
 	if err != nil {
 		return fmt.Errorf("pool %s: %w", name, err)
 	}
 	if source.Discovery == "" {
 		x.Tell(p.lists[name])
 	}
-	p.next.pools[name] = &pool{Pool: x, spec: spec, source: source, stop: s.follow(name, x, source)}
+	p.next.pools[name] = &member{Pool: x, spec: spec, source: source, stop: s.follow(name, x, source)}
 	return nil
 }
 
 // change brings a pool that stays to its new configuration.
-func (s *Service) change(p *plan, name string, old *pool, spec proxy.Spec, source config.NodeSource) {
+func (s *Service) change(p *plan, name string, old *member, spec pool.Spec, source config.NodeSource) {
 	next := *old
 	p.next.pools[name] = &next
 	next.spec, next.source = spec, source
@@ -229,7 +231,7 @@
 }
 
 // follow begins to follow a list's file, if there is one.
-func (s *Service) follow(name string, x *proxy.Pool, source config.NodeSource) (stop func()) {
+func (s *Service) follow(name string, x *pool.Pool, source config.NodeSource) (stop func()) {
 	if source.File == "" {
 		return func() {}
 	}
@@ -257,7 +259,7 @@
 
 // route makes the routes of a state those that hold.
 func (s *Service) route(next *state) {
-	r := &proxy.Routing{Table: next.config.Table, Routes: map[string]proxy.Destination{}, Pools: map[string]*proxy.Pool{}}
+	r := &proxy.Routing{Table: next.config.Table, Routes: map[string]proxy.Destination{}, Pools: map[string]*pool.Pool{}}
 	for name, x := range next.config.Routing {
 		r.Routes[name] = proxy.Destination{Class: next.config.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie}
 	}
@@ -280,7 +282,7 @@
 			continue
 		}
 		x := p.listeners[l.Address]
-		f := &front{proxy.NewFront(s.desk, x, l.Connections), l.Name, x.Addr()}
+		f := &front{edge.New(s.desk, x, l.Connections), l.Name, x.Addr()}
 		p.next.fronts[l.Address] = f
 		go func() {
 			if err := f.Serve(); err != nil {
@@ -302,7 +304,7 @@
 }
 
 // retire ends a pool once its requests are answered.
-func (s *Service) retire(x *pool) {
+func (s *Service) retire(x *member) {
 	x.stop()
 	x.Retire()
 	s.leaving.Go(func() { <-x.Ended() })
--- /dev/null
+++ b/internal/upstream/message.go
@@ -0,0 +1,67 @@
+package upstream
+
+import (
+	"bytes"
+	"strconv"
+	"time"
+
+	"clayladder/internal/body"
+	"clayladder/internal/http1"
+)
+
+// Message is a client's request as a node gets it, but for what is added for an attempt. Method, path, query and body go on
+// unchanged.
+type Message struct {
+	Line   string // method and target
+	Header http1.Fields
+	Host   string
+	Body   []byte
+	Rest   *body.Upload // of the body, where it is long; nil: there is none
+	Bodied bool         // a Content-Length goes with it, also without a body
+}
+
+// Bytes renders m in HTTP/1.1, up to where Rest begins, for an attempt that waits so long.
+func (m *Message) Bytes(wait time.Duration) []byte {
+	b := http1.Buffer()
+	defer http1.Done(b)
+	b.WriteString(m.Line)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(m.Host)
+	b.WriteString("\r\nX-Deadline-Ms: ")
+	b.WriteString(strconv.FormatInt(max(1, wait.Milliseconds()), 10))
+	b.WriteString("\r\n")
+	http1.WriteFields(b, m.Header)
+	if m.Bodied {
+		b.WriteString(m.framing())
+	}
+	b.WriteString("\r\n")
+	chunked := len(m.Body) > 0 && m.chunked()
+	if chunked {
+		b.WriteString(strconv.FormatInt(int64(len(m.Body)), 16) + "\r\n")
+	}
+	b.Write(m.Body)
+	if chunked {
+		b.WriteString("\r\n")
+	}
+	return bytes.Clone(b.Bytes())
+}
+
+func (m *Message) chunked() bool {
+	if m.Rest == nil {
+		return false
+	}
+	_, known := m.Rest.Length()
+	return !known
+}
+
+// framing is the field that tells a node where the body ends.
+func (m *Message) framing() string {
+	n := uint64(len(m.Body))
+	if m.Rest != nil {
+		var known bool
+		if n, known = m.Rest.Length(); !known {
+			return "Transfer-Encoding: chunked\r\n"
+		}
+	}
+	return "Content-Length: " + strconv.FormatUint(n, 10) + "\r\n"
+}
