--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -18,10 +19,8 @@
 	// Promptly is how long the body of an answer may come in before what there is of it goes on. One that comes whole in that time, and
 	// is no longer than Whole, is judged whole: cut or spoilt, another attempt may take its place where its class allows.
 	Promptly = 20 * time.Millisecond
-	// slowBlock is how long a client may take for a block of an answer that goes on as it comes, and quietNode how long a
-	// node may say nothing in the middle of one.
+	// slowBlock is how long a client may take for a block of an answer that goes on as it comes.
 	slowBlock = 20 * time.Second
-	quietNode = 30 * time.Second
 )
 
 // part is a piece of an answer that goes on as it comes. The last one has none of it, and an error, io.EOF if the answer is whole.
@@ -34,12 +33,15 @@
 // Download is an answer that may go on to the client as it comes. The attempt's goroutine receives it, and the client's passes it
 // on; either may end it.
 type Download struct {
-	conn  Source
-	f     http1.Framing
-	parts chan part
-	gone  chan struct{} // closed once nobody wants the rest
-	leave func()
-	begun chan struct{} // closed once it has been told that it goes on
+	conn   Source
+	f      http1.Framing
+	limits *Limits
+	src    *http1.Body // read by the attempt's goroutine, or, where the length is known, by the client's
+	ended  chan error  // how the client's side has ended reading it
+	parts  chan part
+	gone   chan struct{} // closed once nobody wants the rest
+	leave  func()
+	begun  chan struct{} // closed once it has been told that it goes on
 
 	mu    sync.Mutex
 	first []byte // what had come when it began to go on
@@ -57,13 +59,13 @@
 
 // Source is a connection to a node that a download is read from. *http1.Stream is one.
 type Source interface {
-	Body(http1.Framing) *http1.Body
+	Body(f http1.Framing, most int64) *http1.Body
 	SetReadDeadline(time.Time) error
 }
 
 // NewDownload returns the answer that comes from c.
-func NewDownload(c Source, f http1.Framing) *Download {
-	d := &Download{conn: c, f: f, parts: make(chan part, 1), gone: make(chan struct{}), begun: make(chan struct{})}
+func NewDownload(c Source, f http1.Framing, limits *Limits) *Download {
+	d := &Download{conn: c, f: f, limits: limits, src: c.Body(f, limits.Answer), ended: make(chan error, 1), parts: make(chan part, 1), gone: make(chan struct{}), begun: make(chan struct{})}
 	d.leave = sync.OnceFunc(func() {
 		close(d.gone)
 		d.mu.Lock()
@@ -81,6 +83,9 @@
 // Framed tells whether the client gets chunks: the length is not known.
 func (d *Download) Framed() bool { return d.f.Chunked || d.f.ToClose }
 
+// Trailer is what stood behind an answer that Receive has returned whole.
+func (d *Download) Trailer() http1.Fields { return d.limits.Trailer(d.src) }
+
 // advance moves on from one state to another, if it is in that.
 func (d *Download) advance(from, to progress) bool {
 	d.mu.Lock()
@@ -111,14 +116,23 @@
 	}
 	if !d.Framed() { // it is known to be long
 		start()
-	} else {
-		timer := time.AfterFunc(Promptly, start)
-		defer timer.Stop()
+		select {
+		case err = <-d.ended:
+		case <-d.gone:
+			select { // both may stand
+			case err = <-d.ended:
+			default:
+				err = errStopped
+			}
+		}
+		d.advance(passing, over)
+		return nil, err
 	}
-	src := d.conn.Body(d.f)
+	timer := time.AfterFunc(Promptly, start)
+	defer timer.Stop()
 	for {
 		b := blocks.Get().(*[Block]byte)
-		n, err := src.Read(b[:])
+		n, err := d.src.Read(b[:])
 		d.mu.Lock()
 		if d.state == gathering {
 			d.first = append(d.first, b[:n]...)
@@ -167,7 +181,7 @@
 		d.state = over
 		return errStopped
 	default:
-		d.conn.SetReadDeadline(time.Now().Add(quietNode)) // if it fails so does the read, which is told to the client's side
+		d.conn.SetReadDeadline(time.Now().Add(d.limits.Quiet)) // if it fails so does the read, which is told to the client's side
 		return nil
 	}
 }
@@ -186,24 +200,59 @@
 // Copy passes the body on to a client. If the node fails the client gets no clean end.
 func (d *Download) Copy(to net.Conn) (err error) {
 	defer d.leave()
-	if err := http1.Chunk(to, d.first, d.Framed(), slowBlock); err != nil {
+	if !d.Framed() {
+		err = d.forward(to)
+		d.ended <- err
+		if err != nil {
+			slog.Warn("an answer that was being passed on is cut", "why", err)
+		}
 		return err
 	}
-	for {
+	if err := http1.Chunk(to, d.first, true, slowBlock); err != nil {
+		return err
+	}
+	for began := time.Now(); ; {
 		p := <-d.parts
-		err := http1.Chunk(to, p.block[:p.n], d.Framed(), slowBlock)
+		err := http1.Chunk(to, p.block[:p.n], true, slowBlock)
 		blocks.Put(p.block)
 		switch {
 		case err != nil:
 			return err
+		case d.late(began):
+			return errLate
 		case p.err == nil:
 		case !errors.Is(p.err, io.EOF):
 			slog.Warn("an answer that was being passed on is cut", "why", p.err)
 			return p.err
-		case d.Framed():
-			return http1.End(to, slowBlock)
 		default:
+			return http1.End(to, d.Trailer(), slowBlock)
+		}
+	}
+}
+
+var errLate = errors.New("the answer takes longer than its route lets it")
+
+func (d *Download) late(began time.Time) bool {
+	return d.limits.Total > 0 && time.Since(began) > d.limits.Total
+}
+
+// forward moves a body of known length from the node's connection to the client's. Bytes that a write has timed out on are lost in
+// the system's pipe, so only a read may time out and go on.
+func (d *Download) forward(to net.Conn) error {
+	for began := time.Now(); ; {
+		if err := d.patient(); err != nil {
+			return err
+		}
+		limit := time.Now().Add(max(slowPart, 2*d.limits.Quiet))
+		to.SetWriteDeadline(limit)
+		n, err := d.src.Forward(to, partMost)
+		switch {
+		case errors.Is(err, io.EOF):
 			return nil
+		case err != nil && !(n > 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(limit)):
+			return err
+		case d.late(began):
+			return errLate
 		}
 	}
 }
--- a/internal/body/download_test.go
+++ b/internal/body/download_test.go
@@ -15,7 +15,7 @@
 func TestEndIsToldAfterTheBeginning(t *testing.T) {
 	for _, text := range []string{"3\r\nabc\r\n0\r\n\r\n", "3\r\nabc\r\n", "noise"} {
 		here, there := net.Pipe()
-		d := NewDownload(http1.NewStream(here, 2<<10), http1.Framing{Chunked: true})
+		d := NewDownload(http1.NewStream(here, 2<<10), http1.Framing{Chunked: true}, &Usual)
 		begins, goOn := make(chan struct{}), make(chan struct{})
 		ended := make(chan error, 1)
 		go func() {
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,12 +15,11 @@
 )
 
 const (
-	// ReadAhead is how much of a body is taken ahead of an attempt, if there is room: a slow client must not hold a
-	// node's place.
-	ReadAhead = 1 << 20
-	// uploadStall is how long a client may send nothing of a body that goes on as it comes, and Most how long all of it may take.
+	// uploadStall is how long a client may send nothing of a body that goes on as it comes.
 	uploadStall = 5 * time.Second
-	Most        = 5 * time.Minute
+	// A part of a body of known length is moved at once: partMost bytes of it, within slowPart.
+	partMost = 128 << 10
+	slowPart = time.Minute
 	// slowNode is how long a node may take no byte of it.
 	slowNode = 5 * time.Second
 	// Block is what is copied at once, in bytes.
@@ -50,20 +50,21 @@
 type Upload struct {
 	room   *Spool
 	blocks [][]byte
+	limits *Limits
 	length uint64 // of the whole body, if known
 	known  bool
 
-	// These are the client's side's.
-	over  bool // the attempt that has read from the client does so no more
-	whole bool // it has read all
-
-	src  *http1.Body // nil: the blocks are the rest
-	conn net.Conn    // that src reads
+	src     *http1.Body  // nil: the blocks are the rest
+	trailer http1.Fields // of a body that is whole
+	conn    net.Conn     // that src reads
 
 	users atomic.Int32 // the client's side, and each attempt that sends it
 
 	mu      sync.Mutex
 	begun   bool // an attempt has read from the client: what it read can't be sent again
+	over    bool // and does so no more
+	whole   bool // it has read all
+	failed  bool // the client did not send it
 	stopped bool // no attempt may read any more
 	done    chan error
 }
@@ -74,15 +75,15 @@
 var errStopped = errors.New("the body is not wanted any more")
 
 // NewUpload returns the rest of a body that comes from src, which reads conn. The client's side holds it until it calls Release.
-func NewUpload(room *Spool, conn net.Conn, f http1.Framing) *Upload {
-	u := &Upload{room: room, conn: conn, length: f.Length, known: !f.Chunked, done: make(chan error, 1)}
+func NewUpload(room *Spool, conn net.Conn, f http1.Framing, limits *Limits) *Upload {
+	u := &Upload{room: room, conn: conn, limits: limits, length: f.Length, known: !f.Chunked, done: make(chan error, 1)}
 	u.users.Store(1)
 	return u
 }
 
 // Settle gives the body the length that it turned out to have, if it is whole: before is how much of it stands elsewhere.
 func (u *Upload) Settle(before int) {
-	if !u.Live() && !u.known {
+	if !u.Live() && !u.known && len(u.trailer) == 0 { // a trailer goes behind chunks
 		u.length, u.known = uint64(before)+u.Ahead(), true
 	}
 }
@@ -93,12 +94,9 @@
 // Done tells, once, how the one attempt that read from the client has ended: nil if all was read and written.
 func (u *Upload) Done() <-chan error { return u.done }
 
-// Finish notes, on the client's side, what Done told.
-func (u *Upload) Finish(err error) { u.over, u.whole = true, err == nil }
-
 // Fill reads ahead. It returns once the body is whole, or there is no more room.
 func (u *Upload) Fill(src *http1.Body) error {
-	for range ReadAhead / Block {
+	for range u.limits.Ahead / Block {
 		if !u.room.take(Block) {
 			break
 		}
@@ -109,6 +107,7 @@
 			return err
 		}
 		if src.Ended() {
+			u.trailer = u.limits.Trailer(src)
 			return nil
 		}
 	}
@@ -153,7 +152,24 @@
 func (u *Upload) Live() bool { return u != nil && u.src != nil }
 
 // Unread tells whether the client has still something of the body to send.
-func (u *Upload) Unread() bool { return u.Live() && !u.whole }
+func (u *Upload) Unread() bool {
+	if !u.Live() {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return !u.whole
+}
+
+// Failed tells whether the client has not sent the body that it began.
+func (u *Upload) Failed() bool {
+	if !u.Live() {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.failed
+}
 
 // Spent tells whether the body can't be sent once more.
 func (u *Upload) Spent() bool {
@@ -188,16 +204,15 @@
 	}
 }
 
-// read reads from the client, within its limits of time.
-func (u *Upload) read(b []byte) (int, error) {
+// patient bounds the next read from the client, unless no more is to be read.
+func (u *Upload) patient() error {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	if u.stopped {
-		u.mu.Unlock()
-		return 0, errStopped
+		return ClientFailed{errStopped}
 	}
 	u.conn.SetReadDeadline(time.Now().Add(uploadStall))
-	u.mu.Unlock()
-	return u.src.Read(b)
+	return nil
 }
 
 // ClientFailed says that a body did not come whole from its client.
@@ -205,6 +220,9 @@
 
 func (e ClientFailed) Unwrap() error { return e.error }
 
+// Trailer is what stood behind a body that is whole.
+func (u *Upload) Trailer() http1.Fields { return u.trailer }
+
 // Send writes the rest of a body to an upstream. The last byte is written only if it returns nil.
 func (u *Upload) Send(c net.Conn) (err error) {
 	for _, b := range u.blocks {
@@ -213,28 +231,77 @@
 		}
 	}
 	if !u.Live() {
+		if !u.known {
+			return http1.End(c, u.trailer, slowNode)
+		}
 		return nil
 	}
 	if !u.begin() {
 		return ClientFailed{errStopped}
 	}
-	defer func() { u.done <- err }()
-	b := blocks.Get().(*[Block]byte)
-	defer blocks.Put(b)
-	for began := time.Now(); ; {
-		n, err := u.read(b[:])
-		if werr := http1.Chunk(c, b[:n], !u.known, slowNode); werr != nil {
-			return werr
+	defer func() {
+		u.mu.Lock()
+		u.over, u.whole, u.failed = true, err == nil, errors.As(err, new(ClientFailed))
+		u.mu.Unlock()
+		u.done <- err
+	}()
+	began := time.Now()
+	for err == nil {
+		if time.Since(began) > u.limits.Within {
+			return ClientFailed{ErrSlow}
 		}
-		switch {
-		case errors.Is(err, io.EOF) && !u.known:
-			return http1.End(c, slowNode)
-		case errors.Is(err, io.EOF):
+		if u.known {
+			err = u.forward(c)
+		} else {
+			err = u.copy(c)
+		}
+	}
+	switch {
+	case !errors.Is(err, io.EOF):
+		return err
+	case u.known:
+		return nil
+	default:
+		return http1.End(c, u.limits.Trailer(u.src), slowNode)
+	}
+}
+
+// forward moves a part of a body whose length is known. Bytes that a write has timed out on are lost in the system's pipe, so only
+// a read may time out and go on.
+func (u *Upload) forward(c net.Conn) error {
+	if err := u.patient(); err != nil {
+		return err
+	}
+	limit := time.Now().Add(slowPart)
+	c.SetWriteDeadline(limit)
+	n, err := u.src.Forward(c, partMost)
+	switch {
+	case err == nil, errors.Is(err, io.EOF):
+		return err
+	case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(limit): // the client's
+		if n > 0 {
 			return nil
-		case err != nil:
-			return ClientFailed{err}
-		case time.Since(began) > Most:
-			return ClientFailed{ErrSlow}
 		}
+		return ClientFailed{err}
+	case errors.Is(err, io.ErrUnexpectedEOF), http1.Ended(u.conn):
+		return ClientFailed{err}
+	}
+	return err
+}
+
+// copy moves a part of a body whose length is not known.
+func (u *Upload) copy(c net.Conn) error {
+	if err := u.patient(); err != nil {
+		return err
+	}
+	b := blocks.Get().(*[Block]byte)
+	defer blocks.Put(b)
+	n, err := u.src.Read(b[:])
+	if werr := http1.Chunk(c, b[:n], true, slowNode); werr != nil {
+		return werr
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return ClientFailed{err}
 	}
+	return err
 }
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"clayladder/internal/body"
@@ -11,10 +13,47 @@
 	"clayladder/internal/pool"
 )
 
-// pacer sets a connection's limits of time while a request is read from it.
+// pacer sets a connection's limits of time. To set one costs as much as a good part of a request, so one that stands serves for as
+// long as it is about right.
 type pacer struct {
 	net.Conn
-	until time.Time // for the request; zero: no limits are set here
+	until  time.Time // for the request that is being read; zero: no limits are set here
+	writes time.Time // limit of writing that stands
+
+	mu    sync.Mutex
+	reads time.Time // limit of reading that stands; zero: none
+}
+
+// SetReadDeadline bounds what is read next.
+func (p *pacer) SetReadDeadline(at time.Time) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads = at
+	return p.Conn.SetReadDeadline(at)
+}
+
+// SetWriteDeadline bounds what is written next. It is called by who writes.
+func (p *pacer) SetWriteDeadline(at time.Time) error {
+	p.writes = at
+	return p.Conn.SetWriteDeadline(at)
+}
+
+// rest lets a connection idle for a time, or for a little longer.
+func (p *pacer) rest(d time.Duration) {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reads.Before(now.Add(d)) {
+		p.reads = now.Add(d + d/8)
+		p.Conn.SetReadDeadline(p.reads)
+	}
+}
+
+// writeWithin bounds what is written next, by the time given or up to twice that.
+func (p *pacer) writeWithin(d time.Duration) {
+	if now := time.Now(); p.writes.Before(now.Add(d)) {
+		p.SetWriteDeadline(now.Add(2 * d))
+	}
 }
 
 // extend gives a body of so many bytes the time that it may take, however slowly it comes.
@@ -32,7 +71,7 @@
 	if p.until.Before(limit) {
 		limit = p.until
 	}
-	p.Conn.SetReadDeadline(limit)
+	p.SetReadDeadline(limit)
 	n, err := p.Conn.Read(b)
 	if err != nil {
 		p.until = time.Unix(0, 1) // bufio asks again after an error behind half a line: that must not begin a new wait
@@ -41,138 +80,222 @@
 }
 
 // client is a client's connection. Its stage is the Front's, under its lock.
+//
+// Two goroutines serve it. The reader waits for a request, reads it and hands it to its pool, and then waits for the next one or
+// for the client to leave; the writer gives each request its one answer. So a request costs each of them one turn. Who of the two
+// has the connection's other side is told by the state, which only one of them can move on from waiting.
 type client struct {
 	*http1.Stream
-	pace  *pacer
-	stage stage
-	reads bool          // a request is being read
-	since time.Time     // of the stage
-	watch chan struct{} // asks the watcher to look for a byte or the end
-	seen  chan error    // what it saw
-	asked bool          // it looks, and has the reader until it has seen something
-}
-
-// watcher sees the client leave while its request is answered. Once that is done it goes on looking, for the next request.
-func (c *client) watcher() {
-	for range c.watch {
-		err := c.Wait()
-		c.seen <- err
+	pace    *pacer
+	stage   stage
+	reads   bool      // a request is being read
+	since   time.Time // of the stage
+	state   atomic.Int32
+	call    Call             // the reader's, and from waiting on the writer's
+	last    bool             // the client wants the connection closed behind the answer
+	answers chan pool.Answer // holds the one answer to the call, where the writer waits
+	done    chan bool        // the writer has answered; false: the connection ends
+}
+
+// The states of a client's connection.
+const (
+	free      int32 = iota // no request is with a pool
+	waiting                // one is
+	answering              // its answer has come: what the client sends is the next request
+	cut                    // the reader has ended it: no answer is written
+)
+
+// take lets the reader or the writer have the request that a pool has: one of them, once.
+func (c *client) take(state int32) bool { return c.state.CompareAndSwap(waiting, state) }
+
+// patient lets the reader wait for as long as a pool has the request, whatever limit stood before. It fails once the answer has
+// come, so that it never undoes a limit which the writer has set since.
+func (c *client) patient() bool {
+	c.pace.mu.Lock()
+	defer c.pace.mu.Unlock()
+	if c.state.Load() != waiting {
+		return false
 	}
+	c.pace.reads = time.Time{}
+	c.pace.Conn.SetReadDeadline(time.Time{})
+	return true
 }
 
+func timedOut(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
+// wake ends the reader's wait for bytes.
+func (c *client) wake() { c.SetReadDeadline(time.Unix(0, 1)) }
+
 // converse serves a connection until one side ends it. Clients send one request at a time.
 func (f *Front) converse(c *client) {
-	c.watch, c.seen = make(chan struct{}), make(chan error, 1)
-	go c.watcher()
-	defer close(c.watch)
-	for {
-		if err := c.await(); err != nil {
-			f.pass(c, err)
-			return
-		}
-		if !f.enter(c, silent) {
-			return
+	c.answers, c.done = make(chan pool.Answer, 1), make(chan bool, 1)
+	quit := make(chan struct{})
+	defer close(quit)
+	go f.writer(c, quit)
+	for asked := false; ; {
+		c.Limit(http1.MaxHead)
+		err := c.Wait()
+		if asked {
+			if timedOut(err) && c.patient() {
+				continue
+			}
+			if c.take(cut) {
+				f.left(c, err)
+				return
+			}
+			if !<-c.done {
+				c.leave()
+				return
+			}
 		}
-		c.pace.until = time.Now().Add(slowClient)
-		call, h, err := f.read(c)
-		c.pace.until = time.Time{}
 		if err != nil {
-			f.turnAway(c, err)
+			f.pass(c, err)
 			return
 		}
-		if !f.enter(c, busy) {
+		var goOn bool
+		if asked, goOn = f.request(c); !goOn {
 			return
 		}
-		a, err := f.ask(c, call)
+	}
+}
+
+// request reads a request and hands it to its pool, or answers it here. It tells whether the writer has it now, and whether the
+// connection goes on.
+func (f *Front) request(c *client) (asked, goOn bool) {
+	if !f.enter(c, silent) {
+		return false, false
+	}
+	c.pace.until = time.Now().Add(slowClient)
+	call, h, err := f.read(c)
+	c.pace.until = time.Time{}
+	if err != nil {
+		f.turnAway(c, err)
+		return false, false
+	}
+	if !f.enter(c, busy) {
+		return false, false
+	}
+	c.last = http1.Closes(h)
+	if call == nil {
+		return false, f.answer(c, f.health(), c.last)
+	}
+	q := call.Asked()
+	q.Reply, c.call = c.answers, call
+	c.state.Store(waiting)
+	refused, err := call.Enter()
+	if err != nil || refused.Status != 0 {
+		c.state.Store(free)
+		if q.Message.Rest != nil {
+			defer q.Message.Rest.Release()
+		}
 		if err != nil {
 			f.turnAway(c, err)
-			return
-		}
-		var rest *body.Upload
-		if call != nil {
-			rest = call.Asked().Message.Rest
-		}
-		unread := rest.Unread()
-		last := http1.Closes(h) || f.isLeaving() || a.Status == http.StatusConflict || unread
-		if a.Status == 0 || c.write(a, last) != nil {
-			return
+			return false, false
 		}
-		if unread { // closed at once, the connection would be reset and the answer lost
-			rest.Stop()
-			c.farewell(slowClient, http1.MaxStream)
-		}
-		if last || !f.enter(c, idle) {
-			return
+		if !f.answer(c, refused, c.last || q.Message.Rest.Live()) {
+			c.leave()
+			return false, false
 		}
+		return false, true
+	}
+	if q.Message.Rest.Live() {
+		return true, f.sending(c, q.Message.Rest)
 	}
+	return true, true
 }
 
-// await returns when the first byte of the next request has come.
-func (c *client) await() error {
-	if c.asked {
-		c.asked = false
-		return <-c.seen
+// sending waits while a body goes on as it comes, since until then nobody else may read the connection.
+func (f *Front) sending(c *client, rest *body.Upload) bool {
+	select {
+	case goOn := <-c.done: // answered before the body was in
+		c.done <- goOn
+	case err := <-rest.Done():
+		if failed := (body.ClientFailed{}); errors.As(err, &failed) && c.take(cut) {
+			c.drop()
+			f.turnAway(c, failed.Unwrap())
+			return false
+		}
+	}
+	if rest.Unread() { // the writer ends the connection, and nothing more is read for a pool
+		<-c.done
+		c.leave()
+		return false
 	}
-	c.Limit(http1.MaxHead)
-	return c.Wait()
+	return true
 }
 
-// ask gets the answer to a request, or to a question after this balancer's health if there is none. A status of 0
-// means that the client has gone.
-func (f *Front) ask(c *client, call Call) (pool.Answer, error) {
-	if call == nil {
-		if f.isLeaving() {
-			return pool.Answer{Status: http.StatusServiceUnavailable, Body: []byte("draining\n"), Kind: "text/plain"}, nil
-		}
-		f.desk.Alive()
-		return pool.Answer{Status: http.StatusOK, Body: []byte("ok\n"), Kind: "text/plain"}, nil
+// left ends a request whose client has gone, or sends what may not be sent before its answer.
+func (f *Front) left(c *client, err error) {
+	c.drop()
+	if err == nil {
+		f.turnAway(c, errAhead)
 	}
-	q := call.Asked()
-	rest := q.Message.Rest
-	if rest != nil {
-		defer rest.Release()
+}
+
+// drop lets go of the request that a pool has.
+func (c *client) drop() {
+	c.call.Asked().Left()
+	c.release()
+}
+
+// release counts the call out.
+func (c *client) release() {
+	if rest := c.call.Asked().Message.Rest; rest != nil {
+		rest.Release()
 	}
-	if refused, err := call.Enter(); err != nil || refused.Status != 0 {
-		return refused, err
+	c.call.Leave()
+}
+
+// leave ends a connection behind an answer. What the client still sends is read for a while: closed at once, the connection would
+// be reset and the answer lost.
+func (c *client) leave() {
+	if rest := c.call.Asked().Message.Rest; rest.Unread() {
+		rest.Stop()
+		c.farewell(slowClient, farewellLong)
 	}
-	defer call.Leave()
-	if rest.Live() {
+}
+
+// writer writes the answer to each request that a pool has, until quit is closed.
+func (f *Front) writer(c *client, quit <-chan struct{}) {
+	for {
+		var a pool.Answer
 		select {
-		case a := <-q.Reply: // before the body was in
-			return a, nil
-		case err := <-rest.Done():
-			rest.Finish(err)
-			if failed := (body.ClientFailed{}); errors.As(err, &failed) {
-				q.Left()
-				return pool.Answer{}, failed.Unwrap()
-			}
-			if err != nil {
-				return <-q.Reply, nil
-			}
+		case a = <-c.answers:
+		case <-quit:
+			return
 		}
-	}
-	c.SetReadDeadline(time.Time{})
-	c.Limit(http1.MaxHead)
-	c.watch <- struct{}{}
-	c.asked = true
-	select {
-	case a := <-q.Reply:
-		select {
-		case err := <-c.seen:
+		rest := c.call.Asked().Message.Rest
+		if rest.Failed() || !c.take(answering) { // the reader ends the connection
 			a.More.Abandon()
-			if c.asked = false; err == nil {
-				return pool.Answer{}, errAhead
-			}
-			return pool.Answer{}, nil
-		default:
-			return a, nil
+			continue
 		}
-	case err := <-c.seen:
-		c.asked = false
-		q.Left()
-		if err == nil {
-			return pool.Answer{}, errAhead
+		unread := rest.Unread()
+		c.release()
+		goOn := f.answer(c, a, c.last || a.Status == http.StatusConflict || unread)
+		if goOn {
+			c.state.Store(free)
 		}
-		return pool.Answer{}, nil
+		c.done <- goOn
+		if !goOn {
+			c.wake()
+		}
+	}
+}
+
+// answer writes an answer, and tells whether the connection goes on.
+func (f *Front) answer(c *client, a pool.Answer, last bool) bool {
+	last = last || f.isLeaving()
+	return c.write(a, last) == nil && !last && f.enter(c, idle)
+}
+
+// health is the answer to a question after this balancer's health.
+func (f *Front) health() pool.Answer {
+	if f.isLeaving() {
+		return pool.Answer{Status: http.StatusServiceUnavailable, Body: []byte("draining\n"), Kind: "text/plain"}
 	}
+	f.desk.Alive()
+	return pool.Answer{Status: http.StatusOK, Body: []byte("ok\n"), Kind: "text/plain"}
 }
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -37,6 +37,7 @@
 	// away: closed at once, the connection would be reset and the answer lost with it.
 	farewellFor  = 300 * time.Millisecond
 	farewellMost = 256 << 10
+	farewellLong = 48 << 20 // where the client has not sent its body to the end
 	// spoolMost is what all clients' bodies may take ahead of their attempts, in bytes, where nothing else is set.
 	spoolMost = 16 << 20
 	// readBuffer is what a client's connection is read into, in bytes.
@@ -137,7 +138,7 @@
 		return
 	}
 	if f.heir != nil {
-		c.SetReadDeadline(time.Unix(0, 1))
+		c.wake()
 	}
 	f.clients[c] = struct{}{}
 	f.count[c.stage]++
@@ -206,9 +207,10 @@
 	f.move(c, s)
 	c.reads = s == silent
 	if s == idle {
-		c.SetReadDeadline(time.Now().Add(idleClient))
 		if f.heir != nil {
-			c.SetReadDeadline(time.Unix(0, 1))
+			c.wake()
+		} else {
+			c.pace.rest(idleClient)
 		}
 	}
 	if s == idle && f.spare > 0 && f.count[idle]+f.count[busy] > f.spare {
@@ -244,7 +246,7 @@
 	f.listener.Close()
 	for c := range f.clients {
 		if c.stage == idle || (c.stage == silent && !c.reads) {
-			c.SetReadDeadline(time.Unix(0, 1)) // ends its wait
+			c.wake() // ends its wait
 		}
 	}
 	f.mu.Unlock()
@@ -258,7 +260,7 @@
 	f.mu.Lock()
 	heir := f.heir
 	f.mu.Unlock()
-	if timeout := net.Error(nil); heir == nil || !errors.As(err, &timeout) || !timeout.Timeout() || c.Buffered() > 0 {
+	if heir == nil || !timedOut(err) || c.Buffered() > 0 {
 		return
 	}
 	if err := heir.Send(handover.Message{Kind: handover.Client}, c.pace.Conn.(syscall.Conn)); err != nil {
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -14,13 +14,15 @@
 
 // readBody reads a body, or the part of it that is read ahead.
 func (f *Front) readBody(c *client, q *pool.Request, framed http1.Framing) (err error) {
-	src := c.Body(framed)
+	limits := q.Message.Most()
+	src := c.Body(framed, limits.Request)
 	c.pace.extend(maxBody)
 	if q.Message.Body, err = src.UpTo(maxBody); err != nil || src.Ended() {
+		q.Message.Trailer = limits.Trailer(src)
 		return err
 	}
-	rest := body.NewUpload(&f.spool, c.pace, framed)
-	c.pace.extend(body.ReadAhead)
+	rest := body.NewUpload(&f.spool, c.pace, framed, limits)
+	c.pace.extend(limits.Ahead)
 	if err := rest.Fill(src); err != nil {
 		rest.Release()
 		return err
@@ -70,7 +72,7 @@
 	q := call.Asked()
 	framed, some, err := http1.FramingOf(h)
 	switch {
-	case errors.Is(err, http1.ErrLarge):
+	case errors.Is(err, http1.ErrLarge), err == nil && framed.Length > uint64(q.Message.Most().Request):
 		return nil, nil, &Refusal{http.StatusRequestEntityTooLarge, "a body of that length is not taken"}
 	case err != nil && !h.Has("Content-Length"): // RFC 9112, section 6.1
 		return nil, nil, &Refusal{http.StatusNotImplemented, "of transfer codings, chunked is known"}
--- a/internal/edge/write.go
+++ b/internal/edge/write.go
@@ -20,7 +20,7 @@
 		return
 	}
 	r := &Refusal{http.StatusBadRequest, err.Error()}
-	if timeout := net.Error(nil); errors.As(err, &timeout) && timeout.Timeout() {
+	if timedOut(err) {
 		r = &Refusal{http.StatusRequestTimeout, "the request did not come whole in time"}
 	} else if errors.Is(err, body.ErrSlow) {
 		r.Status = http.StatusRequestTimeout
@@ -59,7 +59,7 @@
 	http1.WriteFields(b, a.Header)
 	switch {
 	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified: // end with their head (RFC 9112, section 6.3)
-	case a.More != nil && a.More.Framed():
+	case a.More != nil && a.More.Framed(), len(a.Trailer) > 0:
 		field("Transfer-Encoding: ", "chunked")
 	case a.More != nil:
 		field("Content-Length: ", strconv.FormatUint(a.More.Length(), 10))
@@ -80,8 +80,13 @@
 		field("Connection: ", "close")
 	}
 	b.WriteString("\r\n")
-	b.Write(a.Body)
-	c.SetWriteDeadline(time.Now().Add(slowReader))
+	if len(a.Trailer) > 0 && a.More == nil {
+		http1.WriteChunk(b, a.Body)
+		http1.WriteEnd(b, a.Trailer)
+	} else {
+		b.Write(a.Body)
+	}
+	c.pace.writeWithin(slowReader)
 	if _, err := c.Write(b.Bytes()); err != nil || a.More == nil {
 		a.More.Abandon()
 		return err
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -7,11 +7,9 @@
 	"net"
 	"net/http/httputil"
 	"strings"
+	"syscall"
 )
 
-// MaxStream bounds bodies and answers that go on as they come, in bytes.
-const MaxStream = 48 << 20
-
 // Framing says where a body ends (RFC 9112, section 6.3).
 type Framing struct {
 	Length  uint64
@@ -36,7 +34,7 @@
 		switch {
 		case !ok && (text == "" || strings.Trim(text, "0123456789") != ""):
 			return f, true, ErrFrame
-		case !ok || n > MaxStream:
+		case !ok || n > math.MaxInt64:
 			return f, true, ErrLarge
 		}
 		return Framing{Length: n}, true, nil
@@ -55,14 +53,14 @@
 	trailer Fields
 }
 
-// Body returns the reader of a message's body, whose head has been read.
-func (s *Stream) Body(f Framing) *Body {
+// Body returns the reader of a message's body, whose head has been read. One of no known length may have most bytes.
+func (s *Stream) Body(f Framing, most int64) *Body {
 	b := &Body{s: s, f: f, left: f.Length}
 	s.bound.N = math.MaxInt64 // bounded by what is left
 	if f.Chunked {
-		b.chunks, b.left = httputil.NewChunkedReader(s.in), MaxStream
+		b.chunks, b.left = httputil.NewChunkedReader(s.in), uint64(most)
 	} else if f.ToClose {
-		b.left = MaxStream
+		b.left = uint64(most)
 	}
 	return b
 }
@@ -107,6 +105,65 @@
 
 func (b *Body) chunked() bool { return b.chunks != nil }
 
+// Forward moves up to most bytes of a body of known length to a connection, from socket to socket where the system can (splice(2)).
+// It returns io.EOF once the body has ended. What limits of time it meets are those that stand on both connections.
+func (b *Body) Forward(to net.Conn, most int64) (n int64, err error) {
+	if b.err != nil {
+		return 0, b.err
+	}
+	defer func() {
+		if b.left -= uint64(n); err == nil && b.left == 0 {
+			err = io.EOF
+		}
+	}()
+	most = min(most, int64(b.left))
+	if ready := int64(b.s.Buffered()); ready > 0 {
+		p, _ := b.s.in.Peek(int(min(ready, most))) // they are there
+		m, err := to.Write(p)
+		b.s.in.Discard(m)
+		return int64(m), err
+	}
+	if most == 0 {
+		return 0, nil
+	}
+	n, err = io.Copy(under(to), io.LimitReader(under(b.s.Conn), most))
+	if err == nil && n < most {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// Ended looks, without waiting and without taking anything, whether the other side has closed or broken a connection.
+func Ended(c net.Conn) bool {
+	x, ok := under(c).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := x.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var n int
+	var failed error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		n, _, failed = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return true
+	})
+	return err == nil && n <= 0 && !errors.Is(failed, syscall.EAGAIN)
+}
+
+// under is the connection below c: one that io.Copy finds a way to move bytes from or to without reading them.
+func under(c net.Conn) net.Conn {
+	for {
+		x, ok := c.(interface{ Under() net.Conn })
+		if !ok {
+			return c
+		}
+		c = x.Under()
+	}
+}
+
 // Ended tells whether the whole body has been read. It may wait for the end that a frame has.
 func (b *Body) Ended() bool {
 	return b.err == io.EOF || (b.chunks == nil && !b.f.ToClose && b.left == 0)
@@ -116,4 +173,14 @@
 func (b *Body) Trailer() Fields { return b.trailer }
 
 // UpTo reads so many bytes, or fewer if the body ends there. Memory grows with what comes, not with what was claimed.
-func (b *Body) UpTo(n int) ([]byte, error) { return io.ReadAll(io.LimitReader(b, int64(n))) }
+func (b *Body) UpTo(n int) ([]byte, error) {
+	if size := b.left; !b.chunked() && !b.f.ToClose && size <= small && size <= uint64(n) {
+		p := make([]byte, size)
+		_, err := io.ReadFull(b, p)
+		return p, err
+	}
+	return io.ReadAll(io.LimitReader(b, int64(n)))
+}
+
+// small is up to how many bytes a body's memory is made before it has come.
+const small = 4 << 10
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -20,7 +20,7 @@
 		return "", nil, err
 	}
 	line, text, _ = strings.Cut(text, "\r\n")
-	if i := strings.IndexFunc(line, control); i >= 0 {
+	if controlled(line) {
 		return "", nil, fmt.Errorf("%w: a control character in the first line", ErrHead)
 	}
 	h, err = parseFields(text)
@@ -74,29 +74,47 @@
 	}
 	h := make(Fields, 0, n+1) // a desk may add one
 	for text != "" {
-		var line string
-		line, text, _ = strings.Cut(text, "\r\n")
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || name == "" || strings.IndexFunc(name, notToken) >= 0 {
+		end := strings.IndexByte(text, '\n')
+		line := text[:end-1] // without its CR
+		text = text[end+1:]
+		colon := 0
+		for colon < len(line) && kinds[line[colon]]&token != 0 {
+			colon++
+		}
+		if colon == 0 || colon == len(line) || line[colon] != ':' {
 			return nil, fmt.Errorf("%w: %.40q is no field", ErrHead, line)
 		}
-		value = strings.Trim(value, " \t")
-		if strings.IndexFunc(value, control) >= 0 {
-			return nil, fmt.Errorf("%w: a control character in %.40s", ErrHead, name)
+		value := strings.Trim(line[colon+1:], " \t")
+		if controlled(value) {
+			return nil, fmt.Errorf("%w: a control character in %.40s", ErrHead, line[:colon])
 		}
-		h = append(h, Field{name, value})
+		h = append(h, Field{line[:colon], value})
 	}
 	return h, nil
 }
 
-func control(r rune) bool { return (r < ' ' && r != '\t') || r == 0x7f }
+// The kinds of a byte in a head.
+const (
+	token   = 1 << iota // of a token (RFC 9110, section 5.6.2)
+	control             // none that a value may have (section 5.5)
+)
 
-// tokens are the characters of a token (RFC 9110, section 5.6.2).
-var tokens = func() (is [128]bool) {
+var kinds = func() (is [256]uint8) {
 	for _, c := range "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ" {
-		is[c] = true
+		is[c] = token
+	}
+	for c := range ' ' {
+		is[c] = control
 	}
+	is['\t'], is[0x7f] = 0, control
 	return is
 }()
 
-func notToken(r rune) bool { return r >= 128 || !tokens[r] }
+func controlled(text string) bool {
+	for i := range len(text) {
+		if kinds[text[i]]&control != 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -48,6 +48,9 @@
 	return s
 }
 
+// Under is the connection that is read.
+func (s *Stream) Under() net.Conn { return s.Conn }
+
 // Limit bounds what may still be read off the connection, in bytes.
 func (s *Stream) Limit(bytes int64) { s.bound.N = bytes }
 
--- a/internal/http1/stream_test.go
+++ b/internal/http1/stream_test.go
@@ -39,7 +39,7 @@
 		if err != nil {
 			return
 		}
-		body, err := io.ReadAll(s.Body(framed))
+		body, err := io.ReadAll(s.Body(framed, 48<<20))
 		if err != nil {
 			return
 		}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -26,13 +26,34 @@
 	return err
 }
 
-// End writes the last chunk of a body that is framed by chunks.
-func End(c net.Conn, within time.Duration) error {
+// End writes the last chunk of a body that is framed by chunks, and its trailer.
+func End(c net.Conn, trailer Fields, within time.Duration) error {
+	b := Buffer()
+	defer Done(b)
+	WriteEnd(b, trailer)
 	c.SetWriteDeadline(time.Now().Add(within))
-	_, err := c.Write([]byte(LastChunk))
+	_, err := c.Write(b.Bytes())
 	return err
 }
 
+// WriteEnd writes the last chunk of a body and its trailer.
+func WriteEnd(b *bytes.Buffer, trailer Fields) {
+	b.WriteString("0\r\n")
+	WriteFields(b, trailer)
+	b.WriteString("\r\n")
+}
+
+// WriteChunk writes a part of a body as a chunk.
+func WriteChunk(b *bytes.Buffer, part []byte) {
+	if len(part) == 0 { // an empty chunk would be the last
+		return
+	}
+	b.WriteString(strconv.FormatInt(int64(len(part)), 16))
+	b.WriteString("\r\n")
+	b.Write(part)
+	b.WriteString("\r\n")
+}
+
 var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // Buffer returns an empty buffer. Done gives it back.
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -143,7 +143,7 @@
 	l.alarms.unset(&a.limit)
 	q, now := a.req, l.now()
 	if r.Status == clayladder.OK && !q.closed {
-		l.answer(q, Answer{Status: r.Code, Body: r.Body, Kind: r.Kind, Header: r.Header, More: r.More})
+		l.answer(q, Answer{Status: r.Code, Body: r.Body, Kind: r.Kind, Header: r.Header, Trailer: r.Trailer, More: r.More})
 	}
 	if r.Status != clayladder.OK && !q.closed && q.Message.Rest.Spent() { // the module can't send it anew
 		if r.Status == clayladder.Full || r.Status == clayladder.ConnectFailed || r.Status == clayladder.Moot {
--- a/internal/pool/directory.go
+++ b/internal/pool/directory.go
@@ -25,9 +25,9 @@
 type sharing struct {
 	directory *Directory
 	pool      string
-	mail      chan map[string]nodeshare.Share // the newest shares; what was not read in time is replaced
-	weight    float64                         // the loop's, as are those below
-	own       bool                            // drains that other pools were told do not count here
+	hand      func(event) // to the loop
+	weight    float64     // the loop's, as are those below
+	own       bool        // drains that other pools were told do not count here
 	claimed   map[string]bool
 }
 
@@ -52,11 +52,7 @@
 // tell sends all pools their shares.
 func (d *directory) tell() {
 	for name, s := range d.pools {
-		select { // only this goroutine writes: room that has been made stays
-		case <-s.mail:
-		default:
-		}
-		s.mail <- d.ledger.Shares(name)
+		s.hand(sharesTold(d.ledger.Shares(name)))
 	}
 }
 
@@ -73,22 +69,15 @@
 }
 
 // join returns a new pool's tie; a nil directory has none.
-func (d *Directory) join(pool string, weight float64, own bool) *sharing {
+func (d *Directory) join(pool string, weight float64, own bool, hand func(event)) *sharing {
 	if d == nil {
 		return nil
 	}
-	s := &sharing{directory: d, pool: pool, weight: weight, own: own, mail: make(chan map[string]nodeshare.Share, 1)}
+	s := &sharing{directory: d, pool: pool, weight: weight, own: own, hand: hand}
 	d.ask(func(state *directory) { state.pools[pool] = s })
 	return s
 }
 
-func (s *sharing) news() <-chan map[string]nodeshare.Share {
-	if s == nil {
-		return nil
-	}
-	return s.mail
-}
-
 func (s *sharing) claim(nodes map[string]bool) {
 	if s.claimed != nil && maps.Equal(nodes, s.claimed) {
 		return
@@ -122,8 +111,10 @@
 	l.shares.claim(nodes)
 }
 
-// shared applies new shares.
-func (l *loop) shared(told map[string]nodeshare.Share) {
+// sharesTold are new shares, by the nodes' addresses.
+type sharesTold map[string]nodeshare.Share
+
+func (told sharesTold) apply(l *loop) {
 	l.told = told
 	var changed []clayladder.Upstream
 	for _, p := range l.peers {
@@ -139,6 +130,7 @@
 	if len(changed) > 0 {
 		l.balancer.Members(l.now(), clayladder.ListDelta, changed)
 	}
+	l.settle()
 }
 
 // most is how many attempts may be out at p: as many as connections that are shared out to this pool, less those that are
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -22,8 +22,7 @@
 type loop struct {
 	balancer  *clayladder.Balancer
 	ctx       context.Context
-	events    chan event
-	urgent    chan event // taken before any other: no send after a drain that has been told, and staff have their answer under any load
+	mail      *mailbox
 	logs      chan string
 	origin    time.Time
 	epoch     time.Duration
@@ -60,7 +59,7 @@
 var _ clayladder.Host = (*loop)(nil)
 
 func newLoop(ctx context.Context, c Spec) *loop {
-	l := &loop{ctx: ctx, events: make(chan event, 1024), urgent: make(chan event, 4), logs: make(chan string, logQueue),
+	l := &loop{ctx: ctx, mail: newMailbox(), logs: make(chan string, logQueue),
 		origin: time.Now(), names: discovery.NewNames(), requests: map[clayladder.RequestID]*Request{}, open: map[string]bool{},
 		peers: map[clayladder.UpstreamID]*peer{}}
 	l.limit(c)
@@ -81,21 +80,12 @@
 
 func (l *loop) now() time.Duration { return l.epoch + time.Since(l.origin) }
 
-// post tells the loop of an event. It may wait; the loop never waits for who posts.
-func (l *loop) post(e event) {
-	select {
-	case l.events <- e:
-	case <-l.ctx.Done(): // it has ended, with nothing owed
-	}
-}
+// post tells the loop of an event.
+func (l *loop) post(e event) { l.mail.post(e) }
 
-// hand tells the loop of what goes before all else: an answer of discovery, a list from elsewhere, a call of the staff.
-func (l *loop) hand(x event) {
-	select {
-	case l.urgent <- x:
-	case <-l.ctx.Done():
-	}
-}
+// hand tells the loop of what goes before all else: an answer of discovery, a list from elsewhere, a call of the staff. So nothing
+// is sent after a drain that has been told, and staff have their answer under any load.
+func (l *loop) hand(x event) { l.mail.hand(x) }
 
 // start makes the Balancer and tells it the upstreams that were known before; nil if nothing was.
 func (l *loop) start(seed uint64, known *discovery.Listing) error {
@@ -115,40 +105,57 @@
 	return nil
 }
 
+// batchMost bounds how many events are taken before alarms are looked at.
+const batchMost = 64
+
 // run handles events until the context ends.
 func (l *loop) run() {
 	go l.writeLogs()
 	clock := time.NewTimer(0)
+	armed := l.now() // when the clock goes off
+	var batch, spare []event
 	for {
-		select { // what is urgent goes first
-		case x := <-l.urgent:
-			x.apply(l)
+		l.rush()
+		l.ring()
+		if len(batch) == 0 {
+			clear(spare) // what has been handled must not be held
+			batch = l.mail.take(spare)
+			spare = batch
+		}
+		if len(batch) > 0 {
+			n := min(len(batch), batchMost)
+			for _, e := range batch[:n] {
+				l.rush()
+				e.apply(l)
+				l.settle()
+			}
+			batch = batch[n:]
+			if l.ctx.Err() != nil {
+				return
+			}
 			continue
-		default:
 		}
-		l.ring()
-		if at, some := l.alarms.next(); some {
+		if at, some := l.alarms.next(); some && (at < armed || armed <= l.now()) {
+			armed = at
 			clock.Reset(max(0, at-l.now()))
 		}
 		select {
-		case x := <-l.urgent:
-			x.apply(l)
-		case e := <-l.events:
-			if len(l.urgent) > 0 {
-				(<-l.urgent).apply(l)
-			}
-			e.apply(l)
-			l.settle()
-		case x := <-l.shares.news():
-			l.shared(x)
-			l.settle()
+		case <-l.mail.ready:
 		case <-clock.C:
+			armed = 0
 		case <-l.ctx.Done():
 			return
 		}
 	}
 }
 
+// rush handles what is urgent.
+func (l *loop) rush() {
+	for _, x := range l.mail.rush() {
+		x.apply(l)
+	}
+}
+
 // ring lets the alarms go off that are due.
 func (l *loop) ring() {
 	for a := l.alarms.due(l.now()); a != nil; a = l.alarms.due(l.now()) {
--- a/internal/pool/loop_test.go
+++ b/internal/pool/loop_test.go
@@ -70,17 +70,25 @@
 	arrived{r}.apply(h.loop)
 	h.settle()
 	for len(h.requests) > 0 || h.busy() {
-		select {
-		case e := <-h.events:
-			e.apply(h.loop)
-			h.settle()
-		case <-time.After(10 * time.Second):
-			h.t.Fatal("nothing happens")
-		}
+		h.turn()
 	}
 	return <-r.Reply
 }
 
+// turn waits for events and handles them.
+func (h *hand) turn() {
+	h.t.Helper()
+	select {
+	case <-h.mail.ready:
+	case <-time.After(10 * time.Second):
+		h.t.Fatal("nothing happens")
+	}
+	for _, e := range h.mail.take(nil) {
+		e.apply(h.loop)
+		h.settle()
+	}
+}
+
 func (h *hand) busy() bool {
 	for _, p := range h.peers {
 		if len(p.out) > 0 {
@@ -215,7 +223,7 @@
 	h.list(21, up("s-00000002", s))
 	want(t, "upstreams while it is out", len(h.peers), 2)
 	close(release)
-	(<-h.events).apply(h.loop)
+	h.turn()
 	want(t, "answer", (<-r.Reply).Status, 200)
 	want(t, "upstreams", len(h.peers), 1)
 	want(t, "connections", h.conns, 0)
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -34,6 +34,7 @@
 	Kind       string         // the body's Content-Type
 	Header     http1.Fields   // an upstream's, where all of it is passed on
 	RetryAfter time.Duration  // 0: nothing is said of it
+	Trailer    http1.Fields   // of a whole answer
 	More       *body.Download // what of the body goes on as it comes; nil: it is whole
 	Whole      bool           // RetryAfter goes out in whole seconds, as RFC 9110 (section 10.2.3) has it
 }
@@ -58,7 +59,7 @@
 	now := l.now()
 	r.Budget = max(0, r.deadline-now)
 	if r.Message.Rest.Live() { // it counts from its last byte, and that is still with the client
-		r.deadline = now + body.Most
+		r.deadline = now + r.Message.Most().Within
 	}
 	if l.expired(now) { // what the list says is too old to go by
 		l.answer(r, Answer{Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, l.settings.Limits.MaxRetry)})
--- a/internal/proxy/desk.go
+++ b/internal/proxy/desk.go
@@ -92,7 +92,7 @@
 	case (class.Repeat == clayladder.Keyed) != (key != ""), key == "" && h.Has("Idempotency-Key"):
 		return nil, edge.Bad("Idempotency-Key does not fit the class")
 	}
-	q := &platformCall{pool: d.pool, asked: asked{Request: pool.Request{Name: id, Reply: make(chan pool.Answer, 1)}}}
+	q := &platformCall{pool: d.pool, asked: asked{Request: pool.Request{Name: id}}}
 	if err := q.describe(h); err != nil {
 		return nil, err
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"clayladder/internal/body"
 	"clayladder/internal/discovery"
 	"clayladder/internal/edge"
 	"clayladder/internal/http1"
@@ -201,7 +202,7 @@
 func TestMalformedRequestsStayOutside(t *testing.T) {
 	s := scripted.Start(t, scripted.Done)
 	b := newBalancer(t, up("s-00000001", s))
-	big := strings.Repeat("x", http1.MaxStream+1)
+	big := strings.Repeat("x", int(body.Usual.Request)+1)
 	get := b.ask("checkin", "")
 	get.Method = http.MethodGet
 	noID := b.ask("checkin", "")
--- a/internal/proxy/routing.go
+++ b/internal/proxy/routing.go
@@ -101,7 +101,7 @@
 			return nil, edge.Bad("%v", err)
 		}
 	}
-	q := &routed{desk: d, asked: asked{Request: pool.Request{Name: h.Get("X-Request-Id"), Reply: make(chan pool.Answer, 1)}}}
+	q := &routed{desk: d, asked: asked{Request: pool.Request{Name: h.Get("X-Request-Id")}}}
 	if !h.Has("X-Request-Id") {
 		q.Name = newID()
 		h.Add("X-Request-Id", q.Name)
--- a/internal/proxy/routing_test.go
+++ b/internal/proxy/routing_test.go
@@ -104,6 +104,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			q.Asked().Reply = make(chan pool.Answer, 1)
 			all = append(all, q.(*routed))
 		}
 		return all
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -53,7 +53,7 @@
 
 // Bodies and answers of any size and framing come through unchanged, and the connections serve again.
 func TestAnySizeComesThrough(t *testing.T) {
-	for _, size := range []int{0, 1, body.Whole, body.Whole + 1, body.Whole + body.ReadAhead, body.Whole + body.ReadAhead + 1, 6 << 20} {
+	for _, size := range []int{0, 1, body.Whole, body.Whole + 1, body.Whole + body.Usual.Ahead, body.Whole + body.Usual.Ahead + 1, 6 << 20} {
 		body := random(size)
 		s := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
 			switch r.Header.Get("X-Framing") {
@@ -174,7 +174,7 @@
 func TestSlowBodyTakesNoNode(t *testing.T) {
 	s := scripted.Start(t, scripted.Done)
 	b := newBalancer(t, up("s-00000001", s))
-	body := random(body.Whole + body.ReadAhead/2)
+	body := random(body.Whole + body.Usual.Ahead/2)
 	c, in := b.opened(t, fmt.Sprintf("Content-Length: %d\r\n", len(body)))
 	c.Write(body[:len(body)-1])
 	status, _ := b.do(t, b.ask("checkin", "")) // it came later, and is served first
@@ -194,7 +194,7 @@
 	begun := make(chan struct{})
 	s := scripted.Start(t, scripted.Done)
 	b := newBalancer(t, up("s-00000001", s))
-	body := random(body.Whole + body.ReadAhead + 3*body.Block)
+	body := random(body.Whole + body.Usual.Ahead + 3*body.Block)
 	c, in := b.opened(t, fmt.Sprintf("X-Deadline-Ms: 400\r\nContent-Length: %d\r\n", len(body)))
 	c.Write(body[:len(body)-4])
 	go func() { // another is served meanwhile: the slow one holds nobody up
@@ -228,7 +228,7 @@
 		if strings.HasPrefix(framing, "Transfer") {
 			io.WriteString(c, "3d0900\r\n")
 		}
-		c.Write(random(2 * body.ReadAhead))
+		c.Write(random(2 * body.Usual.Ahead))
 		c.(*net.TCPConn).CloseWrite()
 		if text, err := io.ReadAll(c); len(text) > 0 || err != nil {
 			t.Errorf("%q, %v: want a close", text, err)
@@ -284,7 +284,7 @@
 	b := newBalancer(t)
 	<-b.registry.calls
 	c, in := b.opened(t, "Content-Length: 8000000\r\n")
-	c.Write(random(body.Whole + body.ReadAhead + body.Block))
+	c.Write(random(body.Whole + body.Usual.Ahead + body.Block))
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,8 @@
 	raw     syscall.RawConn
 	look    func(fd uintptr) bool // reads a byte without waiting
 	giveUp  func(at time.Time)
+	limited atomic.Bool // a limit of reading stands
+	writes  time.Time   // limit of writing that stands
 	n       int
 	err     error // what look has seen
 }
@@ -53,7 +56,32 @@
 func (c *conn) Address() string { return c.address }
 
 // Reuse undoes a time-out that may have been set as the answer came.
-func (c *conn) Reuse() error { return c.SetDeadline(time.Time{}) }
+func (c *conn) Reuse() error {
+	if !c.limited.Swap(false) {
+		return nil
+	}
+	return c.Stream.SetReadDeadline(time.Time{})
+}
+
+// SetReadDeadline bounds what is read next, until Reuse.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	c.limited.Store(true)
+	return c.Stream.SetReadDeadline(at)
+}
+
+// writeWithin bounds what is written next, by the time given or up to twice that: one limit serves many requests, since to set it
+// costs as much as a good part of one.
+func (c *conn) writeWithin(d time.Duration) {
+	if now := time.Now(); c.writes.Before(now.Add(d)) || c.writes.After(now.Add(2*d)) {
+		c.SetWriteDeadline(now.Add(2 * d))
+	}
+}
+
+// SetWriteDeadline bounds what is written next.
+func (c *conn) SetWriteDeadline(at time.Time) error {
+	c.writes = at
+	return c.Stream.SetWriteDeadline(at)
+}
 
 // errStale says that a kept connection was closed by the other side while idle.
 var errStale = errors.New("closed while idle")
@@ -109,7 +137,7 @@
 		return Result{Status: clayladder.Moot, Conn: c}
 	}
 	// A machine that has gone silent takes bytes until its buffers are full, and then none for ever.
-	c.SetWriteDeadline(time.Now().Add(a.Wait))
+	c.writeWithin(a.Wait)
 	rest := a.Message.Rest
 	if rest != nil {
 		if !rest.Hold() { // the client's side has ended
@@ -117,34 +145,38 @@
 		}
 		defer rest.Release()
 	}
-	head := a.Message.Bytes(a.Wait)
-	if n, err := c.Write(head); err != nil {
+	head := http1.Buffer()
+	a.Message.render(head, a.Wait)
+	n, err := c.Write(head.Bytes())
+	whole := n == head.Len()
+	http1.Done(head)
+	if err != nil {
 		c.Close()
-		if n < len(head) || rest != nil { // certain: the last byte never left this process
+		if !whole || rest != nil { // certain: the last byte never left this process
 			return Result{Status: clayladder.ConnectFailed}
 		}
 		return Result{Status: clayladder.Reset}
 	}
 	if rest != nil {
 		if err := rest.Send(c); err != nil {
-			return c.unsent(d.Whole, err)
+			return c.unsent(a.Message.Most(), d.Whole, err)
 		}
 		if rest.Live() && a.Told != nil {
 			a.Told.Written()
 		}
 	}
-	return c.take(d.Whole, a.Bodiless, a.Told)
+	return c.take(a.Message.Most(), d.Whole, a.Bodiless, a.Told)
 }
 
 // unsent is the result of an attempt whose last byte was not written: it never ran, unless the node has answered early and
 // says something else.
-func (c *conn) unsent(whole bool, err error) Result {
+func (c *conn) unsent(m *body.Limits, whole bool, err error) Result {
 	if failed := (body.ClientFailed{}); errors.As(err, &failed) {
 		c.Close()
 		return Result{Status: clayladder.Moot}
 	}
 	c.SetReadDeadline(time.Now().Add(earlyAnswer))
-	r := c.take(whole, false, nil)
+	r := c.take(m, whole, false, nil)
 	if r.Conn != nil {
 		r.Conn.Close() // the node still waits for the body
 		r.Conn = nil
@@ -157,7 +189,7 @@
 
 // take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use. An answer that is long, or
 // slow and of no known length, is told of with its first bytes, and the result is of its end; where nobody is told it is too large.
-func (c *conn) take(whole, head bool, told Observer) Result {
+func (c *conn) take(m *body.Limits, whole, head bool, told Observer) Result {
 	failed := func(err error) Result {
 		c.Close()
 		for _, spoilt := range []error{http1.ErrHead, http1.ErrLong, http1.ErrFrame, http1.ErrLarge} {
@@ -184,17 +216,23 @@
 	case status == http.StatusOK:
 		r.Status, r.Code, r.Kind = clayladder.OK, status, h.Get("Content-Type")
 	}
-	if told != nil && r.Status == clayladder.OK && (f.Length > body.Whole || f.Chunked || f.ToClose) {
-		d := body.NewDownload(c, f)
+	switch goesOn := f.Length > body.Whole || f.Chunked || f.ToClose; {
+	case f.Length > uint64(m.Answer), f.Length > body.Whole && told == nil:
+		err = http1.ErrLarge
+	case told != nil && r.Status == clayladder.OK && goesOn:
+		d := body.NewDownload(c, f, m)
 		r.Body, err = d.Receive(func() {
 			first := r
 			first.More = d
 			told.Began(first)
 		})
-	} else if f.Length > body.Whole {
-		err = http1.ErrLarge
-	} else if r.Body, err = c.Body(f).UpTo(body.Whole + 1); err == nil && len(r.Body) > body.Whole {
-		err = http1.ErrLarge
+		r.Trailer = d.Trailer()
+	default:
+		src := c.Body(f, m.Answer)
+		if r.Body, err = src.UpTo(body.Whole + 1); err == nil && len(r.Body) > body.Whole {
+			err = http1.ErrLarge
+		}
+		r.Trailer = m.Trailer(src)
 	}
 	if err != nil {
 		return failed(err)
@@ -220,12 +258,13 @@
 	if p.Load {
 		path = "/load"
 	}
-	c.SetDeadline(time.Now().Add(d.Timeout))
+	c.SetReadDeadline(time.Now().Add(d.Timeout))
+	c.writeWithin(d.Timeout)
 	if _, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: "+p.Address+"\r\n\r\n"); err != nil {
 		c.Close()
 		return Result{Status: clayladder.ConnectFailed}
 	}
-	r = c.take(false, false, nil)
+	r = c.take(&body.Usual, false, false, nil)
 	if p.Load && r.Status == clayladder.OK {
 		if l, why := LoadOf([]string{strings.TrimSpace(string(r.Body))}); l.Fields != 0 {
 			r.Load = l
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -18,12 +18,28 @@
 	Body   []byte
 	Rest   *body.Upload // of the body, where it is long; nil: there is none
 	Bodied bool         // a Content-Length goes with it, also without a body
+
+	Trailer http1.Fields // of a body that is whole; then it goes in chunks
+	Limits  *body.Limits // of its body and of its answer's; nil: the usual ones
+}
+
+// Most are the limits that hold.
+func (m *Message) Most() *body.Limits {
+	if m.Limits == nil {
+		return &body.Usual
+	}
+	return m.Limits
 }
 
 // Bytes renders m in HTTP/1.1, up to where Rest begins, for an attempt that waits so long.
 func (m *Message) Bytes(wait time.Duration) []byte {
 	b := http1.Buffer()
 	defer http1.Done(b)
+	m.render(b, wait)
+	return bytes.Clone(b.Bytes())
+}
+
+func (m *Message) render(b *bytes.Buffer, wait time.Duration) {
 	b.WriteString(m.Line)
 	b.WriteString(" HTTP/1.1\r\nHost: ")
 	b.WriteString(m.Host)
@@ -35,20 +51,19 @@
 		b.WriteString(m.framing())
 	}
 	b.WriteString("\r\n")
-	chunked := len(m.Body) > 0 && m.chunked()
-	if chunked {
-		b.WriteString(strconv.FormatInt(int64(len(m.Body)), 16) + "\r\n")
+	if m.chunked() {
+		http1.WriteChunk(b, m.Body)
+	} else {
+		b.Write(m.Body)
 	}
-	b.Write(m.Body)
-	if chunked {
-		b.WriteString("\r\n")
+	if m.Rest == nil && m.chunked() {
+		http1.WriteEnd(b, m.Trailer)
 	}
-	return bytes.Clone(b.Bytes())
 }
 
 func (m *Message) chunked() bool {
 	if m.Rest == nil {
-		return false
+		return len(m.Trailer) > 0
 	}
 	_, known := m.Rest.Length()
 	return !known
@@ -56,12 +71,12 @@
 
 // framing is the field that tells a node where the body ends.
 func (m *Message) framing() string {
+	if m.chunked() {
+		return "Transfer-Encoding: chunked\r\n"
+	}
 	n := uint64(len(m.Body))
 	if m.Rest != nil {
-		var known bool
-		if n, known = m.Rest.Length(); !known {
-			return "Transfer-Encoding: chunked\r\n"
-		}
+		n, _ = m.Rest.Length()
 	}
 	return "Content-Length: " + strconv.FormatUint(n, 10) + "\r\n"
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -93,16 +93,17 @@
 
 // Result is how an attempt ended, with its connection if that can serve again.
 type Result struct {
-	Status clayladder.Status
-	Load   clayladder.Load
-	Code   int // of the answer, if it is served
-	Body   []byte
-	Kind   string         // the body's Content-Type
-	Header http1.Fields   // where all of the answer is passed on
-	More   *body.Download // what of the body goes on as it comes; nil: it is whole
-	Conn   Conn
-	Stray  bool   // there was more than was asked for, before the request or behind the answer
-	Spoilt string // why its load report could not be read; empty: it could, or there was none
+	Status  clayladder.Status
+	Load    clayladder.Load
+	Code    int // of the answer, if it is served
+	Body    []byte
+	Kind    string         // the body's Content-Type
+	Header  http1.Fields   // where all of the answer is passed on
+	Trailer http1.Fields   // of a whole answer
+	More    *body.Download // what of the body goes on as it comes; nil: it is whole
+	Conn    Conn
+	Stray   bool   // there was more than was asked for, before the request or behind the answer
+	Spoilt  string // why its load report could not be read; empty: it could, or there was none
 }
 
 // Probe is a question after a node's load.
--- a/internal/upstream/upstreamtest/upstreamtest.go
+++ b/internal/upstream/upstreamtest/upstreamtest.go
@@ -231,7 +231,7 @@
 	}()
 	if r.More.Framed() {
 		s := http1.NewStream(there, 4<<10)
-		got, err := io.ReadAll(s.Body(http1.Framing{Chunked: true}))
+		got, err := io.ReadAll(s.Body(http1.Framing{Chunked: true}, 1<<30))
 		return got, errors.Join(err, <-failed)
 	}
 	got, err := io.ReadAll(there)
@@ -339,8 +339,8 @@
 	t.Cleanup(func() { here.Close(); there.Close() })
 	room := new(body.Spool) // without room nothing is read ahead
 	f := http1.Framing{Length: uint64(length)}
-	u := body.NewUpload(room, here, f)
-	if err := u.Fill(http1.NewStream(here, 4<<10).Body(f)); err != nil {
+	u := body.NewUpload(room, here, f, &body.Usual)
+	if err := u.Fill(http1.NewStream(here, 4<<10).Body(f, 0)); err != nil {
 		t.Fatal(err)
 	}
 	a := attempt(address, nil)
