--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -197,8 +197,9 @@
 	}
 }
 
-// Copy passes the body on to a client. If the node fails the client gets no clean end.
-func (d *Download) Copy(to net.Conn) (err error) {
+// Copy passes the body on to a client, in chunks if Framed, or else up to the connection's close (framed is false). If the node
+// fails the client gets no clean end, as far as that can be told without chunks.
+func (d *Download) Copy(to net.Conn, framed bool) (err error) {
 	defer d.leave()
 	if !d.Framed() {
 		err = d.forward(to)
@@ -208,12 +209,12 @@
 		}
 		return err
 	}
-	if err := http1.Chunk(to, d.first, true, slowBlock); err != nil {
+	if err := http1.Chunk(to, d.first, framed, slowBlock); err != nil {
 		return err
 	}
 	for began := time.Now(); ; {
 		p := <-d.parts
-		err := http1.Chunk(to, p.block[:p.n], true, slowBlock)
+		err := http1.Chunk(to, p.block[:p.n], framed, slowBlock)
 		blocks.Put(p.block)
 		switch {
 		case err != nil:
@@ -223,7 +224,12 @@
 		case p.err == nil:
 		case !errors.Is(p.err, io.EOF):
 			slog.Warn("an answer that was being passed on is cut", "why", p.err)
+			if !framed { // a close would pass for the end
+				http1.Abort(to)
+			}
 			return p.err
+		case !framed:
+			return nil
 		default:
 			return http1.End(to, d.Trailer(), slowBlock)
 		}
@@ -239,17 +245,21 @@
 // forward moves a body of known length from the node's connection to the client's. Bytes that a write has timed out on are lost in
 // the system's pipe, so only a read may time out and go on.
 func (d *Download) forward(to net.Conn) error {
+	var limit pace
 	for began := time.Now(); ; {
-		if err := d.patient(); err != nil {
-			return err
+		if limit.due() {
+			if err := d.patient(); err != nil {
+				return err
+			}
+			limit.writes(to, max(slowPart, 2*d.limits.Quiet))
 		}
-		limit := time.Now().Add(max(slowPart, 2*d.limits.Quiet))
-		to.SetWriteDeadline(limit)
 		n, err := d.src.Forward(to, partMost)
 		switch {
 		case errors.Is(err, io.EOF):
 			return nil
-		case err != nil && !(n > 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(limit)):
+		case n > 0 && errors.Is(err, os.ErrDeadlineExceeded) && limit.stands():
+			limit.renew = time.Time{}
+		case err != nil:
 			return err
 		case d.late(began):
 			return errLate
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -17,9 +17,11 @@
 const (
 	// uploadStall is how long a client may send nothing of a body that goes on as it comes.
 	uploadStall = 5 * time.Second
-	// A part of a body of known length is moved at once: partMost bytes of it, within slowPart.
-	partMost = 128 << 10
-	slowPart = time.Minute
+	// A part of a body of known length is moved at once: partMost bytes of it, within slowPart. Limits of time are set anew once
+	// they are older than renewAfter, since to set them costs as much as a good part of a part.
+	partMost   = 512 << 10
+	slowPart   = 2 * time.Minute
+	renewAfter = time.Second
 	// slowNode is how long a node may take no byte of it.
 	slowNode = 5 * time.Second
 	// Block is what is copied at once, in bytes.
@@ -246,12 +248,13 @@
 		u.done <- err
 	}()
 	began := time.Now()
+	var limit pace
 	for err == nil {
 		if time.Since(began) > u.limits.Within {
 			return ClientFailed{ErrSlow}
 		}
 		if u.known {
-			err = u.forward(c)
+			err = u.forward(c, &limit)
 		} else {
 			err = u.copy(c)
 		}
@@ -268,17 +271,19 @@
 
 // forward moves a part of a body whose length is known. Bytes that a write has timed out on are lost in the system's pipe, so only
 // a read may time out and go on.
-func (u *Upload) forward(c net.Conn) error {
-	if err := u.patient(); err != nil {
-		return err
+func (u *Upload) forward(c net.Conn, limit *pace) error {
+	if limit.due() {
+		if err := u.patient(); err != nil {
+			return err
+		}
+		limit.writes(c, slowPart)
 	}
-	limit := time.Now().Add(slowPart)
-	c.SetWriteDeadline(limit)
 	n, err := u.src.Forward(c, partMost)
 	switch {
 	case err == nil, errors.Is(err, io.EOF):
 		return err
-	case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(limit): // the client's
+	case errors.Is(err, os.ErrDeadlineExceeded) && limit.stands(): // the client's
+		limit.renew = time.Time{}
 		if n > 0 {
 			return nil
 		}
@@ -289,6 +294,24 @@
 	return err
 }
 
+// pace are the limits of time of a body that is moved part by part.
+type pace struct {
+	renew time.Time // when they are set anew
+	write time.Time // the limit of writing
+}
+
+func (p *pace) due() bool { return !time.Now().Before(p.renew) }
+
+// writes bounds what is written to c from now on.
+func (p *pace) writes(c net.Conn, within time.Duration) {
+	now := time.Now()
+	p.renew, p.write = now.Add(renewAfter), now.Add(within)
+	c.SetWriteDeadline(p.write)
+}
+
+// stands tells whether the limit of writing has not been reached, so that a time-out is one of reading.
+func (p *pace) stands() bool { return time.Now().Before(p.write) }
+
 // copy moves a part of a body whose length is not known.
 func (u *Upload) copy(c net.Conn) error {
 	if err := u.patient(); err != nil {
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -133,8 +133,22 @@
 	if n := k.Instances; n.Count < 1 || n.Rank < 0 || n.Rank >= n.Count {
 		k.Fail("instances", "rank goes from 0 to count - 1")
 	}
+	fill(&l.Bodies, l.Memory/8)
+	if l.Bodies < 0 || l.Bodies >= l.Memory {
+		k.Fail("limits.bodies", "it is a part of the memory")
+	}
 	for i := range k.Listeners {
-		fill(&k.Listeners[i].Connections, max(1, l.Descriptors/2/len(k.Listeners)))
+		x, at := &k.Listeners[i], fmt.Sprintf("listeners[%d]", i)
+		fill(&x.Connections, max(1, l.Descriptors/2/len(k.Listeners)))
+		fill(&x.Head, 16<<10)
+		fill(&x.Within, Duration(10*time.Second))
+		fill(&x.Rate, 8<<10)
+		if x.Head < 1<<10 || x.Head > 1<<20 {
+			k.Fail(at+".head", "a head has from 1KiB to 1024KiB")
+		}
+		if x.Within < Duration(time.Second) {
+			k.Fail(at+".within", "at least 1s is wanted")
+		}
 	}
 }
 
@@ -219,6 +233,13 @@
 		fill(&p.IdleTimeout, Duration(time.Minute))
 		fill(&p.MaxAttempts, 3)
 		fill(&p.MaxRetryAfter, Duration(5*time.Second))
+		fill(&p.Tunnels.Most, max(1, p.Connections/2))
+		fill(&p.Tunnels.PerNode, max(1, k.Limits.NodeConnections/2))
+		fill(&p.Tunnels.Idle, Duration(10*time.Minute))
+		fill(&p.Tunnels.Grace, Duration(10*time.Second))
+		if t := p.Tunnels; t.Most < 1 || t.PerNode < 1 || t.Most > p.Connections || t.PerNode > k.Limits.NodeConnections {
+			k.Fail(at+".tunnels", "most is from 1 to the pool's connections (%d), per_node from 1 to node_connections (%d)", p.Connections, k.Limits.NodeConnections)
+		}
 		if p.Queue < 1 || p.Connections < 1 || p.MaxAttempts < 1 {
 			k.Fail(at, "queue, connections and max_attempts are over 0")
 		}
@@ -294,6 +315,22 @@
 			r.Pools = []WeightedPool{{r.Pool, 1}}
 		}
 		fill(&r.KeyCookie, "obj")
+		fill(&r.Body.Max, 1<<30)
+		fill(&r.Body.Buffer, 1<<20)
+		fill(&r.Body.Within, Duration(time.Hour))
+		fill(&r.Answer.Max, 1<<40)
+		fill(&r.Answer.Idle, Duration(30*time.Second))
+		if r.Body.Buffer > k.Limits.Bodies {
+			k.Fail(at+".body.buffer", "%d MiB for one request, and limits.bodies is %d MiB for all", r.Body.Buffer>>20, k.Limits.Bodies>>20)
+		}
+		if r.Answer.Total != 0 && r.Answer.Total < r.Answer.Idle {
+			k.Fail(at+".answer.total", "it is shorter than idle")
+		}
+		for j, name := range r.Upgrades {
+			if r.Upgrades[j] = strings.ToLower(name); name == "" || strings.ContainsAny(name, " ,\t") || strings.HasPrefix(r.Upgrades[j], "h2") {
+				k.Fail(at+".upgrades", "%q is not a protocol that a connection may change to, such as websocket", name)
+			}
+		}
 		rule := route.Rule{Name: r.Name, Hosts: r.Hosts, Methods: r.Methods, Class: r.RequestClass}
 		for j, p := range r.Pools {
 			if _, ok := k.Pools[p.Pool]; !ok {
@@ -371,7 +408,7 @@
 				queues, l.Connections)
 		}
 	}
-	if most := int64(baseMemory + queues*perRequest); most > int64(k.Limits.Memory) {
-		k.Fail("limits.memory", "pools may hold %d requests, which can take %d MiB; lower their queues or give more", queues, most>>20)
+	if most := int64(baseMemory+queues*perRequest) + int64(k.Limits.Bodies); most > int64(k.Limits.Memory) {
+		k.Fail("limits.memory", "pools may hold %d requests, which can take %d MiB with the %d MiB of limits.bodies; lower their queues or give more", queues, most>>20, k.Limits.Bodies>>20)
 	}
 }
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -38,6 +38,12 @@
 	Address string `yaml:"address"`
 	// Connections of clients at most; a share of half the descriptors if left out.
 	Connections int `yaml:"connections,omitempty" jsonschema:"minimum=1"`
+	// Bytes of a request's head at most; 16KiB if left out.
+	Head Size `yaml:"head,omitempty"`
+	// Within what time a request's head must have come; 10s if left out.
+	Within Duration `yaml:"within,omitempty"`
+	// A body that comes slower than so many bytes a second is given up; 8KiB if left out.
+	Rate Size `yaml:"rate,omitempty"`
 }
 
 // Admin is the listener for operators.
@@ -56,6 +62,8 @@
 	Descriptors int `yaml:"descriptors,omitempty" jsonschema:"minimum=64"`
 	// Connections to one node over all pools of this process; 64 if left out.
 	NodeConnections int `yaml:"node_connections,omitempty" jsonschema:"minimum=1"`
+	// Memory for bodies that are read ahead, over all requests; an eighth of the memory if left out.
+	Bodies Size `yaml:"bodies,omitempty"`
 }
 
 // Instances tells of the olivearch processes that share the nodes. They do not talk to each other.
@@ -136,6 +144,22 @@
 	MaxAttempts int `yaml:"max_attempts,omitempty" jsonschema:"minimum=1"`
 	// The longest time after which a refused client is told to come back; 5s if left out.
 	MaxRetryAfter Duration `yaml:"max_retry_after,omitempty"`
+	// Connections that have changed their protocol, such as WebSocket.
+	Tunnels Tunnels `yaml:"tunnels,omitempty"`
+}
+
+// Tunnels are the limits of connections that have changed their protocol. A node's own connections bound them too.
+type Tunnels struct {
+	// At once in the pool; half its connections if left out.
+	Most int `yaml:"most,omitempty" jsonschema:"minimum=1"`
+	// At once to one node; half of node_connections if left out.
+	PerNode int `yaml:"per_node,omitempty" jsonschema:"minimum=1"`
+	// One on which neither side says anything for so long ends; 10m if left out.
+	Idle Duration `yaml:"idle,omitempty"`
+	// How long one may last; left out: as long as it takes.
+	Total Duration `yaml:"total,omitempty"`
+	// How long one has to end once its node drains, its route has gone or the process stops; 10s if left out.
+	Grace Duration `yaml:"grace,omitempty"`
 }
 
 // NodeSource says where a list of nodes comes from: exactly one of file, static and discovery.
@@ -173,11 +197,38 @@
 	Pool string `yaml:"pool,omitempty"`
 	// The pools, if there are several, for a gradual move.
 	Pools []WeightedPool `yaml:"pools,omitempty"`
+	// Limits of request bodies.
+	Body Body `yaml:"body,omitempty"`
+	// Limits of answers.
+	Answer Answer `yaml:"answer,omitempty"`
+	// Protocols that a client may change its connection to, such as websocket; left out: none.
+	Upgrades []string `yaml:"upgrades,omitempty"`
 	// The cookie whose value is the key of a request: requests with the same key go to the same of several pools. "obj"
 	// if left out.
 	KeyCookie string `yaml:"key_cookie,omitempty"`
 }
 
+// Body is what a request's body may take.
+type Body struct {
+	// Bytes at most; 1GiB if left out. More is answered 413.
+	Max Size `yaml:"max,omitempty"`
+	// How much is read before a node is taken, so that a slow client holds none; 1MiB if left out. What is whole within it may be
+	// sent again where its class allows; of more, what has gone to a node is bound to that.
+	Buffer Size `yaml:"buffer,omitempty"`
+	// Within what time a body that goes on as it comes must have come; 1h if left out.
+	Within Duration `yaml:"within,omitempty"`
+}
+
+// Answer is what an answer may take.
+type Answer struct {
+	// Bytes at most; 1024GiB if left out.
+	Max Size `yaml:"max,omitempty"`
+	// How long a node may say nothing in the middle of one; 30s if left out.
+	Idle Duration `yaml:"idle,omitempty"`
+	// How long one may go on; left out: as long as it takes.
+	Total Duration `yaml:"total,omitempty"`
+}
+
 // Path is how a path is matched: at most one of the three.
 type Path struct {
 	// The whole path.
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -18,12 +18,16 @@
 type pacer struct {
 	net.Conn
 	until  time.Time // for the request that is being read; zero: no limits are set here
+	rate   int       // bytes a second that a body must come with beyond that
 	writes time.Time // limit of writing that stands
 
 	mu    sync.Mutex
 	reads time.Time // limit of reading that stands; zero: none
 }
 
+// Under is the connection itself.
+func (p *pacer) Under() net.Conn { return p.Conn }
+
 // SetReadDeadline bounds what is read next.
 func (p *pacer) SetReadDeadline(at time.Time) error {
 	p.mu.Lock()
@@ -59,7 +63,7 @@
 // extend gives a body of so many bytes the time that it may take, however slowly it comes.
 func (p *pacer) extend(bytes int) {
 	if p != nil {
-		p.until = p.until.Add(time.Duration(bytes) * time.Second / uploadFloor)
+		p.until = p.until.Add(time.Duration(bytes) * time.Second / time.Duration(p.rate))
 	}
 }
 
@@ -92,7 +96,9 @@
 	since   time.Time // of the stage
 	state   atomic.Int32
 	call    Call             // the reader's, and from waiting on the writer's
+	tunnel  *body.Tunnel     // that it has become; nil: none. Under the Front's lock
 	last    bool             // the client wants the connection closed behind the answer
+	old     bool             // the request is of HTTP/1.0
 	answers chan pool.Answer // holds the one answer to the call, where the writer waits
 	done    chan bool        // the writer has answered; false: the connection ends
 }
@@ -131,12 +137,12 @@
 
 // converse serves a connection until one side ends it. Clients send one request at a time.
 func (f *Front) converse(c *client) {
-	c.answers, c.done = make(chan pool.Answer, 1), make(chan bool, 1)
+	c.answers, c.done = make(chan pool.Answer, 2), make(chan bool, 1)
 	quit := make(chan struct{})
 	defer close(quit)
 	go f.writer(c, quit)
 	for asked := false; ; {
-		c.Limit(http1.MaxHead)
+		c.Limit(int64(f.limits.Load().Head))
 		err := c.Wait()
 		if asked {
 			if timedOut(err) && c.patient() {
@@ -150,6 +156,10 @@
 				c.leave()
 				return
 			}
+			if c.tunnel != nil {
+				c.tunnel.Up(c.Stream)
+				return
+			}
 		}
 		if err != nil {
 			f.pass(c, err)
@@ -168,7 +178,8 @@
 	if !f.enter(c, silent) {
 		return false, false
 	}
-	c.pace.until = time.Now().Add(slowClient)
+	limits := f.limits.Load()
+	c.pace.until, c.pace.rate = time.Now().Add(limits.Within), limits.Rate
 	call, h, err := f.read(c)
 	c.pace.until = time.Time{}
 	if err != nil {
@@ -178,7 +189,7 @@
 	if !f.enter(c, busy) {
 		return false, false
 	}
-	c.last = http1.Closes(h)
+	c.last = http1.Closes(h) || (c.old && !h.Lists("Connection", "keep-alive"))
 	if call == nil {
 		return false, f.answer(c, f.health(), c.last)
 	}
@@ -267,12 +278,21 @@
 		case <-quit:
 			return
 		}
+		if a.Status == http.StatusEarlyHints {
+			c.hint(a)
+			continue
+		}
 		rest := c.call.Asked().Message.Rest
 		if rest.Failed() || !c.take(answering) { // the reader ends the connection
 			a.More.Abandon()
+			a.Tunnel.Close()
 			continue
 		}
 		unread := rest.Unread()
+		if a.Tunnel != nil {
+			f.open(c, a)
+			return
+		}
 		c.release()
 		goOn := f.answer(c, a, c.last || a.Status == http.StatusConflict || unread)
 		if goOn {
@@ -285,6 +305,28 @@
 	}
 }
 
+// open lets a connection become a tunnel: the writer moves what the node says, the reader what the client does.
+func (f *Front) open(c *client, a pool.Answer) {
+	t := a.Tunnel
+	t.Bind(c.pace)
+	if x, ok := c.call.(interface{ Tunnel(*body.Tunnel) }); ok {
+		x.Tunnel(t)
+	}
+	c.release()
+	f.mu.Lock()
+	c.tunnel = t
+	if f.closed {
+		t.EndSoon()
+	}
+	f.mu.Unlock()
+	if c.write(a, false) != nil {
+		t.Close()
+	}
+	c.done <- true
+	c.wake() // it reads for the tunnel from now on
+	t.Down()
+}
+
 // answer writes an answer, and tells whether the connection goes on.
 func (f *Front) answer(c *client, a pool.Answer, last bool) bool {
 	last = last || f.isLeaving()
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -30,7 +30,6 @@
 	SilentClient  = 2500 * time.Millisecond
 	StalledClient = 2300 * time.Millisecond
 	slowClient    = 10 * time.Second
-	uploadFloor   = 8 << 10         // bytes a second that a body must come with beyond slowClient
 	slowReader    = 5 * time.Second // over reading its answer
 	idleClient    = 2 * time.Minute
 	// farewellFor bounds how long, and farewellMost how much, is read and dropped of a client that has been turned
@@ -60,8 +59,8 @@
 type Front struct {
 	desk     Desk
 	listener net.Listener
-	room     atomic.Int64 // connections at most
-	spare    int          // connections with a request or behind one, over which the longest idle one goes; 0: none goes
+	limits   atomic.Pointer[Limits]
+	spare    int // connections with a request or behind one, over which the longest idle one goes; 0: none goes
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
@@ -75,10 +74,10 @@
 	gone    sync.WaitGroup
 }
 
-// New returns a Front for so many connections of clients.
-func New(d Desk, l net.Listener, room int) *Front {
+// New returns a Front for a listener's clients.
+func New(d Desk, l net.Listener, limits Limits) *Front {
 	f := &Front{desk: d, listener: l, clients: map[*client]struct{}{}, ended: make(chan struct{})}
-	f.room.Store(int64(room))
+	f.limits.Store(&limits)
 	f.spool.Set(spoolMost)
 	return f
 }
@@ -95,14 +94,14 @@
 // Listener is where it takes connections.
 func (f *Front) Listener() net.Listener { return f.listener }
 
-// Resize sets how many connections it takes. Those over it go as soon as they are idle and another comes.
-func (f *Front) Resize(connections int) { f.room.Store(int64(connections)) }
+// Limit sets other limits. Connections over them go as soon as they are idle and another comes.
+func (f *Front) Limit(limits Limits) { f.limits.Store(&limits) }
 
 // Connections tells how many there are.
 func (f *Front) Connections() (open, limit int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.clients), int(f.room.Load())
+	return len(f.clients), f.limits.Load().Connections
 }
 
 // Serve takes connections until stop has been called.
@@ -171,7 +170,7 @@
 func (f *Front) evict() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.clients) < int(f.room.Load()) {
+	if len(f.clients) < f.limits.Load().Connections {
 		return true
 	}
 	return f.drop(silent)
@@ -229,6 +228,11 @@
 	f.mu.Lock()
 	f.closed = true
 	f.listener.Close()
+	for c := range f.clients {
+		if c.tunnel != nil {
+			c.tunnel.EndSoon()
+		}
+	}
 	f.close(func(s stage) bool { return s == idle })
 	f.mu.Unlock()
 	time.Sleep(firstBytes)
@@ -274,11 +278,23 @@
 	go func() { f.gone.Wait(); close(answered) }()
 	select {
 	case <-answered:
-	case <-time.After(f.desk.Longest() + lameDuck):
+	case <-time.After(max(f.desk.Longest(), f.tunnelGrace()) + lameDuck):
 		slog.Warn("clients that did not read their answers are left")
 	}
 }
 
+// tunnelGrace is the longest time that a tunnel still has.
+func (f *Front) tunnelGrace() (most time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.clients {
+		if c.tunnel != nil {
+			most = max(most, c.tunnel.Grace())
+		}
+	}
+	return most
+}
+
 // close closes the connections at a stage. The caller holds the lock.
 func (f *Front) close(at func(stage) bool) {
 	for c := range f.clients {
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -41,7 +41,7 @@
 func ReadRequest(d Desk, c net.Conn) (Call, error) {
 	s := &client{Stream: http1.NewStream(c, readBuffer)}
 	s.Limit(http1.MaxHead)
-	call, _, err := New(d, nil, 1).read(s)
+	call, _, err := New(d, nil, Usual(1)).read(s)
 	return call, err
 }
 
@@ -54,9 +54,12 @@
 	}
 	method, rest, _ := strings.Cut(line, " ")
 	target, version, _ := strings.Cut(rest, " ")
-	if version != "HTTP/1.1" {
+	if c.old = version == "HTTP/1.0" && f.limits.Load().HTTP10; version != "HTTP/1.1" && !c.old {
 		return nil, nil, &Refusal{http.StatusHTTPVersionNotSupported, "HTTP/1.1 is wanted"}
 	}
+	if c.old && h.Has("Transfer-Encoding") { // RFC 9112, section 6.1
+		return nil, nil, Bad("Transfer-Encoding in HTTP/1.0")
+	}
 	for _, name := range Once {
 		if h.Count(name) > 1 {
 			return nil, nil, Bad("%s stands there more than once", name)
@@ -70,6 +73,9 @@
 		return nil, nil, err
 	}
 	q := call.Asked()
+	if expect := h.Get("Expect"); expect != "" && !strings.EqualFold(expect, "100-continue") && !c.old {
+		return nil, nil, &Refusal{http.StatusExpectationFailed, "of expectations, 100-continue is known"}
+	}
 	framed, some, err := http1.FramingOf(h)
 	switch {
 	case errors.Is(err, http1.ErrLarge), err == nil && framed.Length > uint64(q.Message.Most().Request):
@@ -87,7 +93,7 @@
 		return nil, nil, Bad("%s with a body", method)
 	}
 	if some {
-		if strings.EqualFold(h.Get("Expect"), "100-continue") && c.Buffered() == 0 {
+		if strings.EqualFold(h.Get("Expect"), "100-continue") && c.Buffered() == 0 && !c.old {
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails so does the reading
 		}
 		if err := f.readBody(c, q, framed); err != nil {
--- a/internal/edge/write.go
+++ b/internal/edge/write.go
@@ -24,6 +24,8 @@
 		r = &Refusal{http.StatusRequestTimeout, "the request did not come whole in time"}
 	} else if errors.Is(err, body.ErrSlow) {
 		r.Status = http.StatusRequestTimeout
+	} else if errors.Is(err, http1.ErrLine) {
+		r.Status = http.StatusRequestURITooLong
 	} else if errors.Is(err, http1.ErrLong) {
 		r.Status = http.StatusRequestHeaderFieldsTooLarge
 	} else if errors.Is(err, http1.ErrLarge) {
@@ -58,8 +60,13 @@
 	field("HTTP/1.1 ", strconv.Itoa(a.Status)+" "+http.StatusText(a.Status))
 	http1.WriteFields(b, a.Header)
 	switch {
+	case a.Tunnel != nil:
+		field("Connection: ", "Upgrade")
+		field("Upgrade: ", a.Header.Get("Upgrade"))
 	case a.Status == http.StatusNoContent || a.Status == http.StatusNotModified: // end with their head (RFC 9112, section 6.3)
-	case a.More != nil && a.More.Framed(), len(a.Trailer) > 0:
+	case a.More != nil && a.More.Framed() && c.old: // to the close
+		last = true
+	case a.More != nil && a.More.Framed(), len(a.Trailer) > 0 && !c.old:
 		field("Transfer-Encoding: ", "chunked")
 	case a.More != nil:
 		field("Content-Length: ", strconv.FormatUint(a.More.Length(), 10))
@@ -78,9 +85,11 @@
 	}
 	if last {
 		field("Connection: ", "close")
+	} else if c.old {
+		field("Connection: ", "keep-alive")
 	}
 	b.WriteString("\r\n")
-	if len(a.Trailer) > 0 && a.More == nil {
+	if len(a.Trailer) > 0 && a.More == nil && !c.old {
 		http1.WriteChunk(b, a.Body)
 		http1.WriteEnd(b, a.Trailer)
 	} else {
@@ -91,5 +100,25 @@
 		a.More.Abandon()
 		return err
 	}
-	return a.More.Copy(c)
+	if err := a.More.Copy(c, !c.old); err != nil || !c.old || !a.More.Framed() {
+		return err
+	}
+	return errToClose
+}
+
+// errToClose ends a connection whose close is the end of the answer.
+var errToClose = errors.New("the answer ends with the connection")
+
+// hint writes an interim answer, unless the reader has ended the request.
+func (c *client) hint(a pool.Answer) {
+	if c.old || c.state.Load() != waiting {
+		return
+	}
+	b := http1.Buffer()
+	defer http1.Done(b)
+	b.WriteString("HTTP/1.1 103 Early Hints\r\n")
+	http1.WriteFields(b, a.Header)
+	b.WriteString("\r\n")
+	c.pace.writeWithin(slowReader)
+	c.Write(b.Bytes()) // if it fails so does the answer
 }
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -126,7 +126,7 @@
 	if most == 0 {
 		return 0, nil
 	}
-	n, err = io.Copy(under(to), io.LimitReader(under(b.s.Conn), most))
+	n, err = io.Copy(Under(to), io.LimitReader(Under(b.s.Conn), most))
 	if err == nil && n < most {
 		err = io.ErrUnexpectedEOF
 	}
@@ -135,7 +135,7 @@
 
 // Ended looks, without waiting and without taking anything, whether the other side has closed or broken a connection.
 func Ended(c net.Conn) bool {
-	x, ok := under(c).(syscall.Conn)
+	x, ok := Under(c).(syscall.Conn)
 	if !ok {
 		return false
 	}
@@ -153,8 +153,8 @@
 	return err == nil && n <= 0 && !errors.Is(failed, syscall.EAGAIN)
 }
 
-// under is the connection below c: one that io.Copy finds a way to move bytes from or to without reading them.
-func under(c net.Conn) net.Conn {
+// Under is the connection below c: one that io.Copy finds a way to move bytes from or to without reading them.
+func Under(c net.Conn) net.Conn {
 	for {
 		x, ok := c.(interface{ Under() net.Conn })
 		if !ok {
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -39,6 +39,8 @@
 			s.head = append(s.head, line...)
 		}
 		switch {
+		case err != nil && s.bound.N <= 0 && first && begin == 0:
+			return "", ErrLine
 		case err != nil && s.bound.N <= 0:
 			return "", ErrLong
 		case err != nil:
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -27,6 +28,7 @@
 // What is wrong with a message that came. Any other error is the connection's.
 var (
 	ErrHead  = errors.New("a head that can't be read")
+	ErrLine  = errors.New("a first line over the bound")
 	ErrLong  = errors.New("a head over the bound")
 	ErrFrame = errors.New("framing that is not certain")
 	ErrLarge = errors.New("a body over the bound")
@@ -54,6 +56,12 @@
 // Limit bounds what may still be read off the connection, in bytes.
 func (s *Stream) Limit(bytes int64) { s.bound.N = bytes }
 
+// Endless takes the limit away: what comes is no message any more.
+func (s *Stream) Endless() { s.bound.N = math.MaxInt64 }
+
+// Read reads what comes next, first what has been read off the connection already.
+func (s *Stream) Read(p []byte) (int, error) { return s.in.Read(p) }
+
 // Buffered tells how many bytes have been read off the connection and not been taken.
 func (s *Stream) Buffered() int { return s.in.Buffered() }
 
@@ -85,8 +93,16 @@
 	return h, nil
 }
 
-// Answer reads the head of an upstream's answer and how it is framed; one without a body has a length of 0. Interim answers are passed over.
-func (s *Stream) Answer(head bool) (status int, h Fields, f Framing, err error) {
+// Asked is what the answer to a request depends on.
+type Asked struct {
+	Head    bool         // HEAD was asked: there is no body
+	Upgrade string       // the protocol that was asked for; empty: none
+	Hint    func(Fields) // takes the fields of an interim answer with status 103 (RFC 8297); nil: nobody does
+}
+
+// Answer reads the head of an upstream's answer and how it is framed; one without a body has a length of 0. Interim answers are
+// passed over, but for hints and a change to the protocol that was asked for.
+func (s *Stream) Answer(asked Asked) (status int, h Fields, f Framing, err error) {
 	s.bound.N = MaxHead
 	for range MaxInterim + 1 {
 		line, h, err := s.Head()
@@ -96,14 +112,22 @@
 		code, ok := strings.CutPrefix(line, "HTTP/1.1 ")
 		code, _, _ = strings.Cut(code, " ")
 		status, isNumber := Digits(code)
-		if !ok || !isNumber || len(code) != 3 || status < 100 || status == http.StatusSwitchingProtocols {
-			return 0, nil, f, ErrHead // nobody asked for another protocol
-		}
-		if status < http.StatusOK {
+		switch {
+		case !ok || !isNumber || len(code) != 3 || status < 100:
+			return 0, nil, f, ErrHead
+		case status == http.StatusSwitchingProtocols:
+			if asked.Upgrade == "" || !h.Lists("Connection", "upgrade") || !h.Lists("Upgrade", asked.Upgrade) {
+				return 0, nil, f, fmt.Errorf("%w: another protocol, which nobody asked for", ErrHead)
+			}
+			return int(status), h, f, nil
+		case status == http.StatusEarlyHints && asked.Hint != nil:
+			asked.Hint(h)
+			continue
+		case status < http.StatusOK:
 			continue
 		}
 		f, some, err := FramingOf(h)
-		if head || status == http.StatusNoContent || status == http.StatusNotModified { // RFC 9112, section 6.3
+		if asked.Head || status == http.StatusNoContent || status == http.StatusNotModified { // RFC 9112, section 6.3
 			return int(status), h, Framing{}, nil
 		}
 		f.ToClose = !some
--- a/internal/http1/stream_test.go
+++ b/internal/http1/stream_test.go
@@ -35,7 +35,7 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		s := NewStream(said{Reader: bytes.NewReader(text)}, 2<<10)
-		status, _, framed, err := s.Answer(false)
+		status, _, framed, err := s.Answer(Asked{})
 		if err != nil {
 			return
 		}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -65,3 +65,10 @@
 
 // Done gives a buffer back; nobody uses it, or what it holds, after that.
 func Done(b *bytes.Buffer) { buffers.Put(b) }
+
+// Abort makes the close of a connection a reset: what was written to it does not pass for whole.
+func Abort(c net.Conn) {
+	if x, ok := Under(c).(*net.TCPConn); ok {
+		x.SetLinger(0)
+	}
+}
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -34,7 +34,8 @@
 	Queue       int    `json:"queue"` // at most
 	Held        int    `json:"held"`  // of these, waiting for a turn
 	Connections int    `json:"connections"`
-	Limit       int    `json:"limit"` // of connections
+	Limit       int    `json:"limit"`   // of connections
+	Tunnels     int    `json:"tunnels"` // connections that have changed their protocol
 	Served      uint64 `json:"served"`
 	Refused     uint64 `json:"refused"`
 	Failed      uint64 `json:"failed"`
@@ -87,8 +88,8 @@
 		fmt.Fprintf(w, "listener %s at %s: %d of %d connections\n", l.Name, l.Address, l.Connections, l.Limit)
 	}
 	for _, p := range v.Pools {
-		fmt.Fprintf(w, "\npool %s: %d of %d open, %d held, %d of %d connections, %d served, %d refused, %d failed, %d turned away; list %.1f s old%s\n",
-			p.Name, p.Open, p.Queue, p.Held, p.Connections, p.Limit, p.Served, p.Refused, p.Failed, p.TurnedAway, float64(p.ListAgeMS)/1000, p.listNote())
+		fmt.Fprintf(w, "\npool %s: %d of %d open, %d held, %d of %d connections, %d tunnels, %d served, %d refused, %d failed, %d turned away; list %.1f s old%s\n",
+			p.Name, p.Open, p.Queue, p.Held, p.Connections, p.Limit, p.Tunnels, p.Served, p.Refused, p.Failed, p.TurnedAway, float64(p.ListAgeMS)/1000, p.listNote())
 		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 		fmt.Fprintln(t, "node\tphase\tshare\tcut\tlower\tmean\tupper\tarea\tout\tbound\tms\tconns\tpart\tnotes\t")
 		nodes := slices.SortedFunc(slices.Values(p.Nodes), func(a, b Node) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"clayladder"
+	"clayladder/internal/body"
+	"clayladder/internal/http1"
 	"clayladder/internal/upstream"
 )
 
@@ -28,15 +29,17 @@
 	link    *link // that carries it; its connection is in the attempt
 	via     upstream.Transport
 	sentAt  time.Duration
-	told    bool  // the module has had its outcome
-	lingers bool  // it is left to its connection for the late answer
-	limit   alarm // of its own, before the request's deadline
+	told    bool         // the module has had its outcome
+	tunnel  *body.Tunnel // that it has become; nil: none
+	lingers bool         // it is left to its connection for the late answer
+	limit   alarm        // of its own, before the request's deadline
 }
 
 var _ upstream.Observer = (*attempt)(nil)
 
-// Written and Began are called from the link's goroutine.
+// Written, Hint and Began are called from the link's goroutine.
 func (a *attempt) Written()                { a.loop.post(written{a}) }
+func (a *attempt) Hint(h http1.Fields)     { a.loop.post(hinted{a, h}) }
 func (a *attempt) Began(r upstream.Result) { a.loop.post(began{a, r}) }
 
 // Send makes an attempt.
@@ -49,7 +52,6 @@
 	now := l.now()
 	a := &attempt{loop: l, req: r, n: len(r.attempts), peer: p, via: l.transport, sentAt: now}
 	a.Message, a.Address, a.Told = &r.Message, p.address, a
-	a.Bodiless = strings.HasPrefix(r.Message.Line, http.MethodHead+" ")
 	r.attempts, r.out = append(r.attempts, a), r.out+1
 	wait := r.deadline - now
 	if timeout > 0 && timeout < wait {
@@ -62,7 +64,8 @@
 		a.Wait = min(wait, r.Budget) // from its last byte
 	}
 	var room bool
-	if !r.closed && wait > 0 && p.state == clayladder.Active {
+	crowded := r.Message.Upgrade != "" && p.tunnels >= l.caps.PerNode
+	if !r.closed && wait > 0 && p.state == clayladder.Active && !crowded {
 		a.link, room = l.link(p, now)
 	}
 	if !room { // no fault of the upstream's
@@ -103,13 +106,32 @@
 	a := e.attempt
 	if a.told || a.req.closed {
 		e.More.Abandon()
+		e.Tunnel.Close()
 		return
 	}
+	if e.Tunnel != nil {
+		a.tunnel = e.Tunnel
+		l.tunnels[a] = struct{}{}
+		a.peer.tunnels++
+	}
 	a.peer.reported(e.Spoilt)
 	l.tell(a, e.Result)
 	l.ghost(a.peer, 1) // its connection is held until the last byte
 }
 
+// hinted is an interim answer. A client gets those of one attempt.
+type hinted struct {
+	*attempt
+	fields http1.Fields
+}
+
+func (e hinted) apply(l *loop) {
+	if q := e.attempt.req; !e.told && !q.closed && !q.hinted {
+		q.hinted = true
+		q.Reply <- Answer{Status: http.StatusEarlyHints, Header: e.fields} // has room, and the last answer too
+	}
+}
+
 // finished is the end of an attempt on its connection.
 type finished struct {
 	*attempt
@@ -119,6 +141,10 @@
 func (e finished) apply(l *loop) {
 	a := e.attempt
 	delete(a.peer.out, a)
+	if a.tunnel != nil {
+		delete(l.tunnels, a)
+		a.peer.tunnels--
+	}
 	if a.lingers {
 		a.peer.lingering--
 	}
@@ -143,7 +169,7 @@
 	l.alarms.unset(&a.limit)
 	q, now := a.req, l.now()
 	if r.Status == clayladder.OK && !q.closed {
-		l.answer(q, Answer{Status: r.Code, Body: r.Body, Kind: r.Kind, Header: r.Header, Trailer: r.Trailer, More: r.More})
+		l.answer(q, Answer{Status: r.Code, Body: r.Body, Kind: r.Kind, Header: r.Header, Trailer: r.Trailer, More: r.More, Tunnel: r.Tunnel})
 	}
 	if r.Status != clayladder.OK && !q.closed && q.Message.Rest.Spent() { // the module can't send it anew
 		if r.Status == clayladder.Full || r.Status == clayladder.ConnectFailed || r.Status == clayladder.Moot {
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -49,6 +49,8 @@
 	requests map[clayladder.RequestID]*Request
 	open     map[string]bool // the clients' ids of these
 	peers    map[clayladder.UpstreamID]*peer
+	tunnels  map[*attempt]struct{}
+	caps     TunnelCaps
 	conns    int     // connections to upstreams, open or opening
 	due      []owing // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
@@ -61,7 +63,7 @@
 func newLoop(ctx context.Context, c Spec) *loop {
 	l := &loop{ctx: ctx, mail: newMailbox(), logs: make(chan string, logQueue),
 		origin: time.Now(), names: discovery.NewNames(), requests: map[clayladder.RequestID]*Request{}, open: map[string]bool{},
-		peers: map[clayladder.UpstreamID]*peer{}}
+		peers: map[clayladder.UpstreamID]*peer{}, tunnels: map[*attempt]struct{}{}}
 	l.limit(c)
 	// The clock is Unix time at the start, going on by the monotonic clock: what discovery dates stands on it as it
 	// is, also from before this process, and a clock that is set does not move it.
@@ -75,6 +77,7 @@
 func (l *loop) limit(c Spec) {
 	l.transport, l.whole = upstream.HTTP1{Timeout: c.Links.ConnectTimeout, Whole: c.Whole}, c.Whole
 	l.settings, l.maxConns, l.hold, l.trust = c.Settings, c.Connections, c.Hold, c.Trust
+	l.caps = c.Tunnels
 	l.idleFor = max(c.Links.KeepAlive-spareIdle, c.Links.KeepAlive/2)
 }
 
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -19,6 +19,7 @@
 	idle      []*link          // the most recently used last
 	out       map[*attempt]struct{}
 	lingering int
+	tunnels   int
 	ghosts    int             // attempts among those out that the module takes for ended
 	conns     int             // to it, open or opening
 	share     nodeshare.Share // where other pools of the process may use it too
@@ -102,6 +103,7 @@
 		if mode != clayladder.ListDelta && !named[id] {
 			p.state, p.listed = clayladder.Gone, clayladder.Gone
 			l.Disconnect(id)
+			l.endTunnels(p)
 		}
 		l.withdraw(p)
 	}
@@ -125,6 +127,15 @@
 	}
 }
 
+// endTunnels lets the tunnels to p end within their grace; nil: all.
+func (l *loop) endTunnels(p *peer) {
+	for a := range l.tunnels {
+		if p == nil || a.peer == p {
+			a.tunnel.EndSoon()
+		}
+	}
+}
+
 // forget drops an upstream that is gone and has nothing out.
 func (l *loop) forget(p *peer) {
 	if p.state == clayladder.Gone && len(p.out) == 0 && l.peers[p.id] == p {
@@ -177,5 +188,6 @@
 	p.entry.State = p.state
 	if p.state != clayladder.Active {
 		l.Disconnect(p.id)
+		l.endTunnels(p)
 	}
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -30,7 +30,14 @@
 	Share       float64            // weight on nodes that other pools list too
 	OwnDrains   bool               // drains that other pools were told do not count here
 	Trust       bool               // connections rest between requests only where an upstream has sent what nobody asked for
-	Whole       bool               // clients get all that upstreams say, not 200 and the body only
+	Tunnels     TunnelCaps
+	Whole       bool // clients get all that upstreams say, not 200 and the body only
+}
+
+// TunnelCaps bound the connections that have changed their protocol.
+type TunnelCaps struct {
+	Most    int // of the pool
+	PerNode int
 }
 
 // retired is a bit of Pool.users: the pool takes no more requests.
@@ -143,11 +150,17 @@
 
 // Retire takes no more requests, and ends the pool when those that it has are answered.
 func (p *Pool) Retire() {
+	p.loop.post(withdrawn{})
 	if p.users.Add(retired) == retired {
 		p.finish()
 	}
 }
 
+// withdrawn lets tunnels end: the pool takes no more requests.
+type withdrawn struct{}
+
+func (withdrawn) apply(l *loop) { l.endTunnels(nil) }
+
 // Ended is closed when a retired pool has ended.
 func (p *Pool) Ended() <-chan struct{} { return p.ended }
 
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -17,13 +17,14 @@
 	Name    string // the client's id of it
 	Message upstream.Message
 	At      time.Duration // when its last byte had come, on the pool's clock
-	Reply   chan Answer   // holds the one answer; room for it is made beforehand
+	Reply   chan Answer   // holds the one answer, and an interim one (status 103) where its message wants these
 
 	loop     *loop // of the pool that it was asked of
 	deadline time.Duration
 	attempts []*attempt
 	out      int // attempts whose outcome the module has not had
 	closed   bool
+	hinted   bool  // its client has had an interim answer
 	end      alarm // at the deadline
 }
 
@@ -35,6 +36,7 @@
 	Header     http1.Fields   // an upstream's, where all of it is passed on
 	RetryAfter time.Duration  // 0: nothing is said of it
 	Trailer    http1.Fields   // of a whole answer
+	Tunnel     *body.Tunnel   // the client's connection changes its protocol
 	More       *body.Download // what of the body goes on as it comes; nil: it is whole
 	Whole      bool           // RetryAfter goes out in whole seconds, as RFC 9110 (section 10.2.3) has it
 }
@@ -65,6 +67,10 @@
 		l.answer(r, Answer{Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, l.settings.Limits.MaxRetry)})
 		return
 	}
+	if r.Message.Upgrade != "" && len(l.tunnels) >= l.caps.Most {
+		l.answer(r, Answer{Status: http.StatusServiceUnavailable, RetryAfter: l.settings.Limits.MaxRetry})
+		return
+	}
 	l.requests[r.ID] = r
 	r.end = alarm{at: r.deadline, request: r}
 	l.alarms.set(&r.end)
@@ -81,10 +87,14 @@
 		l.balancer.Gone(l.now(), r.ID)
 		return
 	}
-	select { // the answer came as the client left: nobody else reads it
-	case a := <-r.Reply:
-		a.More.Abandon()
-	default:
+	for { // the answer came as the client left: nobody else reads it
+		select {
+		case a := <-r.Reply:
+			a.More.Abandon()
+			a.Tunnel.Close()
+		default:
+			return
+		}
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -37,7 +37,7 @@
 		return nil, err
 	}
 	b := &Balancer{config: c, pool: p, desk: newPlatform(c.Settings.Classes, p), end: end, before: before}
-	b.front = edge.New(b.desk, listener, c.clientConns())
+	b.front = edge.New(b.desk, listener, edge.Usual(c.clientConns()))
 	b.front.Spare(c.requestConns())
 	b.front.Spool(int64(c.MemoryMB) << 20 / 8)
 	b.front.Drain(before != nil && before.state.Standby)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -202,7 +202,6 @@
 func TestMalformedRequestsStayOutside(t *testing.T) {
 	s := scripted.Start(t, scripted.Done)
 	b := newBalancer(t, up("s-00000001", s))
-	big := strings.Repeat("x", int(body.Usual.Request)+1)
 	get := b.ask("checkin", "")
 	get.Method = http.MethodGet
 	noID := b.ask("checkin", "")
@@ -220,11 +219,12 @@
 		{"method of another kind", get, 400},
 		{"key on an unsafe class", b.ask("checkin", "", "Idempotency-Key", "1"), 400},
 		{"keyed without a key", noKey, 400},
-		{"body too large", b.ask("checkin", big), 413},
 	} {
 		status, _ := b.do(t, c.r)
 		want(t, c.name, status, c.status)
 	}
+	large := rawClient(t, b.url, checkin(fmt.Sprintf("X-Request-Id: 1\r\nContent-Length: %d\r\n", body.Usual.Request+1))+"x")
+	want(t, "body too large", strings.HasPrefix(large, "HTTP/1.1 413"), true)
 	want(t, "requests at the upstream", len(s.Arrivals), 0)
 }
 
--- a/internal/proxy/routing.go
+++ b/internal/proxy/routing.go
@@ -5,11 +5,14 @@
 	"encoding/hex"
 	"hash/maphash"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"clayladder"
+	"clayladder/internal/body"
 	"clayladder/internal/edge"
 	"clayladder/internal/http1"
 	"clayladder/internal/pool"
@@ -22,6 +25,9 @@
 	Class     clayladder.Class
 	Limit     time.Duration // on the wait for an answer
 	KeyCookie string        // whose value decides among several pools
+	Bodies    *body.Limits  // nil: the usual ones
+	Upgrades  []string      // protocols that a connection may change to (RFC 9110, section 7.8), in small letters
+	Tunnels   *body.TunnelLimits
 }
 
 // Routing is a whole set of routes with the pools that they lead to. It never changes: a reload makes another.
@@ -37,22 +43,56 @@
 	origin  time.Time
 	epoch   time.Duration
 	seed    maphash.Seed
+
+	mu      sync.Mutex
+	tunnels map[*body.Tunnel]opened
 }
 
+// opened is what a tunnel was let through by.
+type opened struct{ route, protocol string }
+
 // NewDesk returns a Desk for the first set of routes.
 func NewDesk(r *Routing) *Desk {
-	d := &Desk{origin: time.Now(), seed: maphash.MakeSeed()}
+	d := &Desk{origin: time.Now(), seed: maphash.MakeSeed(), tunnels: map[*body.Tunnel]opened{}}
 	d.epoch = time.Duration(d.origin.UnixNano())
 	d.Route(r)
 	return d
 }
 
-// Route puts other routes in the place of those that hold. Requests that are in a pool stay there.
-func (d *Desk) Route(r *Routing) { d.routing.Store(r) }
+// Route puts other routes in the place of those that hold. Requests that are in a pool stay there; tunnels whose route has gone, or
+// lets them through no more, end within their grace.
+func (d *Desk) Route(r *Routing) {
+	d.routing.Store(r)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for t, by := range d.tunnels {
+		if !slices.Contains(r.Routes[by.route].Upgrades, by.protocol) {
+			t.EndSoon()
+		}
+	}
+}
+
+// Tunnel notes that the connection of a request has changed its protocol.
+func (q *routed) Tunnel(t *body.Tunnel) {
+	d, by := q.desk, opened{q.route, q.Message.Upgrade}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.tunnels[t] = by
+	if !slices.Contains(d.routing.Load().Routes[by.route].Upgrades, by.protocol) { // a reload came meanwhile
+		t.EndSoon()
+	}
+	go func() {
+		<-t.Done()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.tunnels, t)
+	}()
+}
 
 // routed is a request with what it is matched by, kept until a pool has taken it: routes may change while its body comes.
 type routed struct {
 	asked
+	route  string // that it goes by
 	desk   *Desk
 	query  route.Query
 	fields http1.Fields // as they came
@@ -101,6 +141,10 @@
 			return nil, edge.Bad("%v", err)
 		}
 	}
+	upgrade := ""
+	if method == http.MethodGet && h.Lists("Connection", "upgrade") { // before what Connection names is dropped
+		upgrade = strings.ToLower(h.Get("Upgrade"))
+	}
 	q := &routed{desk: d, asked: asked{Request: pool.Request{Name: h.Get("X-Request-Id")}}}
 	if !h.Has("X-Request-Id") {
 		q.Name = newID()
@@ -121,7 +165,11 @@
 		return nil, err
 	}
 	bodied := method != http.MethodGet && method != http.MethodHead && method != http.MethodOptions && method != http.MethodDelete
-	q.Message = upstream.Message{Line: method + " " + t.String(), Header: *h, Host: host, Bodied: bodied}
+	to := d.routing.Load().Routes[q.route]
+	q.Message = upstream.Message{Line: method + " " + t.String(), Header: *h, Host: host, Bodied: bodied, Limits: to.Bodies, Hints: true}
+	if slices.Contains(to.Upgrades, upgrade) && upgrade != "" { // else it is an ordinary request: who asks must expect that
+		q.Message.Upgrade, q.Message.Tunnel = upgrade, to.Tunnels
+	}
 	return q, nil
 }
 
@@ -139,6 +187,7 @@
 	if rule == nil {
 		return &edge.Refusal{Status: http.StatusNotFound, Why: "no route leads there"}
 	}
+	q.route = rule.Name
 	to := r.Routes[rule.Name]
 	switch named := q.query.Class; {
 	case named != "" && named != to.Class.Name:
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"clayladder/internal/body"
 	"clayladder/internal/config"
 	"clayladder/internal/edge"
 	"clayladder/internal/live"
@@ -193,7 +194,8 @@
 	x := c.Pools[name]
 	return pool.Spec{Name: name, Settings: c.Settings(name), Discovery: x.Nodes.Discovery, Hold: time.Duration(x.Nodes.Hold),
 		Links:       wire.Links{KeepAlive: time.Duration(x.IdleTimeout), ConnectTimeout: time.Duration(x.ConnectTimeout)},
-		Connections: x.Connections, Queue: x.Queue, Share: x.Share, OwnDrains: x.Drains == "own", Trust: x.Rest == "after_stray", Whole: true}
+		Connections: x.Connections, Queue: x.Queue, Share: x.Share, OwnDrains: x.Drains == "own", Trust: x.Rest == "after_stray",
+		Tunnels: pool.TunnelCaps{Most: x.Tunnels.Most, PerNode: x.Tunnels.PerNode}, Whole: true}
 }
 
 // open starts a pool and gives it its list.
@@ -261,7 +263,11 @@
 func (s *Service) route(next *state) {
 	r := &proxy.Routing{Table: next.config.Table, Routes: map[string]proxy.Destination{}, Pools: map[string]*pool.Pool{}}
 	for name, x := range next.config.Routing {
-		r.Routes[name] = proxy.Destination{Class: next.config.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie}
+		tunnels := next.config.Pools[x.Pools[0].Pool].Tunnels
+		r.Routes[name] = proxy.Destination{Class: next.config.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie,
+			Bodies: &body.Limits{Request: int64(x.Body.Max), Ahead: int(x.Body.Buffer), Within: time.Duration(x.Body.Within), Answer: int64(x.Answer.Max),
+				Quiet: time.Duration(x.Answer.Idle), Total: time.Duration(x.Answer.Total), Trailers: true},
+			Upgrades: x.Upgrades, Tunnels: &body.TunnelLimits{Idle: time.Duration(tunnels.Idle), Total: time.Duration(tunnels.Total), Grace: time.Duration(tunnels.Grace)}}
 	}
 	for name, x := range next.pools {
 		r.Pools[name] = x.Pool
@@ -277,12 +283,13 @@
 func (s *Service) serve(now *state, p *plan) {
 	for _, l := range p.next.config.Listeners {
 		if old := now.fronts[l.Address]; old != nil {
-			old.Resize(l.Connections)
+			old.Limit(limits(l))
 			p.next.fronts[l.Address] = old
 			continue
 		}
 		x := p.listeners[l.Address]
-		f := &front{edge.New(s.desk, x, l.Connections), l.Name, x.Addr()}
+		f := &front{edge.New(s.desk, x, limits(l)), l.Name, x.Addr()}
+		f.Spool(int64(p.next.config.Limits.Bodies) / int64(len(p.next.config.Listeners)))
 		p.next.fronts[l.Address] = f
 		go func() {
 			if err := f.Serve(); err != nil {
@@ -303,6 +310,11 @@
 	}
 }
 
+// limits are what a listener's clients may take.
+func limits(l config.Listener) edge.Limits {
+	return edge.Limits{Connections: l.Connections, Head: int(l.Head), Within: time.Duration(l.Within), Rate: int(l.Rate), HTTP10: true}
+}
+
 // retire ends a pool once its requests are answered.
 func (s *Service) retire(x *member) {
 	x.stop()
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -29,6 +29,7 @@
 	judge  *fleet.Judge
 	folder string
 	url    string
+	stop   func()
 }
 
 const listener = "127.0.0.1:0"
@@ -42,7 +43,8 @@
 		t.Fatal(err)
 	}
 	x.Service, x.url = s, "http://"+s.Address(listener).String()
-	t.Cleanup(s.Stop)
+	x.stop = sync.OnceFunc(s.Stop)
+	t.Cleanup(x.stop)
 	return x
 }
 
--- a/rigs/overhead/peers.go
+++ b/internal/standin/peers/proxies.go
@@ -1,4 +1,4 @@
-package main
+package peers
 
 import (
 	"fmt"
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -159,24 +159,24 @@
 	}
 	if rest != nil {
 		if err := rest.Send(c); err != nil {
-			return c.unsent(a.Message.Most(), d.Whole, err)
+			return c.unsent(a.Message, d.Whole, err)
 		}
 		if rest.Live() && a.Told != nil {
 			a.Told.Written()
 		}
 	}
-	return c.take(a.Message.Most(), d.Whole, a.Bodiless, a.Told)
+	return c.take(a.Message, d.Whole, a.Told)
 }
 
 // unsent is the result of an attempt whose last byte was not written: it never ran, unless the node has answered early and
 // says something else.
-func (c *conn) unsent(m *body.Limits, whole bool, err error) Result {
+func (c *conn) unsent(m *Message, whole bool, err error) Result {
 	if failed := (body.ClientFailed{}); errors.As(err, &failed) {
 		c.Close()
 		return Result{Status: clayladder.Moot}
 	}
 	c.SetReadDeadline(time.Now().Add(earlyAnswer))
-	r := c.take(m, whole, false, nil)
+	r := c.take(m, whole, nil)
 	if r.Conn != nil {
 		r.Conn.Close() // the node still waits for the body
 		r.Conn = nil
@@ -189,20 +189,35 @@
 
 // take reads an attempt's answer. One that is spoilt has run, and its connection is of no further use. An answer that is long, or
 // slow and of no known length, is told of with its first bytes, and the result is of its end; where nobody is told it is too large.
-func (c *conn) take(m *body.Limits, whole, head bool, told Observer) Result {
+func (c *conn) take(q *Message, whole bool, told Observer) Result {
 	failed := func(err error) Result {
 		c.Close()
-		for _, spoilt := range []error{http1.ErrHead, http1.ErrLong, http1.ErrFrame, http1.ErrLarge} {
+		for _, spoilt := range []error{http1.ErrHead, http1.ErrLine, http1.ErrLong, http1.ErrFrame, http1.ErrLarge} {
 			if errors.Is(err, spoilt) {
 				return Result{Status: clayladder.Error}
 			}
 		}
 		return Result{Status: clayladder.Reset}
 	}
-	status, h, f, err := c.Answer(head)
+	asked := http1.Asked{Head: q.bodiless()}
+	if told != nil {
+		asked.Upgrade = q.Upgrade
+		if q.Hints {
+			asked.Hint = told.Hint
+		}
+	}
+	status, h, f, err := c.Answer(asked)
 	if err != nil {
 		return failed(err)
 	}
+	if status == http.StatusSwitchingProtocols {
+		t := body.NewTunnel(c.Stream, q.Tunnel)
+		told.Began(Result{Status: clayladder.OK, Code: status, Header: h, Tunnel: t})
+		<-t.Done()
+		c.Close()
+		return Result{Status: clayladder.OK}
+	}
+	m := q.Most()
 	r := Result{Status: clayladder.Error}
 	r.Load, r.Spoilt = LoadOf(h.Values("X-Load"))
 	last := http1.Closes(h) || f.ToClose
@@ -264,7 +279,7 @@
 		c.Close()
 		return Result{Status: clayladder.ConnectFailed}
 	}
-	r = c.take(&body.Usual, false, false, nil)
+	r = c.take(&Message{}, false, nil)
 	if p.Load && r.Status == clayladder.OK {
 		if l, why := LoadOf([]string{strings.TrimSpace(string(r.Body))}); l.Fields != 0 {
 			r.Load = l
--- a/internal/upstream/message.go
+++ b/internal/upstream/message.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"clayladder/internal/body"
@@ -20,9 +22,15 @@
 	Bodied bool         // a Content-Length goes with it, also without a body
 
 	Trailer http1.Fields // of a body that is whole; then it goes in chunks
+	Upgrade string       // the protocol that the client asks for instead (RFC 9110, section 7.8); empty: none
+	Tunnel  *body.TunnelLimits
+	Hints   bool         // interim answers with status 103 go on
 	Limits  *body.Limits // of its body and of its answer's; nil: the usual ones
 }
 
+// bodiless tells whether an answer to it has no body, whatever its head says.
+func (m *Message) bodiless() bool { return strings.HasPrefix(m.Line, http.MethodHead+" ") }
+
 // Most are the limits that hold.
 func (m *Message) Most() *body.Limits {
 	if m.Limits == nil {
@@ -47,6 +55,10 @@
 	b.WriteString(strconv.FormatInt(max(1, wait.Milliseconds()), 10))
 	b.WriteString("\r\n")
 	http1.WriteFields(b, m.Header)
+	if m.Upgrade != "" {
+		http1.WriteField(b, "Connection", "Upgrade")
+		http1.WriteField(b, "Upgrade", m.Upgrade)
+	}
 	if m.Bodied {
 		b.WriteString(m.framing())
 	}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -46,7 +46,9 @@
 type Observer interface {
 	// Written tells that the last byte of a body that went on as it came has been written.
 	Written()
-	// Began tells that the first bytes of an answer have come that goes on as it comes.
+	// Hint tells the fields of an interim answer with status 103 (RFC 8297), where the message wants them.
+	Hint(http1.Fields)
+	// Began tells that the first bytes of an answer have come that goes on as it comes, or that a tunnel stands.
 	Began(Result)
 }
 
@@ -60,13 +62,12 @@
 // Attempt is one send of a message to a node. Who makes it fills in the fields, and may then call Drop and GiveUp from any
 // goroutine while a Transport carries it.
 type Attempt struct {
-	Message  *Message
-	Address  string        // host:port of the node
-	Wait     time.Duration // that the node is told, and that the request may take to be written
-	Rest     time.Duration // that its connection still needs before anything is written
-	Conn     Conn          // idle, to go on with; nil: one is opened
-	Bodiless bool          // the answer has no body: HEAD was asked
-	Told     Observer      // nil: answers are taken whole
+	Message *Message
+	Address string        // host:port of the node
+	Wait    time.Duration // that the node is told, and that the request may take to be written
+	Rest    time.Duration // that its connection still needs before anything is written
+	Conn    Conn          // idle, to go on with; nil: one is opened
+	Told    Observer      // nil: answers are taken whole
 
 	stage  atomic.Int32
 	giveUp func(at time.Time) // set before the attempt is claimed
@@ -101,6 +102,7 @@
 	Header  http1.Fields   // where all of the answer is passed on
 	Trailer http1.Fields   // of a whole answer
 	More    *body.Download // what of the body goes on as it comes; nil: it is whole
+	Tunnel  *body.Tunnel   // the connection has changed its protocol; Do returns once it has ended
 	Conn    Conn
 	Stray   bool   // there was more than was asked for, before the request or behind the answer
 	Spoilt  string // why its load report could not be read; empty: it could, or there was none
--- a/internal/upstream/upstreamtest/upstreamtest.go
+++ b/internal/upstream/upstreamtest/upstreamtest.go
@@ -97,6 +97,7 @@
 	w.order = append(w.order, what)
 }
 func (w *watch) Written()                { w.note("written") }
+func (w *watch) Hint(http1.Fields)       { w.note("hint") }
 func (w *watch) Began(r upstream.Result) { w.note("began"); w.began <- r }
 func (w *watch) seen() []string {
 	w.mu.Lock()
@@ -225,7 +226,7 @@
 	here, there := net.Pipe()
 	failed := make(chan error, 1)
 	go func() {
-		err := r.More.Copy(here)
+		err := r.More.Copy(here, true)
 		here.Close()
 		failed <- err
 	}()
--- a/rigs/overhead/main.go
+++ b/rigs/overhead/main.go
@@ -14,8 +14,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"runtime"
 	"slices"
 	"strconv"
@@ -24,8 +22,8 @@
 	"sync/atomic"
 	"time"
 
-	"clayladder/internal/procstat"
 	"clayladder/internal/standin/instant"
+	"clayladder/internal/standin/peers"
 )
 
 // bound is the most that a request may cost, as a part of ReverseProxy's CPU time, at 16 and 128 connections. It keeps what
@@ -33,18 +31,14 @@
 const bound = 0.7
 
 func main() {
-	var err error
-	switch role := os.Getenv("OVERHEAD_ROLE"); role {
-	case "":
-		err = run()
-	case "reverse":
-		err = reverse(strings.Split(os.Getenv("OVERHEAD_NODES"), ","))
-	case "relay":
-		err = relay(strings.Split(os.Getenv("OVERHEAD_NODES"), ","))
-	default:
-		err = fmt.Errorf("no role %q", role)
+	if played, err := peers.Main(os.Getenv); played {
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "overhead:", err)
+			os.Exit(1)
+		}
+		return
 	}
-	if err != nil {
+	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "overhead:", err)
 		os.Exit(1)
 	}
@@ -71,23 +65,11 @@
 	WithinBound bool                          `json:"within_bound"`
 }
 
-// contender is a process between clients and nodes.
-type contender struct {
-	name    string
-	address string
-	cmd     *exec.Cmd
-}
-
 func run() error {
 	turn := flag.Duration("turn", 1500*time.Millisecond, "length of one turn")
 	rounds := flag.Int("rounds", 2, "turns of each contender at each number of connections")
 	count := flag.Int("nodes", 8, "nodes")
 	flag.Parse()
-	folder, err := os.MkdirTemp("", "overhead")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(folder)
 	var addresses []string
 	for range *count {
 		n, err := instant.Start(200)
@@ -97,34 +79,29 @@
 		defer n.Close()
 		addresses = append(addresses, n.Address())
 	}
-	contenders, err := start(folder, addresses)
-	defer func() {
-		for _, c := range contenders {
-			c.cmd.Process.Kill()
-			c.cmd.Wait()
-		}
-	}()
+	set, err := peers.Start(addresses, peers.Config{Connections: 500, Queue: 400})
 	if err != nil {
 		return err
 	}
+	defer set.Stop()
 	r := result{Cores: runtime.NumCPU(), Nodes: *count, Contenders: map[string]map[string]figures{}, OfReverse: map[string]float64{},
 		FloorOf: map[string]float64{}, Bound: bound, WithinBound: true}
-	for _, c := range contenders {
-		r.Contenders[c.name] = map[string]figures{}
+	for _, c := range set.All {
+		r.Contenders[c.Name] = map[string]figures{}
 		load(c, 8, 300*time.Millisecond) // warm
 	}
 	for _, conns := range []int{1, 16, 128} {
 		key := strconv.Itoa(conns)
 		all := map[string][]figures{}
 		for range *rounds {
-			for _, c := range contenders {
+			for _, c := range set.All {
 				f, err := load(c, conns, *turn)
 				if err != nil {
-					return fmt.Errorf("%s: %w", c.name, err)
+					return fmt.Errorf("%s: %w", c.Name, err)
 				}
 				fmt.Fprintf(os.Stderr, "%-9s %3d connections: %6.1f us, %7.0f a second, p50 %.2f ms, p99 %.2f ms, %d not served, %.0f MB\n",
-					c.name, conns, f.CPU, f.PerSecond, f.P50, f.P99, f.NotServed, f.Memory)
-				all[c.name] = append(all[c.name], f)
+					c.Name, conns, f.CPU, f.PerSecond, f.P50, f.P99, f.NotServed, f.Memory)
+				all[c.Name] = append(all[c.Name], f)
 			}
 		}
 		for name, turns := range all {
@@ -159,102 +136,12 @@
 	return m
 }
 
-// start starts the contenders.
-func start(folder string, nodes []string) ([]*contender, error) {
-	binary := filepath.Join(folder, "olivearch")
-	if out, err := exec.Command("go", "build", "-o", binary, "./cmd/olivearch").CombinedOutput(); err != nil {
-		return nil, fmt.Errorf("building olivearch from the module's root: %w\n%s", err, out)
-	}
-	ours, err := free()
-	if err != nil {
-		return nil, err
-	}
-	var list strings.Builder
-	for _, n := range nodes {
-		fmt.Fprintf(&list, "{address: '%s'}, ", n)
-	}
-	text := fmt.Sprintf(`listeners: [{address: '%s', connections: 400}]
-limits: {descriptors: 1200, node_connections: 200}
-classes: {c: {aim: 250ms, deadline: 5s}}
-pools: {p: {connections: 700, queue: 400, nodes: {static: [%s]}}}
-routes: [{name: all, class: c, pool: p}]
-`, ours, list.String())
-	config := filepath.Join(folder, "c.yaml")
-	if err := os.WriteFile(config, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	self, err := os.Executable()
-	if err != nil {
-		return nil, err
-	}
-	var all []*contender
-	for _, x := range []struct {
-		name, address string
-		cmd           *exec.Cmd
-		role          string
-	}{
-		{"olivearch", ours, exec.Command(binary, "serve", "--config", config), ""},
-		{"reverse", "", exec.Command(self), "reverse"},
-		{"relay", "", exec.Command(self), "relay"},
-	} {
-		c := &contender{name: x.name, address: x.address, cmd: x.cmd}
-		c.cmd.Env = append(os.Environ(), "GOMAXPROCS=1", "OVERHEAD_ROLE="+x.role, "OVERHEAD_NODES="+strings.Join(nodes, ","))
-		if x.role == "" {
-			c.cmd.Stderr = nil
-			if err := c.cmd.Start(); err != nil {
-				return all, err
-			}
-		} else {
-			c.cmd.Stderr = os.Stderr
-			out, err := c.cmd.StdoutPipe()
-			if err != nil {
-				return all, err
-			}
-			if err := c.cmd.Start(); err != nil {
-				return all, err
-			}
-			line, err := bufio.NewReader(out).ReadString('\n')
-			if err != nil {
-				return all, err
-			}
-			c.address = strings.TrimSpace(line)
-		}
-		all = append(all, c)
-		if err := await(c.address); err != nil {
-			return all, fmt.Errorf("%s: %w", c.name, err)
-		}
-	}
-	return all, nil
-}
-
-func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
-func await(address string) error {
-	var err error
-	for range 500 {
-		var c net.Conn
-		if c, err = net.Dial("tcp", address); err == nil {
-			c.Close()
-			return nil
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return err
-}
-
 const request = "POST /checkin/gate HTTP/1.1\r\nHost: checkin.plano.example.org\r\nX-Deadline-Ms: 5000\r\nX-Request-Id: %s\r\n" +
 	"Content-Type: application/json\r\nContent-Length: 64\r\n\r\n"
 
 // load drives one contender with connections that ask again as soon as they are answered.
-func load(c *contender, conns int, length time.Duration) (figures, error) {
-	before, err := procstat.CPU(c.cmd.Process.Pid)
+func load(c *peers.Peer, conns int, length time.Duration) (figures, error) {
+	before, err := c.CPU()
 	if err != nil {
 		return figures{}, err
 	}
@@ -270,7 +157,7 @@
 		wg.Go(func() {
 			var mine []time.Duration
 			err := func() error {
-				conn, err := net.Dial("tcp", c.address)
+				conn, err := net.Dial("tcp", c.Address)
 				if err != nil {
 					return err
 				}
@@ -303,7 +190,7 @@
 	}
 	wg.Wait()
 	took := time.Since(start)
-	after, err := procstat.CPU(c.cmd.Process.Pid)
+	after, err := c.CPU()
 	if err = errors.Join(failed, err); err != nil {
 		return figures{}, err
 	}
@@ -311,7 +198,7 @@
 	ms := func(part float64) float64 {
 		return float64(times[int(part*float64(len(times)-1))].Microseconds()) / 1000
 	}
-	memory, err := procstat.Resident(c.cmd.Process.Pid)
+	memory, err := c.Resident()
 	return figures{Requests: len(times), NotServed: int(wrong.Load()), PerSecond: float64(len(times)) / took.Seconds(),
 		CPU: float64((after - before).Nanoseconds()) / 1000 / float64(len(times)), P50: ms(0.5), P99: ms(0.99), Memory: memory}, err
 }
