--- /dev/null
+++ b/internal/edge/exchange_test.go
@@ -0,0 +1,98 @@
+package edge
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"clayladder/internal/http1"
+	"clayladder/internal/pool"
+	"clayladder/internal/upstream"
+)
+
+// counter is a desk whose pool answers each request at once, with the body that came.
+type counter struct{ asked int }
+
+type counted struct {
+	pool.Request
+	desk *counter
+}
+
+func (d *counter) Check(method, target string, h *http1.Fields) (Call, error) {
+	if !strings.HasPrefix(target, "/") {
+		return nil, Bad("the target is no path")
+	}
+	q := &counted{desk: d}
+	q.Message = upstream.Message{Line: method + " " + target, Header: *h, Bodied: method == http.MethodPost}
+	return q, nil
+}
+func (d *counter) Alive()                 {}
+func (d *counter) Now() time.Duration     { return 0 }
+func (d *counter) Longest() time.Duration { return time.Second }
+
+func (q *counted) Asked() *pool.Request { return &q.Request }
+func (q *counted) Leave()               {}
+func (q *counted) Enter() (pool.Answer, error) {
+	q.desk.asked++
+	return pool.Answer{Status: http.StatusOK, Body: q.Message.Body}, nil
+}
+
+// script is a client that says something, and then nothing more.
+type script struct {
+	net.Conn
+	says  io.Reader
+	heard bytes.Buffer
+}
+
+func (s *script) Read(b []byte) (int, error)       { return s.says.Read(b) }
+func (s *script) Write(b []byte) (int, error)      { return s.heard.Write(b) }
+func (s *script) SetReadDeadline(time.Time) error  { return nil }
+func (s *script) SetWriteDeadline(time.Time) error { return nil }
+func (s *script) Close() error                     { return nil }
+
+// FuzzExchange lets a client say anything on one connection. It gets one answer for each request that was taken, in order and
+// readable, at most one refusal behind them, and then the end.
+func FuzzExchange(f *testing.F) {
+	const get = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n"
+	for _, text := range []string{
+		get, get + get, "GET /a HTTP/1.0\r\n\r\n", "GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n" + get,
+		"POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nab" + get, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x\r\nab\r\n0\r\nX-T: 1\r\n\r\n" + get,
+		"POST /a HTTP/1.1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get, "POST /a HTTP/1.1\r\nContent-Length: 99\r\n\r\nab",
+		"GET /healthz HTTP/1.1\r\n\r\n" + get, "\r\n\r\n" + get, "GET /a HTTP/1.1\nHost: x\n\n", "PRI * HTTP/2.0\r\n\r\n", "\x16\x03\x01", "",
+	} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d := &counter{}
+		limits := Usual(10)
+		limits.HTTP10 = true
+		front := New(d, nil, limits)
+		c := &script{says: bytes.NewReader(text)}
+		front.Take(c)
+		front.gone.Wait()
+		said := c.heard.Bytes()
+		answers := strings.Count(string(said), "HTTP/1.1 200 OK\r\n")
+		refusals := 0
+		for rest := said; ; {
+			i := bytes.Index(rest, []byte("HTTP/1.1 "))
+			if i < 0 || len(rest) < i+12 {
+				break
+			}
+			if rest[i+9] >= '4' && rest[i+9] <= '5' {
+				refusals++
+			}
+			rest = rest[i+12:]
+		}
+		health := strings.Count(string(said), "\r\n\r\nok\n")
+		if bytes.Contains(text, []byte("HTTP/1.1 ")) { // it came back as a body
+			return
+		}
+		if answers > d.asked+health || refusals > 1 {
+			t.Errorf("%d requests were taken, %d answers and %d refusals given:\n%q", d.asked, answers, refusals, said)
+		}
+	})
+}
