A part of a long body takes what has come: slow senders keep no writer waiting

A part of 512 KiB had two minutes to be read and written in all: a client slower than 4.3 KB/s broke its upload as if the node had failed, and a node that had stopped reading was found out after two minutes (5 s before the bodies went from socket to socket). A part is now moved once something of it has come, takes what comes within 50 ms, and has 5 s to be written.

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -158,7 +157,7 @@
 		d.mu.Unlock()
 		gone := d.pass(part{b, n, err})
 		if gone == nil && err == nil {
-			gone = d.patient()
+			gone = d.patient(d.limits.Quiet)
 		}
 		if gone == nil && err == nil {
 			continue
@@ -173,7 +172,7 @@
 }
 
 // patient bounds the next read from the node, unless nobody wants the rest any more.
-func (d *Download) patient() error {
+func (d *Download) patient(within time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	select {
@@ -181,7 +180,7 @@
 		d.state = over
 		return errStopped
 	default:
-		d.conn.SetReadDeadline(time.Now().Add(d.limits.Quiet)) // if it fails so does the read, which is told to the client's side
+		d.conn.SetReadDeadline(time.Now().Add(within)) // if it fails so does the read, which is told to the client's side
 		return nil
 	}
 }
@@ -242,23 +241,21 @@
 	return d.limits.Total > 0 && time.Since(began) > d.limits.Total
 }
 
-// forward moves a body of known length from the node's connection to the client's. Bytes that a write has timed out on are lost in
-// the system's pipe, so only a read may time out and go on.
+// forward moves a body of known length from the node's connection to the client's.
 func (d *Download) forward(to net.Conn) error {
-	var limit pace
 	for began := time.Now(); ; {
-		if limit.due() {
-			if err := d.patient(); err != nil {
-				return err
-			}
-			limit.writes(to, max(slowPart, 2*d.limits.Quiet))
+		if err := d.patient(d.limits.Quiet); err != nil {
+			return err
 		}
-		n, err := d.src.Forward(to, partMost)
-		switch {
+		if err := d.src.Wait(); err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		if err := d.patient(partWait); err != nil {
+			return err
+		}
+		switch err := move(d.src, to, slowBlock); {
 		case errors.Is(err, io.EOF):
 			return nil
-		case n > 0 && errors.Is(err, os.ErrDeadlineExceeded) && limit.stands():
-			limit.renew = time.Time{}
 		case err != nil:
 			return err
 		case d.late(began):
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -17,11 +17,9 @@
 const (
 	// uploadStall is how long a client may send nothing of a body that goes on as it comes.
 	uploadStall = 5 * time.Second
-	// A part of a body of known length is moved at once: partMost bytes of it, within slowPart. Limits of time are set anew once
-	// they are older than renewAfter, since to set them costs as much as a good part of a part.
-	partMost   = 512 << 10
-	slowPart   = 2 * time.Minute
-	renewAfter = time.Second
+	// A part of a body of known length that is moved at once has partMost bytes, or as many as come within partWait.
+	partMost = 512 << 10
+	partWait = 50 * time.Millisecond
 	// slowNode is how long a node may take no byte of it.
 	slowNode = 5 * time.Second
 	// Block is what is copied at once, in bytes.
@@ -207,13 +205,13 @@
 }
 
 // patient bounds the next read from the client, unless no more is to be read.
-func (u *Upload) patient() error {
+func (u *Upload) patient(within time.Duration) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.stopped {
 		return ClientFailed{errStopped}
 	}
-	u.conn.SetReadDeadline(time.Now().Add(uploadStall))
+	u.conn.SetReadDeadline(time.Now().Add(within))
 	return nil
 }
 
@@ -248,13 +246,12 @@
 		u.done <- err
 	}()
 	began := time.Now()
-	var limit pace
 	for err == nil {
 		if time.Since(began) > u.limits.Within {
 			return ClientFailed{ErrSlow}
 		}
 		if u.known {
-			err = u.forward(c, &limit)
+			err = u.forward(c)
 		} else {
 			err = u.copy(c)
 		}
@@ -269,52 +266,39 @@
 	}
 }
 
-// forward moves a part of a body whose length is known. Bytes that a write has timed out on are lost in the system's pipe, so only
-// a read may time out and go on.
-func (u *Upload) forward(c net.Conn, limit *pace) error {
-	if limit.due() {
-		if err := u.patient(); err != nil {
-			return err
-		}
-		limit.writes(c, slowPart)
-	}
-	n, err := u.src.Forward(c, partMost)
-	switch {
-	case err == nil, errors.Is(err, io.EOF):
+// forward moves a part of a body whose length is known, once something of it has come.
+func (u *Upload) forward(c net.Conn) error {
+	if err := u.patient(uploadStall); err != nil {
 		return err
-	case errors.Is(err, os.ErrDeadlineExceeded) && limit.stands(): // the client's
-		limit.renew = time.Time{}
-		if n > 0 {
-			return nil
-		}
+	}
+	if err := u.src.Wait(); err != nil && !errors.Is(err, io.EOF) {
 		return ClientFailed{err}
-	case errors.Is(err, io.ErrUnexpectedEOF), http1.Ended(u.conn):
+	}
+	if err := u.patient(partWait); err != nil {
+		return err
+	}
+	err := move(u.src, c, slowNode)
+	if err != nil && !errors.Is(err, io.EOF) && (errors.Is(err, io.ErrUnexpectedEOF) || http1.Ended(u.conn)) {
 		return ClientFailed{err}
 	}
 	return err
 }
 
-// pace are the limits of time of a body that is moved part by part.
-type pace struct {
-	renew time.Time // when they are set anew
-	write time.Time // the limit of writing
-}
-
-func (p *pace) due() bool { return !time.Now().Before(p.renew) }
-
-// writes bounds what is written to c from now on.
-func (p *pace) writes(c net.Conn, within time.Duration) {
-	now := time.Now()
-	p.renew, p.write = now.Add(renewAfter), now.Add(within)
-	c.SetWriteDeadline(p.write)
+// move moves what comes of a part within the limit of reading that stands, and bounds the writing. Bytes that a write has timed out
+// on are lost in the system's pipe, so only a read may time out and be no error.
+func move(src *http1.Body, to net.Conn, within time.Duration) error {
+	limit := time.Now().Add(within)
+	to.SetWriteDeadline(limit)
+	_, err := src.Forward(to, partMost)
+	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(limit) {
+		return nil
+	}
+	return err
 }
 
-// stands tells whether the limit of writing has not been reached, so that a time-out is one of reading.
-func (p *pace) stands() bool { return time.Now().Before(p.write) }
-
 // copy moves a part of a body whose length is not known.
 func (u *Upload) copy(c net.Conn) error {
-	if err := u.patient(); err != nil {
+	if err := u.patient(uploadStall); err != nil {
 		return err
 	}
 	b := blocks.Get().(*[Block]byte)
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"math"
@@ -105,6 +106,18 @@
 
 func (b *Body) chunked() bool { return b.chunks != nil }
 
+// Wait returns when the next byte of a body of known length has come, and takes none; io.EOF: there is none.
+func (b *Body) Wait() error {
+	if b.left == 0 || b.err != nil {
+		return cmp.Or(b.err, io.EOF)
+	}
+	err := b.s.Wait()
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return err
+}
+
 // Forward moves up to most bytes of a body of known length to a connection, from socket to socket where the system can (splice(2)).
 // It returns io.EOF once the body has ended. What limits of time it meets are those that stand on both connections.
 func (b *Body) Forward(to net.Conn, most int64) (n int64, err error) {
@@ -121,12 +134,12 @@
 		p, _ := b.s.in.Peek(int(min(ready, most))) // they are there
 		m, err := to.Write(p)
 		b.s.in.Discard(m)
-		return int64(m), err
-	}
-	if most == 0 {
-		return 0, nil
+		if n = int64(m); err != nil || n == most {
+			return n, err
+		}
 	}
-	n, err = io.Copy(Under(to), io.LimitReader(Under(b.s.Conn), most))
+	m, err := io.Copy(Under(to), io.LimitReader(Under(b.s.Conn), most-n))
+	n += m
 	if err == nil && n < most {
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/service/streams_test.go
+++ b/internal/service/streams_test.go
@@ -392,3 +392,82 @@
 		t.Errorf("%d slow requests came to the node", len(n.Arrivals))
 	}
 }
+
+// Long answers that clients read slowly hold connections and are no load: the node looks as busy as it says, and queries go on.
+func TestSlowDownloadsAreNoLoad(t *testing.T) {
+	const downloads = 40
+	release := make(chan struct{})
+	n := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path != "/long" {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Load: util=0.9\r\nContent-Length: 2\r\n\r\nok")
+			return err == nil
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Load: util=0.9\r\nContent-Length: %d\r\n\r\nfirst", 1<<20)
+		<-release
+		_, err := c.Write(make([]byte, 1<<20-len("first")))
+		return err == nil
+	})
+	x := sockets(t, "", "", n)
+	var streams []*http.Response
+	for range downloads {
+		_, in := x.dial("GET /long HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		streams = append(streams, answer(t, in))
+		<-n.Arrivals
+	}
+	for i := range 50 {
+		_, in := x.dial("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		if resp := answer(t, in); resp.StatusCode != http.StatusOK {
+			t.Fatalf("query %d beside them: %d", i, resp.StatusCode)
+		}
+		<-n.Arrivals
+	}
+	x.until("the load that the node tells", func(v live.View) bool { return v.Pools[0].Nodes[0].Mean > 0.8 })
+	if v := x.pool("p"); v.Nodes[0].Out != 0 || v.Connections < downloads {
+		t.Errorf("%d out, %d connections; want none out and at least %d connections", v.Nodes[0].Out, v.Connections, downloads)
+	}
+	close(release)
+	for _, resp := range streams {
+		if got, err := io.ReadAll(resp.Body); err != nil || len(got) != 1<<20 {
+			t.Errorf("%d bytes came, %v", len(got), err)
+		}
+	}
+}
+
+// A reload that takes away route and pool, and a stop, let a long answer and a long body come to their end.
+func TestStreamsOutliveTheirRoute(t *testing.T) {
+	for _, how := range []string{"reload", "stop"} {
+		t.Run(how, func(t *testing.T) {
+			release := make(chan struct{})
+			n := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+				if r.Method == http.MethodPost {
+					return scripted.Done(c, r)
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+				<-release
+				io.WriteString(c, "4\r\nlast\r\n0\r\n\r\n")
+				return true
+			})
+			other := scripted.Start(t, scripted.Done)
+			x := sockets(t, "", "", n)
+			_, in := x.dial("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+			down := answer(t, in)
+			const size = 4 << 20
+			up, reply := x.dial(fmt.Sprintf("POST /u HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", size))
+			up.Write(make([]byte, size/2)) // more than is read ahead: it is on its way to the node
+			x.until("both are there", func(v live.View) bool { return v.Pools[0].Connections >= 2 })
+			if how == "stop" {
+				go x.stop()
+			} else {
+				x.apply(strings.NewReplacer("pools: {p:", "pools: {q:", "pool: p", "pool: q").Replace(streamed("", "", other)))
+			}
+			up.Write(make([]byte, size-size/2))
+			if resp := answer(t, reply); resp.StatusCode != http.StatusOK {
+				t.Errorf("the body: %d", resp.StatusCode)
+			}
+			close(release)
+			if got, err := io.ReadAll(down.Body); string(got) != "firstlast" || err != nil {
+				t.Errorf("the answer: %q, %v", got, err)
+			}
+		})
+	}
+}
