A node that answers while its client still sends is heard; check tells of tunnels

Two hard cases had no test: a node that answers in full and reads on (heard at the end of the body), and one that reads no more (heard once it has taken nothing for 5 s). olivearch check names what a route lets its clients change to, and the caps.

--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -98,6 +99,12 @@
 		for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
 			fmt.Fprintf(out, "  pool %s: %s\n", name, loadFrom[c.Pools[name].Reports])
 		}
+		for _, r := range c.Routes {
+			if len(r.Upgrades) > 0 {
+				caps := c.Pools[r.Pools[0].Pool].Tunnels
+				fmt.Fprintf(out, "  route %s: clients may change to %s, %d at once, %d to a node\n", r.Name, strings.Join(r.Upgrades, ", "), caps.Most, caps.PerNode)
+			}
+		}
 	}
 	return errors.Join(errs...)
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -1,11 +1,9 @@
 package service
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -437,20 +435,8 @@
 // raw sends bytes and reads one answer.
 func (x *site) raw(text string) *http.Response {
 	x.t.Helper()
-	c, err := net.Dial("tcp", strings.TrimPrefix(x.url, "http://"))
-	if err != nil {
-		x.t.Fatal(err)
-	}
-	x.t.Cleanup(func() { c.Close() })
-	c.SetDeadline(time.Now().Add(20 * time.Second))
-	if _, err := io.WriteString(c, text); err != nil {
-		x.t.Fatal(err)
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		x.t.Fatalf("%q: %v", text, err)
-	}
-	return resp
+	_, in := x.dial(text)
+	return answer(x.t, in)
 }
 
 // TestOneReading: however host and path are spelt, a request comes to the route of its canonical reading or is turned away,
--- a/internal/service/streams_test.go
+++ b/internal/service/streams_test.go
@@ -471,3 +471,54 @@
 		})
 	}
 }
+
+// A node that answers in full while the client still sends is heard: at the end of the body if it reads on, and once it has taken
+// nothing for a while if it does not.
+func TestNodeAnswersWhileTheClientSends(t *testing.T) {
+	for name, readsOn := range map[string]bool{"and reads on": true, "and reads no more": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			done := make(chan struct{})
+			defer close(done)
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						io.CopyN(io.Discard, c, 200<<10)
+						io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nearly")
+						if readsOn {
+							io.Copy(io.Discard, c)
+						}
+						<-done
+					}()
+				}
+			}()
+			const size = 40 << 20 // more than all sockets on the way hold
+			x := sockets(t, "", "", &scripted.Node{Addr: l.Addr().String()})
+			c, in := x.dial(fmt.Sprintf("POST /u HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size))
+			sent := make(chan error, 1)
+			go func() {
+				_, err := c.Write(make([]byte, size))
+				sent <- err
+			}()
+			resp := answer(t, in)
+			if body, err := io.ReadAll(resp.Body); resp.StatusCode != http.StatusOK || string(body) != "early" || err != nil {
+				t.Errorf("got %d, %q, %v", resp.StatusCode, body, err)
+			}
+			if err := <-sent; readsOn && (err != nil || resp.Close) {
+				t.Errorf("the body went through: %v, and the connection ends: %v", err, resp.Close)
+			} else if !readsOn && !resp.Close {
+				t.Error("the connection goes on in the middle of a body")
+			}
+		})
+	}
+}
