Slow bodies are held to their listener's rate; memory of bodies follows reloads

The rate now counts the time that is spent waiting for the client (serve alone). Heads are bounded by what the memory check counts. One scripted connection in the place of three.

Tests: a slow body in both framings is answered 408 and frees its node (it went on before), a node at its cap is passed over.

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -253,7 +253,7 @@
 		if err := d.patient(partWait); err != nil {
 			return err
 		}
-		switch err := move(d.src, to, slowBlock); {
+		switch _, err := move(d.src, to, slowBlock); {
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
--- a/internal/body/tunnel.go
+++ b/internal/body/tunnel.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net"
 	"os"
 	"sync"
@@ -31,7 +32,11 @@
 type Tunnel struct {
 	node   *http1.Stream
 	limits *TunnelLimits
+
+	mu     sync.Mutex
 	client net.Conn // set by Bind
+	after  []func() // once it has ended; nil from then on
+	over   bool
 
 	activity atomic.Int64 // when a byte last came, in Unix nanoseconds
 	halves   atomic.Int32 // directions that have ended
@@ -44,17 +49,41 @@
 func NewTunnel(node *http1.Stream, limits *TunnelLimits) *Tunnel {
 	t := &Tunnel{node: node, limits: limits, done: make(chan struct{})}
 	t.activity.Store(time.Now().UnixNano())
-	t.end = sync.OnceFunc(func() { close(t.done) })
+	t.end = sync.OnceFunc(func() {
+		close(t.done)
+		t.mu.Lock()
+		after := t.after
+		t.over, t.after = true, nil
+		t.mu.Unlock()
+		for _, f := range after {
+			f()
+		}
+	})
 	t.soon = sync.OnceFunc(func() { time.AfterFunc(limits.Grace, t.Close) })
 	return t
 }
 
 // Bind names the client's connection. It is called before Up and Down.
 func (t *Tunnel) Bind(client net.Conn) {
+	t.mu.Lock()
 	t.client = client
+	t.mu.Unlock()
 	if t.limits.Total > 0 {
 		timer := time.AfterFunc(t.limits.Total, t.Close)
-		go func() { <-t.done; timer.Stop() }()
+		t.Ended(func() { timer.Stop() })
+	}
+}
+
+// Ended has f called once the tunnel has ended, at once if it has. No goroutine waits for it.
+func (t *Tunnel) Ended(f func()) {
+	t.mu.Lock()
+	over := t.over
+	if !over {
+		t.after = append(t.after, f)
+	}
+	t.mu.Unlock()
+	if over {
+		f()
 	}
 }
 
@@ -75,6 +104,8 @@
 	past := time.Unix(0, 1)
 	t.end()
 	t.node.SetDeadline(past)
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if t.client != nil {
 		t.client.SetDeadline(past)
 	}
@@ -87,7 +118,7 @@
 func (t *Tunnel) Up(src *http1.Stream) { t.move(t.node, src) }
 
 func (t *Tunnel) move(to net.Conn, src *http1.Stream) {
-	src.Endless()
+	src.Limit(math.MaxInt64) // what comes is no message any more
 	err := t.copy(to, src)
 	if err == nil && t.halves.Add(1) < 2 { // the other direction may go on
 		half, ok := http1.Under(to).(*net.TCPConn)
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -29,10 +29,10 @@
 var blocks = sync.Pool{New: func() any { return new([Block]byte) }}
 
 // Spool is the memory that clients' bodies may take beyond what each may have for itself, in bytes.
-type Spool struct{ free atomic.Int64 }
+type Spool struct{ size, free atomic.Int64 }
 
-// Set gives the spool so many bytes. It is called before anybody takes of it.
-func (s *Spool) Set(bytes int64) { s.free.Store(bytes) }
+// Set gives the spool so many bytes. If more than that are taken, nobody takes any until enough have been given back.
+func (s *Spool) Set(bytes int64) { s.free.Add(bytes - s.size.Swap(bytes)) }
 
 // Free tells how many bytes are not taken.
 func (s *Spool) Free() int64 { return s.free.Load() }
@@ -51,6 +51,7 @@
 	room   *Spool
 	blocks [][]byte
 	limits *Limits
+	floor  Floor
 	length uint64 // of the whole body, if known
 	known  bool
 
@@ -81,6 +82,15 @@
 	return u
 }
 
+// Floor is the least rate at which a client must send. Only the time that is spent waiting for the client counts.
+type Floor struct {
+	Rate  int           // bytes a second; 0: any
+	Grace time.Duration // that it may lose beyond that
+}
+
+// Hurry sets the floor. It is called before the body is handed on.
+func (u *Upload) Hurry(f Floor) { u.floor = f }
+
 // Settle gives the body the length that it turned out to have, if it is whole: before is how much of it stands elsewhere.
 func (u *Upload) Settle(before int) {
 	if !u.Live() && !u.known && len(u.trailer) == 0 { // a trailer goes behind chunks
@@ -246,15 +256,20 @@
 		u.done <- err
 	}()
 	began := time.Now()
+	var sent int64
+	var waited time.Duration // for the client
 	for err == nil {
-		if time.Since(began) > u.limits.Within {
+		if time.Since(began) > u.limits.Within || u.tooSlow(sent, waited) {
 			return ClientFailed{ErrSlow}
 		}
+		var n int64
+		var wait time.Duration
 		if u.known {
-			err = u.forward(c)
+			n, wait, err = u.forward(c)
 		} else {
-			err = u.copy(c)
+			n, wait, err = u.copy(c)
 		}
+		sent, waited = sent+n, waited+wait
 	}
 	switch {
 	case !errors.Is(err, io.EOF):
@@ -266,49 +281,61 @@
 	}
 }
 
+// tooSlow tells whether a client that has sent so much may not be waited for any longer.
+func (u *Upload) tooSlow(sent int64, waited time.Duration) bool {
+	return u.floor.Rate > 0 && waited > u.floor.Grace && float64(sent) < float64(u.floor.Rate)*(waited-u.floor.Grace).Seconds()
+}
+
 // forward moves a part of a body whose length is known, once something of it has come.
-func (u *Upload) forward(c net.Conn) error {
+func (u *Upload) forward(c net.Conn) (n int64, wait time.Duration, err error) {
 	if err := u.patient(uploadStall); err != nil {
-		return err
+		return 0, 0, err
 	}
+	began := time.Now()
 	if err := u.src.Wait(); err != nil && !errors.Is(err, io.EOF) {
-		return ClientFailed{err}
+		return 0, 0, ClientFailed{err}
 	}
+	wait = time.Since(began)
 	if err := u.patient(partWait); err != nil {
-		return err
+		return 0, wait, err
+	}
+	began = time.Now()
+	if n, err = move(u.src, c, slowNode); err == nil && n < partMost { // what is missing has not come within partWait
+		wait += time.Since(began)
 	}
-	err := move(u.src, c, slowNode)
 	if err != nil && !errors.Is(err, io.EOF) && (errors.Is(err, io.ErrUnexpectedEOF) || http1.Ended(u.conn)) {
-		return ClientFailed{err}
+		err = ClientFailed{err}
 	}
-	return err
+	return n, wait, err
 }
 
 // move moves what comes of a part within the limit of reading that stands, and bounds the writing. Bytes that a write has timed out
 // on are lost in the system's pipe, so only a read may time out and be no error.
-func move(src *http1.Body, to net.Conn, within time.Duration) error {
+func move(src *http1.Body, to net.Conn, within time.Duration) (n int64, err error) {
 	limit := time.Now().Add(within)
 	to.SetWriteDeadline(limit)
-	_, err := src.Forward(to, partMost)
+	n, err = src.Forward(to, partMost)
 	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(limit) {
-		return nil
+		err = nil
 	}
-	return err
+	return n, err
 }
 
 // copy moves a part of a body whose length is not known.
-func (u *Upload) copy(c net.Conn) error {
+func (u *Upload) copy(c net.Conn) (sent int64, wait time.Duration, err error) {
 	if err := u.patient(uploadStall); err != nil {
-		return err
+		return 0, 0, err
 	}
 	b := blocks.Get().(*[Block]byte)
 	defer blocks.Put(b)
+	began := time.Now()
 	n, err := u.src.Read(b[:])
+	wait = time.Since(began)
 	if werr := http1.Chunk(c, b[:n], true, slowNode); werr != nil {
-		return werr
+		return 0, wait, werr
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
-		return ClientFailed{err}
+		err = ClientFailed{err}
 	}
-	return err
+	return int64(n), wait, err
 }
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -143,8 +143,8 @@
 		fill(&x.Head, 16<<10)
 		fill(&x.Within, Duration(10*time.Second))
 		fill(&x.Rate, 8<<10)
-		if x.Head < 1<<10 || x.Head > 1<<20 {
-			k.Fail(at+".head", "a head has from 1KiB to 1024KiB")
+		if x.Head < 1<<10 || x.Head > 64<<10 { // perRequest counts two of them
+			k.Fail(at+".head", "a head has from 1KiB to 64KiB")
 		}
 		if x.Within < Duration(time.Second) {
 			k.Fail(at+".within", "at least 1s is wanted")
--- a/internal/edge/exchange_test.go
+++ b/internal/edge/exchange_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +9,7 @@
 
 	"clayladder/internal/http1"
 	"clayladder/internal/pool"
+	"clayladder/internal/standin/scripted"
 	"clayladder/internal/upstream"
 )
 
@@ -41,19 +40,6 @@
 	return pool.Answer{Status: http.StatusOK, Body: q.Message.Body}, nil
 }
 
-// script is a client that says something, and then nothing more.
-type script struct {
-	net.Conn
-	says  io.Reader
-	heard bytes.Buffer
-}
-
-func (s *script) Read(b []byte) (int, error)       { return s.says.Read(b) }
-func (s *script) Write(b []byte) (int, error)      { return s.heard.Write(b) }
-func (s *script) SetReadDeadline(time.Time) error  { return nil }
-func (s *script) SetWriteDeadline(time.Time) error { return nil }
-func (s *script) Close() error                     { return nil }
-
 // FuzzExchange lets a client say anything on one connection. It gets one answer for each request that was taken, in order and
 // readable, at most one refusal behind them, and then the end.
 func FuzzExchange(f *testing.F) {
@@ -71,10 +57,10 @@
 		limits := Usual(10)
 		limits.HTTP10 = true
 		front := New(d, nil, limits)
-		c := &script{says: bytes.NewReader(text)}
+		c := scripted.Saying(text)
 		front.Take(c)
 		front.gone.Wait()
-		said := c.heard.Bytes()
+		said := c.Heard.Bytes()
 		answers := strings.Count(string(said), "HTTP/1.1 200 OK\r\n")
 		refusals := 0
 		for rest := said; ; {
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -85,7 +85,7 @@
 // Spare closes the connection that idles longest whenever more than so many have a request in them or behind them.
 func (f *Front) Spare(connections int) { f.spare = connections }
 
-// Spool gives clients' bodies so many bytes to be read ahead into. It is called before Serve.
+// Spool gives clients' bodies so many bytes to be read ahead into.
 func (f *Front) Spool(bytes int64) { f.spool.Set(bytes) }
 
 // SpoolFree tells how much of that is not taken, in bytes.
--- a/internal/edge/limits.go
+++ b/internal/edge/limits.go
@@ -12,6 +12,7 @@
 	Head        int           // bytes of a request's head
 	Within      time.Duration // for a request's head, and for as much of its body as comes at the least rate
 	Rate        int           // bytes a second: a body that comes slower is given up
+	Floor       bool          // that holds for bodies that go on as they come too
 	HTTP10      bool          // HTTP/1.0 is served too
 }
 
--- a/internal/edge/read.go
+++ b/internal/edge/read.go
@@ -28,6 +28,9 @@
 		return err
 	}
 	rest.Settle(len(q.Message.Body))
+	if l := f.limits.Load(); l.Floor {
+		rest.Hurry(body.Floor{Rate: l.Rate, Grace: l.Within})
+	}
 	q.Message.Rest = rest
 	return nil
 }
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -158,10 +158,9 @@
 	}
 	var n int
 	var failed error
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) { // no limit of time that has passed matters
 		var b [1]byte
 		n, _, failed = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
 	})
 	return err == nil && n <= 0 && !errors.Is(failed, syscall.EAGAIN)
 }
--- a/internal/http1/stream.go
+++ b/internal/http1/stream.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -56,9 +55,6 @@
 // Limit bounds what may still be read off the connection, in bytes.
 func (s *Stream) Limit(bytes int64) { s.bound.N = bytes }
 
-// Endless takes the limit away: what comes is no message any more.
-func (s *Stream) Endless() { s.bound.N = math.MaxInt64 }
-
 // Read reads what comes next, first what has been read off the connection already.
 func (s *Stream) Read(p []byte) (int, error) { return s.in.Read(p) }
 
--- a/internal/http1/stream_test.go
+++ b/internal/http1/stream_test.go
@@ -4,21 +4,11 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"testing"
-	"time"
-)
-
-// said is a connection on which all has been said.
-type said struct {
-	net.Conn
-	io.Reader
-}
 
-func (s said) Read(b []byte) (int, error)      { return s.Reader.Read(b) }
-func (s said) Write(b []byte) (int, error)     { return len(b), nil }
-func (s said) SetReadDeadline(time.Time) error { return nil }
+	"clayladder/internal/standin/scripted"
+)
 
 // FuzzAnswer reads what an upstream may say. What is taken for whole must be so for net/http too, with the same body.
 func FuzzAnswer(f *testing.F) {
@@ -34,7 +24,7 @@
 		f.Add([]byte(text))
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
-		s := NewStream(said{Reader: bytes.NewReader(text)}, 2<<10)
+		s := NewStream(scripted.Saying(text), 2<<10)
 		status, _, framed, err := s.Answer(Asked{})
 		if err != nil {
 			return
--- a/internal/proxy/message_test.go
+++ b/internal/proxy/message_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,18 +12,9 @@
 	"clayladder"
 	"clayladder/internal/edge"
 	"clayladder/internal/pool"
+	"clayladder/internal/standin/scripted"
 )
 
-// said is a connection on which all has been said.
-type said struct {
-	net.Conn
-	io.Reader
-}
-
-func (s said) Read(b []byte) (int, error)      { return s.Reader.Read(b) }
-func (s said) Write(b []byte) (int, error)     { return len(b), nil }
-func (s said) SetReadDeadline(time.Time) error { return nil }
-
 // FuzzRequest reads what a client may send. What is passed on must be one request for the upstream, with nothing behind
 // it, and the same as the client's.
 func FuzzRequest(f *testing.F) {
@@ -51,7 +41,7 @@
 		{Name: "read", Deadline: time.Second, Repeat: clayladder.Safe},
 	}, p)
 	f.Fuzz(func(t *testing.T, text []byte) {
-		call, err := edge.ReadRequest(desk, said{Reader: bytes.NewReader(text)})
+		call, err := edge.ReadRequest(desk, scripted.Saying(text))
 		if err != nil || call == nil {
 			return
 		}
--- a/internal/proxy/routing.go
+++ b/internal/proxy/routing.go
@@ -76,17 +76,16 @@
 func (q *routed) Tunnel(t *body.Tunnel) {
 	d, by := q.desk, opened{q.route, q.Message.Upgrade}
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.tunnels[t] = by
-	if !slices.Contains(d.routing.Load().Routes[by.route].Upgrades, by.protocol) { // a reload came meanwhile
-		t.EndSoon()
-	}
-	go func() {
-		<-t.Done()
+	d.mu.Unlock()
+	t.Ended(func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		delete(d.tunnels, t)
-	}()
+	})
+	if !slices.Contains(d.routing.Load().Routes[by.route].Upgrades, by.protocol) { // a reload came meanwhile
+		t.EndSoon()
+	}
 }
 
 // routed is a request with what it is matched by, kept until a pool has taken it: routes may change while its body comes.
--- a/internal/proxy/routing_test.go
+++ b/internal/proxy/routing_test.go
@@ -16,6 +16,7 @@
 	"clayladder/internal/http1"
 	"clayladder/internal/pool"
 	"clayladder/internal/route"
+	"clayladder/internal/standin/scripted"
 	"clayladder/internal/wire"
 )
 
@@ -65,7 +66,7 @@
 	r := routing(f, routedPool(f, "x", 1))
 	desk := NewDesk(r)
 	f.Fuzz(func(t *testing.T, text []byte) {
-		call, err := edge.ReadRequest(desk, said{Reader: bytes.NewReader(text)})
+		call, err := edge.ReadRequest(desk, scripted.Saying(text))
 		if err != nil || call == nil {
 			return
 		}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -281,15 +281,17 @@
 
 // serve starts, resizes and stops listeners.
 func (s *Service) serve(now *state, p *plan) {
+	spool := int64(p.next.config.Limits.Bodies) / int64(len(p.next.config.Listeners))
 	for _, l := range p.next.config.Listeners {
 		if old := now.fronts[l.Address]; old != nil {
 			old.Limit(limits(l))
+			old.Spool(spool)
 			p.next.fronts[l.Address] = old
 			continue
 		}
 		x := p.listeners[l.Address]
 		f := &front{edge.New(s.desk, x, limits(l)), l.Name, x.Addr()}
-		f.Spool(int64(p.next.config.Limits.Bodies) / int64(len(p.next.config.Listeners)))
+		f.Spool(spool)
 		p.next.fronts[l.Address] = f
 		go func() {
 			if err := f.Serve(); err != nil {
@@ -312,7 +314,7 @@
 
 // limits are what a listener's clients may take.
 func limits(l config.Listener) edge.Limits {
-	return edge.Limits{Connections: l.Connections, Head: int(l.Head), Within: time.Duration(l.Within), Rate: int(l.Rate), HTTP10: true}
+	return edge.Limits{Connections: l.Connections, Head: int(l.Head), Within: time.Duration(l.Within), Rate: int(l.Rate), Floor: true, HTTP10: true}
 }
 
 // retire ends a pool once its requests are answered.
--- a/internal/service/streams_test.go
+++ b/internal/service/streams_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"clayladder/internal/config"
 	"clayladder/internal/live"
 	"clayladder/internal/standin/fleet"
 	"clayladder/internal/standin/scripted"
@@ -154,6 +155,61 @@
 	}
 }
 
+// A node at its cap is passed over for another.
+func TestTunnelGoesToAnotherNode(t *testing.T) {
+	x := sockets(t, ", tunnels: {per_node: 1}", ", upgrades: [echo]", scripted.Start(t, echo), scripted.Start(t, echo))
+	for i := range 2 {
+		c, in := x.dial(wantsEcho)
+		if resp := answer(t, in); resp.StatusCode != http.StatusSwitchingProtocols {
+			t.Fatalf("tunnel %d: %d", i, resp.StatusCode)
+		}
+		echoes(t, c, in, "x")
+	}
+}
+
+// A client that is slower than its listener's rate in a body that goes on as it comes is given up, in both framings, and its node
+// is free again; a reload gives bodies other memory.
+func TestSlowBodyIsGivenUp(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 90000000", "Transfer-Encoding: chunked"} {
+		t.Run(framing, func(t *testing.T) {
+			n := scripted.Start(t, scripted.Done)
+			x := sockets(t, "", "", n)
+			text := strings.Replace(streamed("", "", n), "classes:", "limits: {bodies: 8MiB}\nclasses:", 1)
+			slow, err := config.Parse("c.yaml", []byte("listeners: [{address: '127.0.0.1:0', within: 1s, rate: 1MiB}]\nadmin: {address: '127.0.0.1:0'}\n"+text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := x.Apply(slow); err != nil {
+				t.Fatal(err)
+			}
+			if free := x.state.Load().fronts[listener].SpoolFree(); free != 8<<20 {
+				t.Errorf("%d bytes for bodies after a reload that gives them %d", free, 8<<20)
+			}
+			c, in := x.dial("POST /u HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n\r\n")
+			if strings.HasPrefix(framing, "Transfer") {
+				io.WriteString(c, "4000000\r\n")
+			}
+			c.Write(make([]byte, 2<<20)) // over the buffer: it is on its way
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for { // never silent for long
+					if _, err := c.Write([]byte("x")); err != nil {
+						return
+					}
+					time.Sleep(10 * time.Millisecond) // a slow line is what is tried
+				}
+			}()
+			if resp := answer(t, in); resp.StatusCode != http.StatusRequestTimeout {
+				t.Errorf("got %d", resp.StatusCode)
+			}
+			c.Close()
+			<-done
+			x.until("its connection is free", func(v live.View) bool { return v.Pools[0].Nodes[0].Out == 0 })
+		})
+	}
+}
+
 // A tunnel ends within its grace when its node drains, when its route has gone, and when the process stops; not before.
 func TestTunnelEndsInGrace(t *testing.T) {
 	for name, end := range map[string]func(x *site, n *scripted.Node){
