An upload that is still being sent owes no answer: its node no longer counts as silent

Seen: after an upload of 2.5 s at an aim of 2 s, alone on its node, the next request was refused (the log: the node owes every answer, turns skipped). Cause: quiet looks at the attempt that has been out for longest, and one whose body is still with its client is out but owes nothing.

--- a/api.go
+++ b/api.go
@@ -170,6 +170,8 @@
 	HasKey bool
 	Retry  bool
 	Cost   time.Duration // hint: work on a standard core; 0: unknown
+
+	Sending bool // its body goes on as it comes: an attempt owes no answer before Sent
 }
 
 // Status is how an attempt or probe ended.
--- a/balancer.go
+++ b/balancer.go
@@ -236,6 +236,13 @@
 	}
 }
 
+// Sent tells that the last byte of a body has gone out in attempt n: its upstream owes an answer from now on.
+func (b *Balancer) Sent(now time.Duration, id RequestID, n int) {
+	if r := b.requests[id]; r != nil && r.Sending && n >= 0 && n < len(r.attempts) {
+		r.Sending, r.attempts[n].sentAt = false, now
+	}
+}
+
 // Outcome takes the end of an attempt.
 func (b *Balancer) Outcome(now time.Duration, o Outcome) {
 	r := b.requests[o.ID]
@@ -528,10 +535,16 @@
 // quiet looks whether u has fallen silent: attempts are out and nothing has come back for longer than its
 // patience. Its turns are skipped, it gets one trial at a time, and what may run twice starts elsewhere.
 func (b *Balancer) quiet(u *upstream, now time.Duration) {
-	if u.silent || len(u.outs) == 0 {
+	var first *attempt // that owes an answer
+	for _, a := range u.outs {
+		if !a.r.Sending && (first == nil || a.sentAt < first.sentAt) {
+			first = a
+		}
+	}
+	if u.silent || first == nil {
 		return
 	}
-	since, p := now-max(u.outs[0].sentAt, u.answeredAt), b.patience(u, u.outs[0].r.units)
+	since, p := now-max(first.sentAt, u.answeredAt), b.patience(u, first.r.units)
 	if since <= p {
 		return
 	}
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -94,6 +94,7 @@
 	l.alarms.unset(&q.end)
 	q.end.at = q.deadline
 	l.alarms.set(&q.end)
+	l.balancer.Sent(a.sentAt, q.ID, a.n)
 }
 
 // began is an answer of which the first bytes have come.
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -61,7 +61,7 @@
 	now := l.now()
 	r.Budget = max(0, r.deadline-now)
 	if r.Message.Rest.Live() { // it counts from its last byte, and that is still with the client
-		r.deadline = now + r.Message.Most().Within
+		r.deadline, r.Sending = now+r.Message.Most().Within, true
 	}
 	if l.expired(now) { // what the list says is too old to go by
 		l.answer(r, Answer{Status: http.StatusServiceUnavailable, RetryAfter: min(time.Second, l.settings.Limits.MaxRetry)})
--- a/internal/service/streams_test.go
+++ b/internal/service/streams_test.go
@@ -495,6 +495,39 @@
 	}
 }
 
+// A body that goes on as it comes, however long that takes, is nothing that its node owes: queries beside it are served.
+func TestSlowUploadsAreNoSilence(t *testing.T) {
+	n := scripted.Start(t, scripted.Done)
+	x := begin(t, fleet.NewJudge(time.Second), t.TempDir(), fmt.Sprintf(`classes: {c: {aim: 200ms, deadline: 5s, repeat: safe}, u: {aim: 200ms, deadline: 5s}}
+pools: {p: {nodes: {static: [{id: n0, address: '%s'}]}}}
+routes: [{name: unsafe, path: {prefix: /u}, class: u, pool: p}, {name: all, class: c, pool: p}]
+`, n.Addr))
+	const size = 4 << 20
+	up, reply := x.dial(fmt.Sprintf("POST /u HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", size))
+	up.Write(make([]byte, size/2)) // over the buffer: it is on its way
+	x.until("it is out", func(v live.View) bool {
+		return len(v.Pools) == 1 && len(v.Pools[0].Nodes) == 1 && v.Pools[0].Nodes[0].Out == 1
+	})
+	for i := range 20 {
+		time.Sleep(100 * time.Millisecond) // a slow client is what is tried
+		up.Write([]byte("x"))
+		if x.pool("p").Nodes[0].Silent {
+			t.Fatal("the node counts as silent, and owes nothing")
+		}
+		if i%10 != 9 { // an answer would show that it lives
+			continue
+		}
+		_, in := x.dial("GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		if resp := answer(t, in); resp.StatusCode != http.StatusOK {
+			t.Errorf("a query beside it: %d", resp.StatusCode)
+		}
+	}
+	up.Write(make([]byte, size-size/2-20))
+	if resp := answer(t, reply); resp.StatusCode != http.StatusOK {
+		t.Errorf("the upload: %d", resp.StatusCode)
+	}
+}
+
 // A reload that takes away route and pool, and a stop, let a long answer and a long body come to their end.
 func TestStreamsOutliveTheirRoute(t *testing.T) {
 	for _, how := range []string{"reload", "stop"} {
--- a/service_test.go
+++ b/service_test.go
@@ -274,3 +274,30 @@
 		t.Error("an upstream that reports is estimated")
 	}
 }
+
+// An upload that is still coming owes no answer, whatever time it takes; from its last byte on it does.
+func TestUploadOwesNothingUntilSent(t *testing.T) {
+	b, h := start(t, settings(), fleet(1))
+	for i := range RequestID(40) { // its usual latency is known
+		at := time.Hour + time.Duration(i)*20*ms
+		b.Request(at, Request{ID: i + 1, Class: "write", Budget: time.Second})
+		b.Outcome(at+10*ms, Outcome{ID: i + 1, Upstream: 1, Latency: 10 * ms, Status: OK})
+	}
+	at := time.Hour + time.Second
+	b.Request(at, Request{ID: 100, Class: "write", Budget: time.Minute, Sending: true})
+	if h.count("send id=100") != 1 {
+		t.Fatalf("not sent: %v", h.lines[max(0, len(h.lines)-4):])
+	}
+	u := b.byID[1]
+	b.quiet(u, at+30*time.Second)
+	if u.silent {
+		t.Error("silent while the body comes")
+	}
+	b.Sent(at+30*time.Second, 100, 0)
+	if b.quiet(u, at+30*time.Second+5*ms); u.silent {
+		t.Error("silent at once")
+	}
+	if b.quiet(u, at+40*time.Second); !u.silent {
+		t.Error("not silent ten seconds after the last byte")
+	}
+}
