Ground: late reports, zones with unequal traffic; connections and list calls counted

Even spread was to be shown with reports that are late, with zones of unequal traffic, and with connections and calls for lists measured on sockets; the ground could play or count none of these. Nodes may now tell reports that are a given time old, zones of nodes are given apart from the balancers', words choose the processes of a zone, and the relay counts what comes up and what stands open.

--- a/internal/ground/list.go
+++ b/internal/ground/list.go
@@ -97,6 +97,13 @@
 	x.changed = make(chan struct{})
 }
 
+// called counts the calls so far.
+func (x *list) called() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.calls
+}
+
 // freeze makes the list old, or up to date again.
 func (x *list) freeze(on bool) {
 	x.mu.Lock()
--- a/internal/ground/relay/relay.go
+++ b/internal/ground/relay/relay.go
@@ -133,6 +133,9 @@
 	mu     sync.Mutex
 	l      net.Listener
 	byPort sync.Map // the relay's port towards the service -> *Conn
+	opened int      // connections that have come up
+	open   int      // of these, still open
+	most   int      // at once
 }
 
 // Serve adds a service, which is down until it has a target.
@@ -225,6 +228,8 @@
 	l.mu.Lock()
 	l.conns[x] = true
 	l.mu.Unlock()
+	s.count(1)
+	defer s.count(-1)
 	var both sync.WaitGroup
 	both.Go(s.pump(x, l.there, c, to, &x.there, true))
 	both.Go(s.pump(x, l.back, to, c, &x.back, false))
@@ -235,6 +240,22 @@
 	l.mu.Unlock()
 }
 
+// count counts a connection that has come up, or one that has ended.
+func (s *Service) count(by int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open += by
+	s.opened += max(0, by)
+	s.most = max(s.most, s.open)
+}
+
+// Connections tells how many connections to the service have come up, and how many were open at once at most.
+func (s *Service) Connections() (opened, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened, s.most
+}
+
 // pump returns what moves one direction until it ends, and what was held back has gone on.
 func (s *Service) pump(c *Conn, w *way, from, to net.Conn, passed *passage, forward bool) func() {
 	p := &pump{c: c, relay: s.relay, way: w, from: from, to: to, passed: passed, forward: forward, room: make(chan struct{}, 1)}
--- a/internal/ground/result.go
+++ b/internal/ground/result.go
@@ -140,6 +140,7 @@
 		"leaks": float64(w.relay.Leaks()), "relay_p99_ms": float64(lag) / 1e6, "start_s": m.started.Seconds(), "cpu_ms": m.cpuEach, "memory_mb": m.memory,
 		"recovered_s": w.recovered(v, m), "moved": float64(w.relay.Moved())}
 	w.peersSeen(r)
+	w.effort(r, m)
 	if n := w.relay.Starved(); n > 0 {
 		r.Slow, r.starved = fmt.Sprintf("the ground itself ran out of descriptors %d times: what it lost or made late is not judged", n), true
 	} else if lag > slowGround {
@@ -168,6 +169,18 @@
 	return r
 }
 
+// effort adds what all balancers together ask of nodes and of the list service beside requests.
+func (w *world) effort(r *Result, m *measure) {
+	opened, most := 0, 0
+	for _, s := range w.services {
+		o, x := s.Connections()
+		opened, most = opened+o, most+x
+	}
+	seconds := float64(m.ended-m.began) / 1e9
+	r.Figures["connects_s"], r.Figures["node_connections"] = float64(opened)/seconds, float64(most)/float64(max(1, len(w.services)))
+	r.Figures["list_calls_s"] = float64(w.list.called()) / seconds
+}
+
 // round leaves four digits behind the point.
 func (r *Result) round() {
 	for name, x := range r.Figures {
--- a/internal/ground/script/check.go
+++ b/internal/ground/script/check.go
@@ -109,6 +109,10 @@
 	k.Within("nodes.cores", float64(n.Cores), 1, 1000)
 	k.Within("nodes.cold_from", n.ColdFrom, 0.01, 1)
 	k.Within("nodes.tip_multiple", n.TipMultiple, 1, 1000)
+	if len(n.Zones) == 0 {
+		n.Zones = k.Balancers.Zones
+	}
+	k.span("nodes.late", n.Late, 0, time.Minute)
 	k.span("nodes.reports", n.Reports, time.Millisecond, time.Minute)
 	k.span("nodes.ramp_time", n.RampTime, time.Millisecond, time.Hour)
 	k.span("nodes.tip_after", n.TipAfter, time.Millisecond, time.Minute)
@@ -223,6 +227,8 @@
 			k.Fail(place, "%v", err)
 		case !slices.Contains(kinds, p.kind):
 			k.Fail(place, "%q is none of %s", word, strings.Join(kinds, ", "))
+		case p.zone != "" && len(k.zoned(p)) == 0:
+			k.Fail(place, "no %s are in a zone %q", p.kind, p.zone)
 		case p.index >= count:
 			k.Fail(place, "there is no %s: %d are in the script", word, count)
 		}
@@ -240,7 +246,9 @@
 	"crashes": "processes that ended by themselves", "leaks": "connections that came up on a cut link, and were reset",
 	"relay_p99_ms": "the relay's own delay, there and back", "start_s": "until all processes were ready",
 	"recovered_s": "from the end of the last fault until nine in ten are in time again", "cpu_ms": "a second of each process, mean", "memory_mb": "resident, of the largest process",
-	"spread": "deviation over mean of a second's requests by node, mean over seconds", "busiest": "the busiest node's over the mean, mean over seconds",
+	"node_connections": "open at once at a node, the most of them, mean over nodes", "connects_s": "new connections to nodes a second",
+	"list_calls_s": "calls for lists a second, over all balancers",
+	"spread":       "deviation over mean of a second's requests by node, mean over seconds", "busiest": "the busiest node's over the mean, mean over seconds",
 	"first_busiest": "the same in the first 100 ms", "idle_node_seconds": "seconds of single nodes without a request", "moved": "pieces that the relay moved",
 	"peers_lost": "share of datagrams between peers that did not come", "peers_twice": "share that came twice", "peers_late": "share that another overtook",
 	"peers_spoilt": "messages between peers that were not as sent, or out of order on a stream",
--- a/internal/ground/script/pick.go
+++ b/internal/ground/script/pick.go
@@ -40,9 +40,10 @@
 	kind  string
 	index int     // one of them; -1: not one
 	part  float64 // of all of that kind
+	zone  string  // those of it alone; empty: of all
 }
 
-// parse reads a word: b-3, nodes, "balancers 33%".
+// parse reads a word: b-3, nodes, "balancers 33%", "nodes in a".
 func parse(word string) (pick, error) {
 	letter, number, one := strings.Cut(word, "-")
 	if kind, ok := letters[letter]; ok && one {
@@ -50,20 +51,23 @@
 		if err != nil || i < 0 || strconv.Itoa(i) != number {
 			return pick{}, fmt.Errorf("%q is no name such as %s-0", word, letter)
 		}
-		return pick{kind, i, 0}, nil
+		return pick{kind, i, 0, ""}, nil
 	}
 	kind, part, some := strings.Cut(word, " ")
 	if !slices.Contains([]string{Balancer, Node, Peer, Clients, ListService}, kind) {
 		return pick{}, fmt.Errorf("%q names nobody: balancers, nodes, peers, clients, list, b-0, n-0, p-0 or a part such as \"nodes 25%%\"", word)
 	}
 	if !some {
-		return pick{kind, -1, 1}, nil
+		return pick{kind, -1, 1, ""}, nil
+	}
+	if zone, ok := strings.CutPrefix(part, "in "); ok && (kind == Balancer || kind == Node) {
+		return pick{kind, -1, 1, zone}, nil
 	}
 	x, err := strconv.ParseFloat(strings.TrimSuffix(part, "%"), 64)
 	if err != nil || !strings.HasSuffix(part, "%") || !(x > 0 && x <= 100) {
 		return pick{}, fmt.Errorf("%q is no part, such as \"%s 25%%\"", word, kind)
 	}
-	return pick{kind, -1, x / 100}, nil
+	return pick{kind, -1, x / 100, ""}, nil
 }
 
 func (f *File) count(kind string) int {
@@ -97,6 +101,12 @@
 			add(p.kind, p.index)
 			continue
 		}
+		if p.zone != "" {
+			for _, i := range f.zoned(p) {
+				add(p.kind, i)
+			}
+			continue
+		}
 		n := f.count(p.kind)
 		for _, i := range rng.Perm(n)[:min(n, max(1, int(math.Round(p.part*float64(n)))))] {
 			add(p.kind, i)
@@ -105,6 +115,20 @@
 	return all
 }
 
+// zoned are the processes of a zone.
+func (f *File) zoned(p pick) (all []int) {
+	zones := f.Balancers.Zones
+	if p.kind == Node {
+		zones = f.Nodes.Zones
+	}
+	for i := range f.count(p.kind) {
+		if len(zones) > 0 && zones[i%len(zones)] == p.zone {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
 // heavyDraw is the number by which heavy balancers are drawn, apart from any fault's.
 const heavyDraw = 1 << 20
 
--- a/internal/ground/script/script_test.go
+++ b/internal/ground/script/script_test.go
@@ -30,6 +30,7 @@
 		{"of: [b-9]", "of: [n-1]", `"n-1" is none of balancers, peers`},
 		{"of: [b-9]", "of: [b-09]", `"b-09" is no name such as b-0`},
 		{"of: [b-9]", "of: [balancers 0%]", `"balancers 0%" is no part`},
+		{"of: [b-9]", "of: [balancers in q]", `no balancers are in a zone "q"`},
 		{"to: [nodes, n-1]", "to: [node]", `"node" names nobody`},
 		{"way: back", "way: bak", `did you mean "back"?`},
 		{"figure: served", "figure: serve", `x.yaml:11:14: there is no figure "serve"; did you mean "served"?`},
--- a/internal/ground/script/types.go
+++ b/internal/ground/script/types.go
@@ -68,6 +68,10 @@
 	Queue int `yaml:"queue,omitempty" jsonschema:"minimum=1"`
 	// How often a node's report of its use is made anew; 300ms if left out.
 	Reports config.Duration `yaml:"reports,omitempty"`
+	// How old a report is when it is told; left out: it tells of the time up to now.
+	Late config.Duration `yaml:"late,omitempty"`
+	// Names of zones, given out in turn to the nodes, one as often as it stands here; those of the balancers if left out.
+	Zones []string `yaml:"zones,omitempty"`
 	// Part of its speed at which a node starts; 0.33 if left out.
 	ColdFrom float64 `yaml:"cold_from,omitempty" jsonschema:"maximum=1"`
 	// Time until it is warm; 9s if left out.
@@ -114,7 +118,7 @@
 
 // Heavy is unequal traffic.
 type Heavy struct {
-	// Which balancers: names, or a part drawn by the seed ("balancers 10%").
+	// Which balancers: names, a part drawn by the seed ("balancers 10%"), or those of a zone ("balancers in a").
 	Of []string `yaml:"of,omitempty"`
 	// How many times the rate comes there.
 	Times float64 `yaml:"times,omitempty" jsonschema:"minimum=0"`
@@ -135,7 +139,8 @@
 	// To the list service: list-old (tells nothing new), list-down, list-answers [share], list-split (half of the balancers, or those in
 	// from, are told that the nodes in of are gone).
 	Kind string `yaml:"kind"`
-	// Where a link begins: names (b-0, p-1), clients, balancers, peers, or a part of them: "balancers 33%", drawn by the seed.
+	// Where a link begins: names (b-0, p-1), clients, balancers, peers, a part of them ("balancers 33%", drawn by the seed) or those of a
+	// zone ("balancers in a").
 	From []string `yaml:"from,omitempty"`
 	// Where a link ends: names (n-3, b-1, p-0), nodes, balancers, peers, list, or a part of them.
 	To []string `yaml:"to,omitempty"`
--- a/internal/ground/spread_test.go
+++ b/internal/ground/spread_test.go
@@ -74,6 +74,42 @@
 			}
 			return got > 0 && got*12 < all
 		}},
+		{"the same with reports a second old", `
+name: late
+length: 8s
+balancers: {count: 12}
+nodes: {count: 12, late: 1s}
+load: {rate: 16, retries: 1, work: 30ms}
+faults: [{at: 500ms, kind: slow-node, of: [n-5], factor: 8}]
+`, func(r *Result) bool { // nobody swings: what is cut stays cut, and is never nothing
+			for _, from := range []time.Duration{5 * time.Second, 6500 * time.Millisecond} {
+				got, all := 0, 0
+				for node, n := range r.Spread.Between(from, from+1500*time.Millisecond) {
+					if all += n; node == 5 {
+						got = n
+					}
+				}
+				if got*12 >= all {
+					return false
+				}
+			}
+			return true
+		}},
+		{"one zone has four times the others' traffic and a quarter of the nodes", `
+name: zones
+length: 6s
+balancers: {count: 12, zones: [a, b, c]}
+nodes: {count: 12, zones: [a, b, b, c]}
+load: {rate: 8, heavy: {of: [balancers in a], times: 4}, retries: 1, work: 10ms}
+`, func(r *Result) bool { // the module does not prefer a zone: its nodes have no more than the others'
+			inA, all := 0, 0
+			for node, n := range r.Spread.Between(3*time.Second, 6*time.Second) {
+				if all += n; node%4 == 0 {
+					inA += n
+				}
+			}
+			return idle(r, 2*time.Second, 6*time.Second) == 0 && r.Figures["served"] > 0.9 && inA*3 < all && inA*6 > all
+		}},
 		{"one balancer has half of all traffic", fleet + `
 name: busy
 load: {rate: 5, heavy: {of: [b-3], times: 11}, retries: 1, work: 10ms}
--- a/internal/ground/world.go
+++ b/internal/ground/world.go
@@ -131,7 +131,7 @@
 	w.atEnd(w.lag.Stop)
 	members := make([]member, f.Nodes.Count)
 	for i := range members {
-		members[i] = member{phase: "up", zone: f.Balancers.Zones[i%len(f.Balancers.Zones)], cell: i % len(f.Balancers.Zones)}
+		members[i] = member{phase: "up", zone: f.Nodes.Zones[i%len(f.Nodes.Zones)], cell: i % len(f.Nodes.Zones)}
 		s, err := w.relay.Serve(script.Process{Kind: script.Node, Index: i}.String())
 		if err != nil {
 			return err
@@ -168,7 +168,7 @@
 
 func (w *world) spec(role string) crowd.Spec {
 	f := w.f
-	return crowd.Spec{Role: role, Seed: uint64(f.Seed), Count: f.Nodes.Count, Cores: f.Nodes.Cores, Queue: f.Nodes.Queue, Reports: time.Duration(f.Nodes.Reports),
+	return crowd.Spec{Role: role, Seed: uint64(f.Seed), Count: f.Nodes.Count, Cores: f.Nodes.Cores, Queue: f.Nodes.Queue, Reports: time.Duration(f.Nodes.Reports), Late: time.Duration(f.Nodes.Late),
 		ColdFrom: f.Nodes.ColdFrom, Ramp: time.Duration(f.Nodes.RampTime), Balancers: f.Balancers.Count, Rates: f.Rates(), Length: time.Duration(f.Length),
 		Effect: effects[f.Load.Repeat], Work: time.Duration(f.Load.Work), Deadline: time.Duration(f.Load.Deadline), Retries: f.Load.Retries}
 }
--- a/internal/standin/crowd/crowd.go
+++ b/internal/standin/crowd/crowd.go
@@ -58,6 +58,7 @@
 	Cores   int
 	Queue   int
 	Reports time.Duration
+	Late    time.Duration // how old a report is when it is told
 	// A node's cold start.
 	ColdFrom float64
 	Ramp     time.Duration
--- a/internal/standin/crowd/nodes.go
+++ b/internal/standin/crowd/nodes.go
@@ -41,7 +41,7 @@
 	work   time.Duration // given to its cores since the last report
 	waits  int           // requests it has
 	readAt time.Time
-	report string
+	made   []reading     // reports, the oldest first; all but the first are too young to be told
 	stall  chan struct{} // closed when it goes on; nil: it does
 	factor float64
 }
@@ -83,7 +83,7 @@
 		return err
 	}
 	n.mu.Lock()
-	n.l, n.free, n.work, n.waits, n.readAt, n.report, n.since = l, make([]time.Time, n.spec.Cores), 0, 0, time.Now(), "", time.Time{}
+	n.l, n.free, n.work, n.waits, n.readAt, n.made, n.since = l, make([]time.Time, n.spec.Cores), 0, 0, time.Now(), nil, time.Time{}
 	n.life, n.kill = context.WithCancel(context.Background())
 	n.stall = nil
 	if cold {
@@ -294,19 +294,28 @@
 	return n.spec.ColdFrom + (1-n.spec.ColdFrom)*float64(age)/float64(n.spec.Ramp)
 }
 
-// load is the node's report, made anew at its intervals.
+// reading is a report and when it was made.
+type reading struct {
+	at   time.Time
+	text string
+}
+
+// load is the node's report, made anew at its intervals, and told when it is as old as it should be.
 func (n *node) load() string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	if took := now.Sub(n.readAt); n.report == "" || took >= n.spec.Reports {
+	if took := now.Sub(n.readAt); len(n.made) == 0 || took >= n.spec.Reports {
 		ahead := time.Duration(0) // given to cores and not done yet
 		for _, t := range n.free {
 			ahead += max(0, t.Sub(now))
 		}
 		done := n.work - ahead
 		use := min(1, max(0, float64(done)/float64(max(took, time.Millisecond)*time.Duration(n.spec.Cores))))
-		n.report, n.readAt, n.work = fmt.Sprintf("util=%.3f", use), now, ahead
+		n.made, n.readAt, n.work = append(n.made, reading{now, fmt.Sprintf("util=%.3f", use)}), now, ahead
+	}
+	for len(n.made) > 1 && now.Sub(n.made[1].at) >= n.spec.Late {
+		n.made = n.made[1:]
 	}
-	return n.report
+	return n.made[0].text
 }
--- a/rigs/spread/simulated.go
+++ b/rigs/spread/simulated.go
@@ -24,6 +24,7 @@
 	Idle         int     `json:"idle_node_seconds"`
 	FirstBusiest float64 `json:"first_busiest"` // of the first 100 ms, all balancers starting at once
 	InAim        float64 `json:"in_aim"`
+	LearntAim    float64 `json:"in_aim_learnt"` // of what came once windows were filled
 	P99MS        float64 `json:"p99_ms"`
 	Refused      float64 `json:"refused"`
 	Users        float64 `json:"balancers_a_node"` // that sent it anything
@@ -50,6 +51,7 @@
 const (
 	balancers = 300
 	settled   = 2 * time.Second // the start is a scene of its own: the first 100 ms
+	learnt    = 4 * time.Second // windows of reports are full, and cuts made
 	length    = 12 * time.Second
 	stepAt    = 8 * time.Second
 )
@@ -120,6 +122,7 @@
 	row := Row{Scene: s.name, Contender: contender, Nodes: s.nodes, Deviation: e.Deviation, Busiest: e.Busiest, Idle: e.Idle,
 		FirstBusiest: turn.Spread.First(100 * time.Millisecond).Busiest, InAim: float64(sum.InAim) / asked, Refused: float64(sum.Refused) / asked,
 		P99MS: sum.Quantile(0.99), Users: float64(turn.Pairs) / float64(s.nodes), Breaches: turn.Breaches}
+	row.LearntAim = inAim(turn.Blocks[int(learnt/figures.BlockLength):])
 	if s.sick > 0 {
 		parts := turn.Spread.Parts(settled, length, 250*time.Millisecond, func(n int) bool { return n >= well })
 		for _, x := range parts {
@@ -135,6 +138,15 @@
 	return row, &turn, nil
 }
 
+// inAim is the share of what was asked that was served within the aim.
+func inAim(blocks []figures.Block) float64 {
+	asked, in := 0, 0
+	for _, b := range blocks {
+		asked, in = asked+b.Asked, in+b.InAim
+	}
+	return float64(in) / float64(max(asked, 1))
+}
+
 // overshoot is how far the slow nodes' part went, in any second after the step, beyond where it came to rest: as a part of that, over what
 // chance explains.
 func overshoot(c *spread.Counts, well int) float64 {
--- a/rigs/spread/sockets.go
+++ b/rigs/spread/sockets.go
@@ -30,7 +30,10 @@
 	InAim        float64 `json:"in_aim"`
 	Refused      float64 `json:"refused"`
 	P99MS        float64 `json:"p99_ms"`
-	CPUMS        float64 `json:"cpu_ms"` // a second of each process
+	CPUMS        float64 `json:"cpu_ms"`           // a second of each process
+	Connections  float64 `json:"node_connections"` // open at once at a node, at most, mean over nodes
+	Connects     float64 `json:"connects_s"`       // new ones a second over all nodes
+	ListCalls    float64 `json:"list_calls_s"`     // over all balancers
 	Breaches     float64 `json:"breaches"`
 	Crashes      float64 `json:"crashes"`
 	Slow         string  `json:"slow,omitempty"` // why the ground itself was too slow for its figures to count
@@ -122,7 +125,7 @@
 	x := r.Figures
 	row := Ground{Script: s.Name, Processes: s.Balancers.Count, Nodes: s.Nodes.Count, Rate: x["asked"] / time.Duration(s.Length).Seconds(),
 		Idle: x["idle_node_seconds"], FirstBusiest: x["first_busiest"], Served: x["served"], InAim: x["in_aim"], Refused: x["refused"], P99MS: x["p99"],
-		CPUMS: x["cpu_ms"], Breaches: x["breaches"], Crashes: x["crashes"], Slow: r.Slow}
+		CPUMS: x["cpu_ms"], Connections: x["node_connections"], Connects: x["connects_s"], ListCalls: x["list_calls_s"], Breaches: x["breaches"], Crashes: x["crashes"], Slow: r.Slow}
 	calm := s.Length // until the first fault
 	for _, fault := range s.Faults {
 		calm = min(calm, fault.At)
