--- /dev/null
+++ b/internal/ledger/caller.go
@@ -0,0 +1,192 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"clayladder/internal/promise"
+)
+
+// ErrUnsure is wrapped by errors of calls of which nobody can say whether they were carried out, or will be.
+var ErrUnsure = errors.New("it may be held, or may yet be")
+
+// ErrNobody is wrapped by errors of calls that were certainly not carried out: no voter could.
+var ErrNobody = errors.New("no voter could take it")
+
+// ErrRefused is wrapped by errors of calls that the ledger's rules refuse.
+var ErrRefused = errors.New("refused")
+
+// pause is between two rounds over all voters.
+const pause = 25 * time.Millisecond
+
+// Caller asks voters. Its methods may be called from many goroutines, and each returns by its context's end.
+type Caller struct {
+	name   string
+	voters map[string]string // name -> address
+	mu     sync.Mutex
+	conns  map[string]*conn
+	hint   string // the voter that led when it was last asked
+	closed bool
+}
+
+// NewCaller returns a caller of the voters, by name and address; its own name is for their logs.
+func NewCaller(name string, voters map[string]string) *Caller {
+	return &Caller{name: name, voters: maps.Clone(voters), conns: map[string]*conn{}}
+}
+
+// Voters are the names that it knows.
+func (c *Caller) Voters() []string { return slices.Sorted(maps.Keys(c.voters)) }
+
+// Close closes its connections.
+func (c *Caller) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, x := range c.conns {
+		x.c.Close()
+	}
+}
+
+// connection is one to a voter: the one that there is, or a new one.
+func (c *Caller) connection(ctx context.Context, voter string) (*conn, error) {
+	c.mu.Lock()
+	x, address := c.conns[voter], c.voters[voter]
+	c.mu.Unlock()
+	if x != nil && x.usable() {
+		return x, nil
+	}
+	if address == "" {
+		return nil, fmt.Errorf("no address of a voter %q is known", voter)
+	}
+	x, err := open(ctx, address, c.name)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.conns[voter]; old != nil && old.usable() || c.closed { // another was quicker
+		x.c.Close()
+		if c.closed {
+			return nil, errors.New("the caller is closed")
+		}
+		return old, nil
+	} else if old != nil {
+		old.c.Close()
+	}
+	c.conns[voter] = x
+	return x, nil
+}
+
+// Ask sends a request to one voter. The error wraps ErrNobody if it reached nobody, else ErrUnsure.
+func (c *Caller) Ask(ctx context.Context, voter string, r Request) (Answer, error) {
+	x, err := c.connection(ctx, voter)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %s: %w", ErrNobody, voter, err)
+	}
+	if end, ok := ctx.Deadline(); ok && r.Within == 0 {
+		r.Within = time.Until(end)
+	}
+	a, err := x.ask(ctx, r)
+	switch {
+	case errors.Is(err, errNotSent):
+		return a, fmt.Errorf("%w: %s: %w", ErrNobody, voter, err)
+	case err != nil:
+		return a, fmt.Errorf("%w: %s: %w", ErrUnsure, voter, err)
+	}
+	if a.Leader != "" {
+		c.mu.Lock()
+		c.hint = a.Leader
+		c.mu.Unlock()
+	}
+	return a, nil
+}
+
+// order is in which order voters are asked: the leader first, the others by chance.
+func (c *Caller) order() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	names := slices.Collect(maps.Keys(c.voters))
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	if i := slices.Index(names, c.hint); i > 0 {
+		names[0], names[i] = names[i], names[0]
+	}
+	return names
+}
+
+// anywhere asks one voter after the other until one can do it, or the context ends. What is not sure is not asked again.
+func (c *Caller) anywhere(ctx context.Context, r Request) (Answer, error) {
+	var last error
+	for {
+		for _, voter := range c.order() {
+			r.Within = 0
+			a, err := c.Ask(ctx, voter, r)
+			switch {
+			case errors.Is(err, ErrUnsure):
+				return a, err
+			case err != nil:
+				last = err
+			case a.Outcome == Nowhere:
+				last = fmt.Errorf("%w: %s: %s", ErrNobody, voter, a.Text)
+			case a.Outcome == Unsure:
+				return a, fmt.Errorf("%w: %s: %s", ErrUnsure, voter, a.Text)
+			case a.Outcome == No:
+				return a, fmt.Errorf("%w: %s", ErrRefused, a.Text)
+			case a.Outcome == Yes:
+				return a, nil
+			default:
+				return a, fmt.Errorf("%w: voter %s gives an answer of a kind that this version does not know", ErrUnsure, voter)
+			}
+			if ctx.Err() != nil {
+				return Answer{}, last
+			}
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return Answer{}, last
+		}
+	}
+}
+
+// Propose asks for a promise. A nil error says that it is held by Held of Of voters, on their disks. An error wraps ErrRefused,
+// ErrNobody or ErrUnsure; what is not sure is not proposed again, as it could then hold twice or undo what came between.
+func (c *Caller) Propose(ctx context.Context, command promise.Command) (Answer, error) {
+	if err := command.Check(); err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return c.anywhere(ctx, Request{Verb: Propose, Command: promise.Encode(command)})
+}
+
+// Read returns what is held: all that was promised before the call. The error wraps ErrNobody if no quorum answers.
+func (c *Caller) Read(ctx context.Context) (*promise.State, Answer, error) {
+	for {
+		a, err := c.anywhere(ctx, Request{Verb: Read})
+		if errors.Is(err, ErrUnsure) && ctx.Err() == nil { // a reading may be asked again
+			continue
+		}
+		if err != nil {
+			return nil, a, err
+		}
+		s, err := promise.DecodeState(a.Body)
+		return s, a, err
+	}
+}
+
+// ReadLocal returns what one voter has, however old: Age says since when no quorum has confirmed it.
+func (c *Caller) ReadLocal(ctx context.Context, voter string) (*promise.State, Answer, error) {
+	a, err := c.Ask(ctx, voter, Request{Verb: Local})
+	if err != nil {
+		return nil, a, err
+	}
+	if a.Outcome != Yes {
+		return nil, a, fmt.Errorf("%w: %s", ErrNobody, a.Text)
+	}
+	s, err := promise.DecodeState(a.Body)
+	return s, a, err
+}
--- /dev/null
+++ b/internal/ledger/copy.go
@@ -0,0 +1,293 @@
+package ledger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"maps"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"clayladder/internal/disk"
+	"clayladder/internal/promise"
+	"clayladder/internal/protomsg"
+)
+
+// View is what a Copy has at a moment. It never changes.
+type View struct {
+	Known   bool // it has something: from a voter, or from its file
+	Words   []promise.Word
+	Cluster uint64
+	Index   uint64
+	Voter   string // that it follows; empty: none can be reached
+	Leader  string
+	Voters  int
+	Up      int // of these, as the leader hears them; 0: not known
+	Trouble string
+	held    time.Time // a quorum confirmed then that nothing newer was promised
+	state   *promise.State
+}
+
+// Age is how long ago a quorum confirmed that nothing newer was promised than what is here.
+func (v *View) Age(now time.Time) time.Duration {
+	if v.held.IsZero() {
+		return longAgo
+	}
+	return max(0, now.Sub(v.held))
+}
+
+// Copy follows what the ledger holds. What it has stays what holds, however old, until a voter says otherwise: it never goes back to an
+// earlier state, nor to another cluster's.
+type Copy struct {
+	name    string
+	voters  map[string]string
+	path    string // of the file that keeps it; empty: none
+	changed func([]promise.Word)
+	view    atomic.Pointer[View]
+	end     context.CancelFunc
+	ended   chan struct{}
+
+	state   *promise.State // belongs to run, as all below
+	cluster uint64
+	index   uint64
+	held    time.Time
+	kept    uint64 // revision that the file has
+	keptAt  time.Time
+	why     string // the file could not be written
+}
+
+const (
+	updateWithin = 5 * KeepAlive // a voter says something at least as often as KeepAlive
+	keepEvery    = 200 * time.Millisecond
+	followPause  = 100 * time.Millisecond
+	followMost   = time.Second
+)
+
+// Follow begins to follow the voters, from what the file has, if there is one. The voter that is followed is chosen by the copy's own name,
+// so that many copies spread over the voters. changed is called with all words whenever some have changed, from one goroutine, and
+// before Follow returns with those of the file; it may not wait.
+func Follow(name string, voters map[string]string, path string, changed func([]promise.Word)) *Copy {
+	c := &Copy{name: name, voters: maps.Clone(voters), path: path, changed: changed, ended: make(chan struct{}), state: promise.NewState()}
+	known := false
+	if path != "" {
+		switch err := c.load(); {
+		case err == nil:
+			known = true
+			changed(c.state.Words())
+		case !errors.Is(err, os.ErrNotExist): // a damaged copy must not keep the process from serving
+			slog.Warn("starting without the kept promises", "file", path, "err", err)
+		}
+	}
+	c.view.Store(&View{Known: known, Words: c.state.Words(), Cluster: c.cluster, Index: c.index, Trouble: "no voter has been reached yet", state: c.state})
+	ctx, cancel := context.WithCancel(context.Background())
+	c.end = cancel
+	go c.run(ctx)
+	return c
+}
+
+// Close ends the following.
+func (c *Copy) Close() {
+	c.end()
+	<-c.ended
+}
+
+// View is what the copy has now.
+func (c *Copy) View() *View { return c.view.Load() }
+
+// order are the voters' names, in an order of this copy's own (rendezvous hashing; Thaler and Ravishankar, 1998).
+func (c *Copy) order() []string {
+	weight := func(voter string) uint64 {
+		h := fnv.New64a()
+		fmt.Fprint(h, c.name, " ", voter)
+		return h.Sum64() * 0x9e3779b97f4a7c15 >> 1
+	}
+	return slices.SortedFunc(maps.Keys(c.voters), func(a, b string) int {
+		if weight(a) > weight(b) {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (c *Copy) run(ctx context.Context) {
+	defer close(c.ended)
+	defer c.keep(true)
+	pause := followPause
+	for ctx.Err() == nil {
+		for _, voter := range c.order() {
+			began := c.index
+			err := c.follow(ctx, voter)
+			if ctx.Err() != nil {
+				return
+			}
+			if c.index > began {
+				pause = followPause
+			}
+			c.show(voter, nil, err)
+			c.keep(false)
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, followMost)
+	}
+}
+
+// follow takes what one voter sends, until it stops.
+func (c *Copy) follow(ctx context.Context, voter string) error {
+	conn, in, _, err := Dial(ctx, c.voters[voter], Hello{Role: Follows, Cluster: c.cluster, Name: c.name, Applied: c.index, Level: promise.Newest})
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	first := true
+	for {
+		conn.SetReadDeadline(time.Now().Add(updateWithin))
+		u, err := readUpdate(in)
+		if err != nil {
+			return err
+		}
+		at := time.Now()
+		changed, err := c.take(u, first)
+		if err != nil {
+			return err
+		}
+		first = false
+		if held := at.Add(-u.Age); u.Beat && held.After(c.held) {
+			c.held = held
+		}
+		c.show(voter, &u, nil)
+		if changed {
+			c.changed(c.view.Load().Words)
+		}
+		c.keep(false)
+	}
+}
+
+func readUpdate(in *bufio.Reader) (Update, error) {
+	b, err := ReadFrame(in, MaxFrame)
+	if err != nil {
+		return Update{}, err
+	}
+	return DecodeUpdate(b)
+}
+
+// take applies an update, and tells whether words may have changed.
+func (c *Copy) take(u Update, first bool) (changed bool, err error) {
+	if c.cluster != 0 && u.Cluster != c.cluster {
+		return false, fmt.Errorf("cluster %x answers, and %x is followed: what was promised there still holds here", u.Cluster, c.cluster)
+	}
+	if u.State != nil {
+		s, err := promise.DecodeState(u.State)
+		if err != nil {
+			return false, err
+		}
+		if u.Index < c.index {
+			return false, fmt.Errorf("it has come to %d, and %d is known here", u.Index, c.index)
+		}
+		c.state, c.cluster, c.index = s, u.Cluster, u.Index
+		return true, nil
+	}
+	if first {
+		return false, fmt.Errorf("%w: no state came first", protomsg.ErrMalformed)
+	}
+	for _, b := range u.Commands {
+		if u.Index <= c.index {
+			break // it was in the state already
+		}
+		e, err := promise.DecodeEnvelope(b)
+		if errors.Is(err, promise.ErrUnknownKind) { // of a newer version: it says nothing about the words that are known here
+			continue
+		} else if err != nil {
+			return false, err
+		}
+		c.state.Apply(u.Index, e.Clock, e.Command) // a higher level only brings kinds that are passed over
+		changed = true
+	}
+	c.index = max(c.index, u.Index)
+	return changed, nil
+}
+
+// show makes what there is now the view.
+func (c *Copy) show(voter string, u *Update, err error) {
+	before := c.view.Load()
+	v := &View{Known: c.cluster != 0, Words: before.Words, Cluster: c.cluster, Index: c.index, Voter: voter, Leader: before.Leader, Voters: before.Voters, Up: before.Up,
+		held: c.held, state: c.state}
+	if c.index != before.Index || c.state != before.state {
+		v.Words = c.state.Words()
+	}
+	if err != nil {
+		v.Voter, v.Trouble, v.Up = "", fmt.Sprintf("%s: %v", voter, err), 0
+	} else if u.Beat {
+		v.Leader, v.Voters, v.Up = u.Leader, int(u.Voters), int(u.Up)
+		if u.State != nil {
+			v.Voters, v.Up = before.Voters, 0
+		}
+	}
+	c.view.Store(v)
+}
+
+// file is what the file holds: cluster, index, state.
+func (c *Copy) file() []byte {
+	var w protomsg.Writer
+	w.Uint(1, c.cluster)
+	w.Uint(2, c.index)
+	w.Raw(3, c.state.Encode())
+	return w.Bytes()
+}
+
+func (c *Copy) load() error {
+	b, err := disk.Read(c.path, MaxFrame)
+	if err != nil {
+		return err
+	}
+	var text []byte
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			c.cluster = f.Uint
+		case 2:
+			c.index = f.Uint
+		case 3:
+			text = f.Raw
+		}
+		return nil
+	})
+	if err == nil {
+		c.state, err = promise.DecodeState(text)
+	}
+	if err != nil {
+		c.state, c.cluster, c.index = promise.NewState(), 0, 0
+		return fmt.Errorf("%s: %w", c.path, err)
+	}
+	c.kept = c.index
+	return nil
+}
+
+// keep writes the file if something is new, at times or for the last time.
+func (c *Copy) keep(last bool) {
+	if c.path == "" || c.index == c.kept || (!last && time.Since(c.keptAt) < keepEvery) {
+		return
+	}
+	c.keptAt = time.Now()
+	err := disk.Replace(c.path, c.file())
+	if err == nil {
+		c.kept = c.index
+		if c.why != "" {
+			slog.Info("the promises are kept again", "file", c.path)
+			c.why = ""
+		}
+		return
+	}
+	if err.Error() != c.why { // once for each cause
+		c.why = err.Error()
+		slog.Warn("the promises could not be kept: a restart without voters begins with older ones", "file", c.path, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/ledger/message.go
@@ -0,0 +1,410 @@
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"clayladder/internal/promise"
+	"clayladder/internal/protomsg"
+)
+
+type (
+	writer = *protomsg.Writer
+	field  = protomsg.Field
+)
+
+// Role is what a connection is for, said by whoever opens it.
+type Role uint8
+
+// The roles.
+const (
+	Asks    Role = 1 + iota // requests and answers
+	Follows                 // the voter sends what is held, and what changes
+	Hears                   // another voter: it is sent what the consensus has for it
+)
+
+// Hello is the first frame of whoever opens a connection.
+type Hello struct {
+	Role    Role
+	Cluster uint64 // 0: it belongs to none yet, or takes any
+	From    uint64 // a voter's id; 0: it is none
+	Name    string
+	Level   uint32 // promise.Newest of its version
+	Applied uint64 // a follower's last index
+}
+
+// Welcome is the voter's answer.
+type Welcome struct {
+	Cluster uint64
+	ID      uint64 // 0: it belongs to no cluster yet
+	Name    string
+	Level   uint32
+	Refused string // why the connection is of no use; empty: it is
+}
+
+// Verb is what a request asks for.
+type Verb uint8
+
+// The verbs.
+const (
+	Propose Verb = 1 + iota // a command
+	Read                    // what is held now, as a quorum knows it
+	Local                   // what this voter has, however old
+	Who                     // who it is
+	Form                    // begin a cluster [Cluster, Members]
+	Join                    // let a voter with an empty disk join [Members[0], Level]
+	Gone                    // staff say that the machine of the voter Name has gone for good
+	Status                  // its state, as JSON
+)
+
+// Request is one of a caller's. Several may be under way on a connection.
+type Request struct {
+	Number  uint64
+	Verb    Verb
+	Command []byte        // Propose
+	Within  time.Duration // how long an answer is waited for
+	Hops    uint8         // how often it has been passed on
+	Cluster uint64
+	Members []promise.Member
+	Name    string
+	Level   uint32
+}
+
+// Outcome says what an answer means.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Yes     Outcome = 1 + iota // done; of a command: it is held
+	No                         // refused, by the ledger's rules
+	Nowhere                    // certainly not done, and not looked at: another voter, or later, may do it
+	Unsure                     // it may have been done, or may yet be
+)
+
+// Answer is a voter's.
+type Answer struct {
+	Number  uint64
+	Outcome Outcome
+	Text    string // why not
+	Result  promise.Result
+	Held    int    // voters that have it on their disks
+	Of      int    // voters that there are
+	Leader  string // name of the leader, where known
+	Body    []byte // Read, Local: the state; Status: JSON
+	Index   uint64 // Read, Local: of the last that is in it
+	Age     time.Duration
+	Cluster uint64
+	ID      uint64 // Who
+	Name    string
+	Level   uint32
+	Members []promise.Member
+}
+
+// Update is what a voter sends to a follower: a whole state, commands, or a word that it is up to date.
+type Update struct {
+	State    []byte   // nil: none
+	Commands [][]byte // envelopes, all of the same index
+	Index    uint64   // of the last that was applied
+	Beat     bool
+	Age      time.Duration // how long ago a quorum confirmed that nothing newer was promised than Index
+	Leader   string
+	Cluster  uint64
+	Voters   uint32
+	Up       uint32 // of these, as the leader hears them; 0: not known here
+}
+
+const (
+	maxText    = 4 << 10
+	maxMembers = 64
+)
+
+// Encode writes it.
+func (h *Hello) Encode() []byte {
+	var w protomsg.Writer
+	w.Uint(1, uint64(h.Role))
+	w.Uint(2, h.Cluster)
+	w.Uint(3, h.From)
+	w.String(4, h.Name)
+	w.Uint(5, uint64(h.Level))
+	w.Uint(6, h.Applied)
+	return w.Bytes()
+}
+
+// DecodeHello reads one.
+func DecodeHello(b []byte) (h Hello, err error) {
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			h.Role = Role(min(f.Uint, 255))
+		case 2:
+			h.Cluster = f.Uint
+		case 3:
+			h.From = f.Uint
+		case 4:
+			return f.Text(&h.Name, promise.MaxName)
+		case 5:
+			h.Level = uint32(min(f.Uint, 1<<31))
+		case 6:
+			h.Applied = f.Uint
+		}
+		return nil
+	})
+	return h, err
+}
+
+// Encode writes it.
+func (h *Welcome) Encode() []byte {
+	var w protomsg.Writer
+	w.Uint(2, h.Cluster)
+	w.Uint(3, h.ID)
+	w.String(4, h.Name)
+	w.Uint(5, uint64(h.Level))
+	w.String(6, h.Refused)
+	return w.Bytes()
+}
+
+// DecodeWelcome reads one.
+func DecodeWelcome(b []byte) (h Welcome, err error) {
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 2:
+			h.Cluster = f.Uint
+		case 3:
+			h.ID = f.Uint
+		case 4:
+			return f.Text(&h.Name, promise.MaxName)
+		case 5:
+			h.Level = uint32(min(f.Uint, 1<<31))
+		case 6:
+			return f.Text(&h.Refused, maxText)
+		}
+		return nil
+	})
+	return h, err
+}
+
+func writeMembers(w writer, n protomsg.Number, all []promise.Member) {
+	for _, m := range all {
+		w.Message(n, func(w writer) {
+			w.Uint(1, m.ID)
+			w.String(2, m.Name)
+			w.String(3, m.Address)
+			w.Bool(4, m.Learner)
+		})
+	}
+}
+
+func readMember(f field, into *[]promise.Member) error {
+	if len(*into) == maxMembers {
+		return fmt.Errorf("%w: more than %d members", protomsg.ErrMalformed, maxMembers)
+	}
+	var m promise.Member
+	err := protomsg.Each(f.Raw, func(f field) error {
+		switch f.Number {
+		case 1:
+			m.ID = f.Uint
+		case 2:
+			return f.Text(&m.Name, promise.MaxName)
+		case 3:
+			return f.Text(&m.Address, promise.MaxName)
+		case 4:
+			m.Learner = f.Bool()
+		}
+		return nil
+	})
+	*into = append(*into, m)
+	return err
+}
+
+// Encode writes it.
+func (r *Request) Encode() []byte {
+	var w protomsg.Writer
+	w.Uint(1, r.Number)
+	w.Uint(2, uint64(r.Verb))
+	w.Raw(3, r.Command)
+	w.Uint(4, uint64(max(0, r.Within/time.Microsecond)))
+	w.Uint(5, uint64(r.Hops))
+	w.Uint(6, r.Cluster)
+	writeMembers(&w, 7, r.Members)
+	w.String(8, r.Name)
+	w.Uint(9, uint64(r.Level))
+	return w.Bytes()
+}
+
+// maxWithin bounds how long a voter keeps a request.
+const maxWithin = time.Minute
+
+func micros(u uint64, most time.Duration) time.Duration {
+	return time.Duration(min(u, uint64(most/time.Microsecond))) * time.Microsecond
+}
+
+// DecodeRequest reads one.
+func DecodeRequest(b []byte) (r Request, err error) {
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			r.Number = f.Uint
+		case 2:
+			r.Verb = Verb(min(f.Uint, 255))
+		case 3:
+			r.Command = f.Raw
+		case 4:
+			r.Within = micros(f.Uint, maxWithin)
+		case 5:
+			r.Hops = uint8(min(f.Uint, 255))
+		case 6:
+			r.Cluster = f.Uint
+		case 7:
+			return readMember(f, &r.Members)
+		case 8:
+			return f.Text(&r.Name, promise.MaxName)
+		case 9:
+			r.Level = uint32(min(f.Uint, 1<<31))
+		}
+		return nil
+	})
+	return r, err
+}
+
+// longAgo is the longest age that is told.
+const longAgo = 1000 * time.Hour
+
+// Encode writes it.
+func (a *Answer) Encode() []byte {
+	var w protomsg.Writer
+	w.Uint(1, a.Number)
+	w.Uint(2, uint64(a.Outcome))
+	w.String(3, a.Text)
+	w.Uint(4, uint64(a.Result.Reason))
+	w.String(5, a.Result.Text)
+	w.Uint(6, a.Result.Revision)
+	w.Uint(7, a.Result.Clock)
+	w.Uint(8, a.Result.Fence)
+	w.Int(9, a.Result.Free)
+	for _, x := range a.Result.Booked {
+		w.Message(10, func(w writer) {
+			w.Uint(1, x.Second)
+			w.Int(2, x.Places)
+		})
+	}
+	w.Uint(11, uint64(a.Held))
+	w.Uint(12, uint64(a.Of))
+	w.String(13, a.Leader)
+	w.Raw(14, a.Body)
+	w.Uint(15, a.Index)
+	w.Uint(16, uint64(a.Age/time.Microsecond))
+	w.Uint(17, a.Cluster)
+	w.Uint(18, a.ID)
+	w.String(19, a.Name)
+	w.Uint(20, uint64(a.Level))
+	writeMembers(&w, 21, a.Members)
+	return w.Bytes()
+}
+
+// DecodeAnswer reads one.
+func DecodeAnswer(b []byte) (a Answer, err error) {
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			a.Number = f.Uint
+		case 2:
+			a.Outcome = Outcome(min(f.Uint, 255))
+		case 3:
+			return f.Text(&a.Text, maxText)
+		case 4:
+			a.Result.Reason = promise.Reason(min(f.Uint, 255))
+		case 5:
+			return f.Text(&a.Result.Text, maxText)
+		case 6:
+			a.Result.Revision = f.Uint
+		case 7:
+			a.Result.Clock = f.Uint
+		case 8:
+			a.Result.Fence = f.Uint
+		case 9:
+			a.Result.Free = f.Int()
+		case 10:
+			var x promise.Booked
+			err := protomsg.Each(f.Raw, func(f field) error {
+				switch f.Number {
+				case 1:
+					x.Second = f.Uint
+				case 2:
+					x.Places = f.Int()
+				}
+				return nil
+			})
+			a.Result.Booked = append(a.Result.Booked, x)
+			return err
+		case 11:
+			a.Held = int(min(f.Uint, maxMembers))
+		case 12:
+			a.Of = int(min(f.Uint, maxMembers))
+		case 13:
+			return f.Text(&a.Leader, promise.MaxName)
+		case 14:
+			a.Body = f.Raw
+		case 15:
+			a.Index = f.Uint
+		case 16:
+			a.Age = micros(f.Uint, longAgo)
+		case 17:
+			a.Cluster = f.Uint
+		case 18:
+			a.ID = f.Uint
+		case 19:
+			return f.Text(&a.Name, promise.MaxName)
+		case 20:
+			a.Level = uint32(min(f.Uint, 1<<31))
+		case 21:
+			return readMember(f, &a.Members)
+		}
+		return nil
+	})
+	return a, err
+}
+
+// Encode writes it.
+func (u *Update) Encode() []byte {
+	var w protomsg.Writer
+	w.Raw(1, u.State)
+	for _, c := range u.Commands {
+		w.Raw(2, c)
+	}
+	w.Uint(3, u.Index)
+	w.Bool(4, u.Beat)
+	w.Uint(5, uint64(u.Age/time.Microsecond))
+	w.String(6, u.Leader)
+	w.Uint(7, u.Cluster)
+	w.Uint(8, uint64(u.Voters))
+	w.Uint(9, uint64(u.Up))
+	return w.Bytes()
+}
+
+// DecodeUpdate reads one.
+func DecodeUpdate(b []byte) (u Update, err error) {
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			u.State = f.Raw
+		case 2:
+			u.Commands = append(u.Commands, f.Raw)
+		case 3:
+			u.Index = f.Uint
+		case 4:
+			u.Beat = f.Bool()
+		case 5:
+			u.Age = micros(f.Uint, longAgo)
+		case 6:
+			return f.Text(&u.Leader, promise.MaxName)
+		case 7:
+			u.Cluster = f.Uint
+		case 8:
+			u.Voters = uint32(min(f.Uint, maxMembers))
+		case 9:
+			u.Up = uint32(min(f.Uint, maxMembers))
+		}
+		return nil
+	})
+	return u, err
+}
--- /dev/null
+++ b/internal/promise/codec.go
@@ -0,0 +1,593 @@
+package promise
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"clayladder/internal/protomsg"
+)
+
+// The wire format is that of Protocol Buffers; docs/design/promises.md lists the fields. Numbers of kinds and fields are never used
+// again for anything else. Whoever reads passes over fields that it does not know; of a kind that it does not know it says so.
+
+type (
+	writer = *protomsg.Writer
+	field  = protomsg.Field
+)
+
+// Version of the form of snapshots. A reader refuses a newer one.
+const Version = 1
+
+// ErrUnknownKind is wrapped by an error about a command of a kind that this version does not know.
+var ErrUnknownKind = errors.New("a kind of promise that this version does not know")
+
+// known are the kinds of command, by number.
+var known = map[uint32]func() Command{
+	1: func() Command { return new(SetWord) }, 2: func() Command { return new(ClearWord) }, 3: func() Command { return new(SetBound) },
+	4: func() Command { return new(Take) }, 5: func() Command { return new(Release) }, 6: func() Command { return new(Book) },
+	7: func() Command { return new(Raise) }, 8: func() Command { return new(Admit) }, 9: func() Command { return new(Dismiss) },
+	10: func() Command { return new(Pass) }, 11: func() Command { return new(Enrol) }, 12: func() Command { return new(Strike) },
+}
+
+// 13 to 19 are kept for the fates of keyed requests.
+
+func (*SetWord) number() uint32   { return 1 }
+func (*ClearWord) number() uint32 { return 2 }
+func (*SetBound) number() uint32  { return 3 }
+func (*Take) number() uint32      { return 4 }
+func (*Release) number() uint32   { return 5 }
+func (*Book) number() uint32      { return 6 }
+func (*Raise) number() uint32     { return 7 }
+func (*Admit) number() uint32     { return 8 }
+func (*Dismiss) number() uint32   { return 9 }
+func (*Pass) number() uint32      { return 10 }
+func (*Enrol) number() uint32     { return 11 }
+func (*Strike) number() uint32    { return 12 }
+
+func (*SetWord) level() uint32   { return 1 }
+func (*ClearWord) level() uint32 { return 1 }
+func (*SetBound) level() uint32  { return 1 }
+func (*Take) level() uint32      { return 1 }
+func (*Release) level() uint32   { return 1 }
+func (*Book) level() uint32      { return 1 }
+func (*Raise) level() uint32     { return 1 }
+func (*Admit) level() uint32     { return 1 }
+func (*Dismiss) level() uint32   { return 1 }
+func (*Pass) level() uint32      { return 1 }
+func (*Enrol) level() uint32     { return 1 }
+func (*Strike) level() uint32    { return 1 }
+
+// Ours tells whether a command comes with changes of the voters alone, and is never asked for from outside.
+func Ours(c Command) bool {
+	switch c.(type) {
+	case *Raise, *Pass, *Enrol, *Strike:
+		return true
+	}
+	return false
+}
+
+// Envelope is a command as it stands in the log.
+type Envelope struct {
+	ID      uint64 // of the proposal, drawn by whoever proposed it
+	Clock   uint64 // of the ledger, in ms, as the leader has counted it
+	Command Command
+}
+
+// Encode writes a command, without an envelope.
+func Encode(c Command) []byte {
+	var w protomsg.Writer
+	w.Uint(1, uint64(c.number()))
+	w.Message(2, func(w writer) { c.encode(w) })
+	return w.Bytes()
+}
+
+// Decode reads a command. The error wraps protomsg.ErrMalformed or ErrUnknownKind.
+func Decode(b []byte) (Command, error) {
+	var number uint64
+	var body []byte
+	err := protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			number = f.Uint
+		case 2:
+			body = f.Raw
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if number > 1<<31 || known[uint32(number)] == nil {
+		return nil, fmt.Errorf("%w: number %d", ErrUnknownKind, number)
+	}
+	c := known[uint32(number)]()
+	if err := protomsg.Each(body, c.decode); err != nil {
+		return nil, fmt.Errorf("command %d: %w", number, err)
+	}
+	return c, nil
+}
+
+// Encode writes an envelope.
+func (e Envelope) Encode() []byte {
+	var w protomsg.Writer
+	w.Uint(1, e.ID)
+	w.Uint(2, e.Clock)
+	w.Raw(3, Encode(e.Command))
+	return w.Bytes()
+}
+
+// DecodeEnvelope reads an envelope. An error that wraps ErrUnknownKind comes with the rest of it.
+func DecodeEnvelope(b []byte) (e Envelope, err error) {
+	var body []byte
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			e.ID = f.Uint
+		case 2:
+			e.Clock = f.Uint
+		case 3:
+			body = f.Raw
+		}
+		return nil
+	})
+	if err == nil {
+		e.Command, err = Decode(body)
+	}
+	return e, err
+}
+
+// millis writes a duration in ms.
+func millis(w writer, n protomsg.Number, d time.Duration) { w.Int(n, d.Milliseconds()) }
+
+// asMillis reads one; what no duration can hold is the longest.
+func asMillis(f field) time.Duration {
+	const most = int64(MaxWord/time.Millisecond) + 1 // Check refuses it
+	return time.Duration(min(max(f.Int(), -1), most)) * time.Millisecond
+}
+
+func (s *Subject) write(w writer) {
+	w.Uint(1, uint64(s.Kind))
+	w.Uint(2, uint64(s.Scope))
+	w.String(3, s.Target)
+}
+
+// read takes a field if it is one of the subject's.
+func (s *Subject) read(f field) error {
+	switch f.Number {
+	case 1:
+		s.Kind = Kind(min(f.Uint, 255))
+	case 2:
+		s.Scope = Scope(min(f.Uint, 255))
+	case 3:
+		return f.Text(&s.Target, MaxName)
+	}
+	return nil
+}
+
+func (c *SetWord) encode(w writer) {
+	c.Subject.write(w)
+	w.Int(4, c.Value)
+	w.String(5, c.By)
+	w.String(6, c.Why)
+	w.Int(7, c.At)
+	millis(w, 8, c.For)
+}
+
+func (c *SetWord) decode(f field) error {
+	switch f.Number {
+	case 4:
+		c.Value = f.Int()
+	case 5:
+		return f.Text(&c.By, MaxName)
+	case 6:
+		return f.Text(&c.Why, MaxWhy)
+	case 7:
+		c.At = f.Int()
+	case 8:
+		c.For = asMillis(f)
+	default:
+		return c.Subject.read(f)
+	}
+	return nil
+}
+
+func (c *ClearWord) encode(w writer) {
+	c.Subject.write(w)
+	w.String(5, c.By)
+}
+
+func (c *ClearWord) decode(f field) error {
+	if f.Number == 5 {
+		return f.Text(&c.By, MaxName)
+	}
+	return c.Subject.read(f)
+}
+
+func (c *SetBound) encode(w writer) {
+	w.String(1, c.Name)
+	w.Bool(2, c.Slots)
+	w.Int(3, c.Limit)
+}
+
+func (c *SetBound) decode(f field) error {
+	switch f.Number {
+	case 1:
+		return f.Text(&c.Name, MaxName)
+	case 2:
+		c.Slots = f.Bool()
+	case 3:
+		c.Limit = f.Int()
+	}
+	return nil
+}
+
+func (c *Take) encode(w writer) {
+	w.String(1, c.Bound)
+	w.String(2, c.Holder)
+	w.Int(3, c.Parts)
+	millis(w, 4, c.For)
+	w.Uint(5, c.Fence)
+}
+
+func (c *Take) decode(f field) error {
+	switch f.Number {
+	case 1:
+		return f.Text(&c.Bound, MaxName)
+	case 2:
+		return f.Text(&c.Holder, MaxName)
+	case 3:
+		c.Parts = f.Int()
+	case 4:
+		c.For = asMillis(f)
+	case 5:
+		c.Fence = f.Uint
+	}
+	return nil
+}
+
+func (c *Release) encode(w writer) {
+	w.String(1, c.Bound)
+	w.String(2, c.Holder)
+	w.Uint(5, c.Fence)
+}
+
+func (c *Release) decode(f field) error {
+	switch f.Number {
+	case 1:
+		return f.Text(&c.Bound, MaxName)
+	case 2:
+		return f.Text(&c.Holder, MaxName)
+	case 5:
+		c.Fence = f.Uint
+	}
+	return nil
+}
+
+func (c *Book) encode(w writer) {
+	w.String(1, c.Bound)
+	w.String(2, c.Holder)
+	w.Uint(3, c.Sequence)
+	w.Int(4, c.Places)
+	w.Uint(5, uint64(c.After))
+	w.Uint(6, uint64(c.Within))
+}
+
+func (c *Book) decode(f field) error {
+	switch f.Number {
+	case 1:
+		return f.Text(&c.Bound, MaxName)
+	case 2:
+		return f.Text(&c.Holder, MaxName)
+	case 3:
+		c.Sequence = f.Uint
+	case 4:
+		c.Places = f.Int()
+	case 5:
+		c.After = uint32(min(f.Uint, 1<<20))
+	case 6:
+		c.Within = uint32(min(f.Uint, 1<<20))
+	}
+	return nil
+}
+
+func (c *Raise) encode(w writer) { w.Uint(1, uint64(c.To)) }
+
+func (c *Raise) decode(f field) error {
+	if f.Number == 1 {
+		c.To = uint32(min(f.Uint, 1<<31))
+	}
+	return nil
+}
+
+func (c *Admit) encode(w writer) {
+	w.String(1, c.Name)
+	w.String(2, c.Address)
+}
+
+func (c *Admit) decode(f field) error {
+	switch f.Number {
+	case 1:
+		return f.Text(&c.Name, MaxName)
+	case 2:
+		return f.Text(&c.Address, MaxName)
+	}
+	return nil
+}
+
+func (c *Dismiss) encode(w writer) { w.String(1, c.Name) }
+
+func (c *Dismiss) decode(f field) error {
+	if f.Number == 1 {
+		return f.Text(&c.Name, MaxName)
+	}
+	return nil
+}
+
+func (*Pass) encode(writer)      {}
+func (*Pass) decode(field) error { return nil }
+
+func (m *Member) write(w writer) {
+	w.Uint(1, m.ID)
+	w.String(2, m.Name)
+	w.String(3, m.Address)
+	w.Bool(4, m.Learner)
+}
+
+func (m *Member) read(f field) error {
+	switch f.Number {
+	case 1:
+		m.ID = f.Uint
+	case 2:
+		return f.Text(&m.Name, MaxName)
+	case 3:
+		return f.Text(&m.Address, MaxName)
+	case 4:
+		m.Learner = f.Bool()
+	}
+	return nil
+}
+
+func (c *Enrol) encode(w writer)      { c.Member.write(w) }
+func (c *Enrol) decode(f field) error { return c.Member.read(f) }
+
+func (c *Strike) encode(w writer) { w.Uint(1, c.ID) }
+
+func (c *Strike) decode(f field) error {
+	if f.Number == 1 {
+		c.ID = f.Uint
+	}
+	return nil
+}
+
+// Encode writes the whole state, always in the same order: states that are alike have the same bytes.
+func (s *State) Encode() []byte {
+	var w protomsg.Writer
+	w.Uint(1, Version)
+	w.Uint(2, s.clock)
+	w.Uint(3, s.revision)
+	w.Uint(4, uint64(s.raised))
+	for _, x := range s.Words() {
+		w.Message(5, func(w writer) {
+			x.Subject.write(w)
+			w.Int(4, x.Value)
+			w.String(5, x.By)
+			w.String(6, x.Why)
+			w.Int(7, x.At)
+			w.Uint(8, x.Until)
+			w.Uint(9, x.Revision)
+		})
+	}
+	for _, b := range s.Bounds() {
+		w.Message(6, func(w writer) {
+			w.String(1, b.Name)
+			w.Bool(2, b.Slots)
+			w.Int(3, b.Limit)
+			for _, l := range b.Leases() {
+				w.Message(4, func(w writer) {
+					w.String(1, l.Holder)
+					w.Int(2, l.Parts)
+					w.Uint(3, l.Until)
+					w.Uint(4, l.Fence)
+				})
+			}
+			writeBooked(w, 5, b.Booked())
+		})
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.bookings)) {
+		x := s.bookings[key]
+		w.Message(7, func(w writer) {
+			w.String(1, x.bound)
+			w.String(2, x.holder)
+			w.Uint(3, x.sequence)
+			w.Uint(4, x.until)
+			writeBooked(w, 5, x.answer)
+		})
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.admitted)) {
+		w.Message(8, func(w writer) { (&Admit{name, s.admitted[name]}).encode(w) })
+	}
+	for _, m := range s.Members() {
+		w.Message(9, func(w writer) { m.write(w) })
+	}
+	return w.Bytes()
+}
+
+func writeBooked(w writer, n protomsg.Number, all []Booked) {
+	for _, x := range all {
+		w.Message(n, func(w writer) {
+			w.Uint(1, x.Second)
+			w.Int(2, x.Places)
+		})
+	}
+}
+
+func readBooked(b []byte) (x Booked, err error) {
+	err = protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			x.Second = f.Uint
+		case 2:
+			x.Places = f.Int()
+		}
+		return nil
+	})
+	return x, err
+}
+
+// DecodeState reads a state.
+func DecodeState(b []byte) (*State, error) {
+	s := NewState()
+	version := uint64(0)
+	err := protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 1:
+			version = f.Uint
+		case 2:
+			s.clock = f.Uint
+		case 3:
+			s.revision = f.Uint
+		case 4:
+			s.raised = uint32(min(f.Uint, 1<<31))
+		case 5:
+			return s.readWord(f.Raw)
+		case 6:
+			return s.readBound(f.Raw)
+		case 7:
+			return s.readBooking(f.Raw)
+		case 8:
+			var c Admit
+			if err := protomsg.Each(f.Raw, c.decode); err != nil {
+				return err
+			}
+			s.admitted[c.Name] = c.Address
+		case 9:
+			var m Member
+			if err := protomsg.Each(f.Raw, m.read); err != nil {
+				return err
+			}
+			s.members[m.ID] = m
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("the ledger's state: %w", err)
+	case version != Version:
+		return nil, fmt.Errorf("the ledger's state is of version %d, and %d is known", version, Version)
+	}
+	s.due = 0 // what ends when is found at the next command
+	return s, nil
+}
+
+func (s *State) readWord(b []byte) error {
+	var c SetWord // whose fields a word has too, but for the last two
+	var x Word
+	err := protomsg.Each(b, func(f field) error {
+		switch f.Number {
+		case 8:
+			x.Until = f.Uint
+		case 9:
+			x.Revision = f.Uint
+		default:
+			return c.decode(f)
+		}
+		return nil
+	})
+	if err = cmp.Or(err, c.Subject.check()); err != nil {
+		return err
+	}
+	x.Subject, x.Value, x.By, x.Why, x.At = c.Subject, c.Value, c.By, c.Why, c.At
+	if _, twice := s.words[x.Subject]; twice {
+		return fmt.Errorf("%w: two words on %v", protomsg.ErrMalformed, x.Subject)
+	}
+	s.words[x.Subject] = x
+	s.used += x.cost()
+	return nil
+}
+
+func (s *State) readBound(raw []byte) error {
+	b := &Bound{leases: map[string]Lease{}, booked: map[uint64]int64{}}
+	err := protomsg.Each(raw, func(f field) error {
+		switch f.Number {
+		case 1:
+			return f.Text(&b.Name, MaxName)
+		case 2:
+			b.Slots = f.Bool()
+		case 3:
+			b.Limit = f.Int()
+		case 4:
+			var l Lease
+			err := protomsg.Each(f.Raw, func(f field) error {
+				switch f.Number {
+				case 1:
+					return f.Text(&l.Holder, MaxName)
+				case 2:
+					l.Parts = f.Int()
+				case 3:
+					l.Until = f.Uint
+				case 4:
+					l.Fence = f.Uint
+				}
+				return nil
+			})
+			if _, twice := b.leases[l.Holder]; err == nil && twice {
+				err = fmt.Errorf("%w: two leases of %s", protomsg.ErrMalformed, l.Holder)
+			}
+			b.leases[l.Holder] = l
+			s.used += l.cost()
+			return err
+		case 5:
+			x, err := readBooked(f.Raw)
+			if b.booked[x.Second] == 0 {
+				s.used += costBooked
+			}
+			b.booked[x.Second] = max(1, x.Places)
+			return err
+		}
+		return nil
+	})
+	if err = cmp.Or(err, named("bound", b.Name)); err != nil {
+		return err
+	}
+	if s.bounds[b.Name] != nil {
+		return fmt.Errorf("%w: two bounds %s", protomsg.ErrMalformed, b.Name)
+	}
+	s.bounds[b.Name] = b
+	s.used += b.cost()
+	return nil
+}
+
+func (s *State) readBooking(raw []byte) error {
+	var x booking
+	err := protomsg.Each(raw, func(f field) error {
+		switch f.Number {
+		case 1:
+			return f.Text(&x.bound, MaxName)
+		case 2:
+			return f.Text(&x.holder, MaxName)
+		case 3:
+			x.sequence = f.Uint
+		case 4:
+			x.until = f.Uint
+		case 5:
+			one, err := readBooked(f.Raw)
+			x.answer = append(x.answer, one)
+			return err
+		}
+		return nil
+	})
+	if err = cmp.Or(err, named("bound", x.bound), named("holder", x.holder)); err != nil {
+		return err
+	}
+	key := x.bound + " " + x.holder
+	if _, twice := s.bookings[key]; twice {
+		return fmt.Errorf("%w: two bookings of %s", protomsg.ErrMalformed, x.holder)
+	}
+	s.bookings[key] = x
+	s.used += x.cost()
+	return nil
+}
--- /dev/null
+++ b/internal/promise/level.go
@@ -0,0 +1,6 @@
+//go:build !nextlevel
+
+package promise
+
+// Newest is the highest level of commands that this version knows.
+const Newest = 1
--- /dev/null
+++ b/internal/promise/state.go
@@ -0,0 +1,419 @@
+package promise
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// State is what the ledger holds. Its owner calls it from one goroutine.
+type State struct {
+	clock    uint64 // ms
+	revision uint64
+	raised   uint32 // commands up to this level may be given
+	words    map[Subject]Word
+	bounds   map[string]*Bound
+	bookings map[string]booking // by bound and holder
+	admitted map[string]string  // name -> address of those that may vote
+	members  map[uint64]Member
+	used     int64  // bytes, estimated
+	due      uint64 // nothing ends before it
+}
+
+// booking is a holder's last, kept so that it can be asked again.
+type booking struct {
+	bound, holder string
+	sequence      uint64
+	answer        []Booked
+	until         uint64 // ms: later nobody asks again
+}
+
+// askedAgain is for how long a booking's answer is kept.
+const askedAgain = 10 * time.Minute
+
+// NewState returns an empty ledger.
+func NewState() *State {
+	return &State{raised: 1, words: map[Subject]Word{}, bounds: map[string]*Bound{}, bookings: map[string]booking{}, admitted: map[string]string{}, members: map[uint64]Member{}, due: never}
+}
+
+// Clock is the ledger's, in ms.
+func (s *State) Clock() uint64 { return s.clock }
+
+// Revision is the number of the last command.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Raised is the level up to which commands may be given.
+func (s *State) Raised() uint32 { return s.raised }
+
+// Used is how much is held, in bytes by a fixed estimate, of MaxBytes.
+func (s *State) Used() int64 { return s.used }
+
+// Words are all that hold, by subject.
+func (s *State) Words() []Word {
+	return slices.SortedFunc(maps.Values(s.words), func(a, b Word) int {
+		return cmp.Or(cmp.Compare(a.Scope, b.Scope), cmp.Compare(a.Target, b.Target), cmp.Compare(a.Kind, b.Kind))
+	})
+}
+
+// Word is the one that holds of a subject.
+func (s *State) Word(of Subject) (Word, bool) {
+	w, ok := s.words[of]
+	return w, ok
+}
+
+// Bounds are all that there are, by name.
+func (s *State) Bounds() []*Bound {
+	return slices.SortedFunc(maps.Values(s.bounds), func(a, b *Bound) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// Leases are those of a bound, by holder.
+func (b *Bound) Leases() []Lease {
+	return slices.SortedFunc(maps.Values(b.leases), func(x, y Lease) int { return cmp.Compare(x.Holder, y.Holder) })
+}
+
+// Booked are the places of a bound by second.
+func (b *Bound) Booked() []Booked {
+	var all []Booked
+	for _, second := range slices.Sorted(maps.Keys(b.booked)) {
+		all = append(all, Booked{second, b.booked[second]})
+	}
+	return all
+}
+
+// held is the sum of a bound's leases.
+func (b *Bound) held() (sum int64) {
+	for _, l := range b.leases {
+		sum += l.Parts
+	}
+	return sum
+}
+
+// Admitted are the names that may vote, with their addresses.
+func (s *State) Admitted() map[string]string { return maps.Clone(s.admitted) }
+
+// Members are all, by name; of one name the voter first.
+func (s *State) Members() []Member {
+	return slices.SortedFunc(maps.Values(s.members), func(a, b Member) int {
+		order := cmp.Compare(a.Name, b.Name)
+		if order == 0 && a.Learner != b.Learner {
+			if order = 1; b.Learner {
+				order = -1
+			}
+		}
+		return cmp.Or(order, cmp.Compare(a.ID, b.ID))
+	})
+}
+
+// Member is the one with an id.
+func (s *State) Member(id uint64) (Member, bool) {
+	m, ok := s.members[id]
+	return m, ok
+}
+
+// Apply applies the command of a revision, which are given in order, at a moment of the ledger's clock. The error says that
+// this version must not go on: the ledger has been raised to a level that it does not know.
+func (s *State) Apply(revision, clock uint64, c Command) (Result, error) {
+	s.clock, s.revision = max(s.clock, clock), revision
+	s.expire()
+	var r Result
+	if err := c.Check(); err != nil {
+		r = refuse(Invalid, "%v", err)
+	} else if c.level() > s.raised {
+		r = refuse(Level, "this kind of promise wants level %d, and the ledger is at %d: not all voters are of that version yet", c.level(), s.raised)
+	} else {
+		r = c.apply(s)
+	}
+	r.Revision, r.Clock = s.revision, s.clock
+	if s.raised > Newest {
+		return r, fmt.Errorf("the ledger is at level %d, and this version knows %d: a newer one is wanted", s.raised, Newest)
+	}
+	return r, nil
+}
+
+func refuse(why Reason, format string, values ...any) Result {
+	return Result{Reason: why, Text: fmt.Sprintf(format, values...)}
+}
+
+// expire drops what has ended by the ledger's clock.
+func (s *State) expire() {
+	if s.clock < s.due {
+		return
+	}
+	s.due = never
+	for subject, w := range s.words {
+		if w.Until != 0 && !s.lasts(w.Until) {
+			s.dropWord(subject)
+		}
+	}
+	for _, b := range s.bounds {
+		for holder, l := range b.leases {
+			if !s.lasts(l.Until) {
+				s.dropLease(b, holder)
+			}
+		}
+		for second := range b.booked {
+			if !s.lasts(pastSecond(second)) {
+				delete(b.booked, second)
+				s.used -= costBooked
+			}
+		}
+	}
+	for key, x := range s.bookings {
+		if !s.lasts(x.until) {
+			s.used -= x.cost()
+			delete(s.bookings, key)
+		}
+	}
+}
+
+// never is a moment that does not come.
+const never = math.MaxUint64
+
+// lasts tells whether something that ends at a moment has not ended yet, and sees to it that it will.
+func (s *State) lasts(until uint64) bool {
+	if until <= s.clock {
+		return false
+	}
+	s.due = min(s.due, until)
+	return true
+}
+
+// pastSecond is when a second of the ledger's clock is over, in ms.
+func pastSecond(second uint64) uint64 { return (min(second, never/1000-1) + 1) * 1000 }
+
+// Due is when the next thing that is held ends by the ledger's clock, in ms; the greatest number: nothing does.
+func (s *State) Due() uint64 { return s.due }
+
+// What each entry counts for, beside its texts: maps, log and snapshots have it more than once.
+const (
+	costEntry  = 160
+	costBooked = 48
+)
+
+func (w *Word) cost() int64 { return costEntry + int64(len(w.Target)+len(w.By)+len(w.Why)) }
+func (l *Lease) cost() int64 {
+	return costEntry + int64(len(l.Holder))
+}
+func (b *Bound) cost() int64 { return costEntry + int64(len(b.Name)) }
+func (b *booking) cost() int64 {
+	return costEntry + int64(len(b.bound)+len(b.holder)) + costBooked*int64(len(b.answer))
+}
+
+// full tells whether so much more would be too much.
+func (s *State) full(more int64) bool { return more > 0 && s.used+more > MaxBytes }
+
+func (s *State) refuseFull() Result {
+	return refuse(Full, "the ledger is full: %d of %d bytes are held, and what is held is never dropped for what is new", s.used, int64(MaxBytes))
+}
+
+func (s *State) dropWord(of Subject) {
+	if w, ok := s.words[of]; ok {
+		s.used -= w.cost()
+		delete(s.words, of)
+	}
+}
+
+func (s *State) dropLease(b *Bound, holder string) {
+	if l, ok := b.leases[holder]; ok {
+		s.used -= l.cost()
+		delete(b.leases, holder)
+	}
+}
+
+// later is a moment of the ledger's clock from now, in ms; an odd part of one counts whole.
+func (s *State) later(d time.Duration) uint64 {
+	return s.clock + uint64((d+time.Millisecond-1)/time.Millisecond)
+}
+
+func (c *SetWord) apply(s *State) Result {
+	w := Word{Subject: c.Subject, Value: c.Value, By: c.By, Why: c.Why, At: c.At, Revision: s.revision}
+	if c.For > 0 {
+		w.Until = s.later(c.For)
+	}
+	before, had := s.words[c.Subject]
+	more := w.cost()
+	if had {
+		more -= before.cost()
+	}
+	if s.full(more) {
+		return s.refuseFull()
+	}
+	s.words[c.Subject] = w
+	s.used += more
+	if w.Until > 0 {
+		s.due = min(s.due, w.Until)
+	}
+	return Result{}
+}
+
+func (c *ClearWord) apply(s *State) Result {
+	s.dropWord(c.Subject)
+	return Result{}
+}
+
+func (c *SetBound) apply(s *State) Result {
+	b, ok := s.bounds[c.Name]
+	switch {
+	case ok && b.Slots != c.Slots:
+		return refuse(Invalid, "the bound %s is of the other kind: slots and leases do not mix", c.Name)
+	case ok && c.Limit == 0 && len(b.leases)+len(b.booked) > 0:
+		return refuse(NoRoom, "of the bound %s something is still held", c.Name)
+	case ok && c.Limit == 0:
+		s.used -= b.cost()
+		delete(s.bounds, c.Name)
+	case ok: // what is held over a lower limit stays until it ends; nothing new is given before
+		b.Limit = c.Limit
+	case c.Limit > 0:
+		b = &Bound{Name: c.Name, Slots: c.Slots, Limit: c.Limit, leases: map[string]Lease{}, booked: map[uint64]int64{}}
+		if s.full(b.cost()) {
+			return s.refuseFull()
+		}
+		s.bounds[c.Name] = b
+		s.used += b.cost()
+	}
+	return Result{}
+}
+
+// bound finds one of a kind.
+func (s *State) bound(name string, slots bool) (*Bound, Result) {
+	b, ok := s.bounds[name]
+	switch {
+	case !ok:
+		return nil, refuse(Unknown, "there is no bound %s", name)
+	case b.Slots != slots:
+		return nil, refuse(Invalid, "the bound %s is of the other kind: slots and leases do not mix", name)
+	}
+	return b, Result{}
+}
+
+func (c *Take) apply(s *State) Result {
+	b, r := s.bound(c.Bound, false)
+	if b == nil {
+		return r
+	}
+	mine, held := b.leases[c.Holder]
+	free := b.Limit - b.held() + mine.Parts
+	switch {
+	case held && c.Fence != mine.Fence: // a new life of the holder: the old one may still act on it
+		r = refuse(Fenced, "%s holds it under fence %d until %d ms from now", c.Holder, mine.Fence, mine.Until-s.clock)
+		return r
+	case !held && c.Fence != 0:
+		return refuse(Fenced, "the lease under fence %d has ended", c.Fence)
+	case c.Parts > free:
+		r = refuse(NoRoom, "of %d parts of %s %d are free, and %d are asked", b.Limit, c.Bound, max(0, free), c.Parts)
+		r.Free = max(0, free)
+		return r
+	}
+	l := Lease{Holder: c.Holder, Parts: c.Parts, Until: s.later(c.For), Fence: cmp.Or(mine.Fence, s.revision)}
+	if !held {
+		if s.full(l.cost()) {
+			return s.refuseFull()
+		}
+		s.used += l.cost()
+	}
+	b.leases[c.Holder] = l
+	s.due = min(s.due, l.Until)
+	return Result{Fence: l.Fence, Free: free - c.Parts}
+}
+
+func (c *Release) apply(s *State) Result {
+	b, r := s.bound(c.Bound, false)
+	if b == nil {
+		return r
+	}
+	if mine, held := b.leases[c.Holder]; held && mine.Fence != c.Fence {
+		return refuse(Fenced, "%s holds it under fence %d, not %d", c.Holder, mine.Fence, c.Fence)
+	}
+	s.dropLease(b, c.Holder)
+	return Result{Free: b.Limit - b.held()}
+}
+
+func (c *Book) apply(s *State) Result {
+	b, r := s.bound(c.Bound, true)
+	if b == nil {
+		return r
+	}
+	key := c.Bound + " " + c.Holder // neither has a space
+	last, asked := s.bookings[key]
+	switch {
+	case asked && c.Sequence == last.sequence:
+		return Result{Booked: slices.Clone(last.answer)}
+	case asked && c.Sequence < last.sequence:
+		return refuse(Fenced, "%s has booked number %d already", c.Holder, last.sequence)
+	}
+	now := s.clock / 1000
+	var got []Booked
+	left := c.Places
+	for second := now + uint64(c.After); second <= now+uint64(c.Within) && left > 0; second++ {
+		if n := min(left, b.Limit-b.booked[second]); n > 0 {
+			got = append(got, Booked{second, n})
+			left -= n
+		}
+	}
+	if len(got) == 0 {
+		return refuse(NoRoom, "no second from %d to %d s ahead has a place left", c.After, c.Within)
+	}
+	next := booking{c.Bound, c.Holder, c.Sequence, got, s.later(askedAgain)}
+	more := next.cost() + costBooked*int64(len(got))
+	if asked {
+		more -= last.cost()
+	}
+	if s.full(more) {
+		return s.refuseFull()
+	}
+	for _, x := range got {
+		if b.booked[x.Second] == 0 {
+			s.used += costBooked
+		}
+		b.booked[x.Second] += x.Places
+		s.due = min(s.due, pastSecond(x.Second))
+	}
+	s.used += next.cost()
+	if asked {
+		s.used -= last.cost()
+	}
+	s.bookings[key] = next
+	s.due = min(s.due, next.until)
+	return Result{Booked: slices.Clone(got)}
+}
+
+func (c *Admit) apply(s *State) Result {
+	for name, address := range s.admitted {
+		if address == c.Address && name != c.Name {
+			return refuse(Invalid, "%s has the address %s already", name, address)
+		}
+	}
+	s.admitted[c.Name] = c.Address
+	return Result{}
+}
+
+func (c *Dismiss) apply(s *State) Result {
+	if _, ok := s.admitted[c.Name]; !ok {
+		return refuse(Unknown, "there is no voter %s", c.Name)
+	}
+	if len(s.admitted) == 1 {
+		return refuse(Invalid, "%s is the last one", c.Name)
+	}
+	delete(s.admitted, c.Name)
+	return Result{}
+}
+
+func (c *Raise) apply(s *State) Result {
+	s.raised = max(s.raised, c.To)
+	return Result{}
+}
+
+func (*Pass) apply(*State) Result { return Result{} }
+
+func (c *Enrol) apply(s *State) Result {
+	s.members[c.ID] = c.Member
+	return Result{}
+}
+
+func (c *Strike) apply(s *State) Result {
+	delete(s.members, c.ID)
+	return Result{}
+}
--- /dev/null
+++ b/internal/promise/types.go
@@ -0,0 +1,163 @@
+// Package promise is what balancers hold for each other: staff's word on upstreams, zones and pools, leases on parts of shared
+// bounds, and places in time at which refused clients were told to come back. It decides what is granted. It has no I/O, clock or
+// goroutine: a State is a function of the commands that were applied to it, in order, so every copy comes to the same.
+//
+// Time is the ledger's own: milliseconds that leaders have counted on their monotonic clocks and written into the commands. It never
+// runs ahead of real time (but for the drift of one clock) and stands still while there is no leader. So nothing ends early.
+package promise
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Kind of a word of staff's.
+type Kind uint8
+
+// The kinds.
+const (
+	Out   Kind = 1 + iota // nothing new goes there
+	Cap                   // attempts out at once that one balancer may have there
+	Share                 // thousandths of its usual share, over 0 and at most 1,000
+)
+
+// Scope is what a word is about.
+type Scope uint8
+
+// The scopes. Caps and shares are of upstreams alone.
+const (
+	Upstream Scope = 1 + iota
+	Zone
+	Pool
+)
+
+var (
+	kinds  = map[Kind]string{Out: "out", Cap: "cap", Share: "share"}
+	scopes = map[Scope]string{Upstream: "upstream", Zone: "zone", Pool: "pool"}
+)
+
+func (k Kind) String() string  { return kinds[k] }
+func (s Scope) String() string { return scopes[s] }
+
+// ParseKind reads out, cap or share.
+func ParseKind(text string) (Kind, error) {
+	for k, name := range kinds {
+		if name == text {
+			return k, nil
+		}
+	}
+	return 0, fmt.Errorf("%q is none of out, cap and share", text)
+}
+
+// Subject is what a word says something about, and what it says there. One word holds of a subject at a time.
+type Subject struct {
+	Kind   Kind
+	Scope  Scope
+	Target string // the upstream's id in the node list, the zone's or the pool's name
+}
+
+// ParseTarget reads a scope and a name, as in zone/a; a name alone is an upstream's.
+func ParseTarget(text string) (Scope, string, error) {
+	before, name, scoped := strings.Cut(text, "/")
+	if !scoped {
+		return Upstream, text, nil
+	}
+	for s, word := range scopes {
+		if word == before && name != "" {
+			return s, name, nil
+		}
+	}
+	return 0, "", fmt.Errorf("%q is no target: an upstream's id, upstream/ID, zone/NAME or pool/NAME", text)
+}
+
+func (s Subject) String() string { return fmt.Sprintf("%s %s/%s", s.Kind, s.Scope, s.Target) }
+
+// Word is what staff have said.
+type Word struct {
+	Subject
+	Value    int64  // of caps and shares
+	By, Why  string // for people
+	At       int64  // Unix time in ms by the clock of whoever passed it on: for people alone, nothing goes by it
+	Until    uint64 // ms of the ledger's clock; 0: until it is cleared
+	Revision uint64 // at which it was given
+}
+
+// Lease is a holder's part of a bound.
+type Lease struct {
+	Holder string
+	Parts  int64
+	Until  uint64 // ms of the ledger's clock; the holder's own end, by its own clock, comes before it
+	Fence  uint64 // a number that only grows from lease to lease: whoever acts under a lower one is late
+}
+
+// Bound is something of which balancers may use so much together: as leases at a time, or as places in each second.
+type Bound struct {
+	Name   string
+	Slots  bool  // places in each second; else leases
+	Limit  int64 // over all
+	leases map[string]Lease
+	booked map[uint64]int64 // second of the ledger's clock -> places
+}
+
+// Booked is a number of places in a second of the ledger's clock.
+type Booked struct {
+	Second uint64
+	Places int64
+}
+
+// Member is a life of a voter's disk. A disk that is lost and comes back empty is another member, under the same name.
+type Member struct {
+	ID      uint64
+	Name    string
+	Address string
+	Learner bool // it is being brought up to date and has no vote yet
+}
+
+// Limits of what is held. A promise that does not fit is refused, never an older one dropped.
+const (
+	MaxName    = 128     // bytes of names, ids and addresses
+	MaxWhy     = 512     // bytes of what is for people
+	MaxBytes   = 4 << 20 // of all that is held, by a fixed estimate
+	MinLease   = 500 * time.Millisecond
+	MaxLease   = time.Hour
+	MaxWord    = 10 * 365 * 24 * time.Hour
+	MaxHorizon = 600     // s ahead that places may be booked
+	MaxLimit   = 1 << 40 // of a bound
+)
+
+// Reason says why a promise was not given.
+type Reason uint8
+
+// The reasons.
+const (
+	None    Reason = iota
+	Invalid        // the command itself is wrong
+	Unknown        // it names nothing that is there
+	NoRoom         // the bound has no room left
+	Fenced         // another life of the holder has, or had, the lease
+	Full           // the ledger holds as much as it may
+	Level          // not all voters know this kind of command yet
+)
+
+// Result is the answer to a command.
+type Result struct {
+	Reason   Reason // None: it is promised
+	Text     string // for people, where it is not
+	Revision uint64 // of the ledger with the command applied
+	Clock    uint64 // ms of the ledger's clock
+	Fence    uint64 // of a lease
+	Free     int64  // parts of a bound that are left
+	Booked   []Booked
+}
+
+// OK tells whether the promise is given.
+func (r Result) OK() bool { return r.Reason == None }
+
+// Err is nil if the promise is given.
+func (r Result) Err() error {
+	if r.OK() {
+		return nil
+	}
+	return fmt.Errorf("refused: %s", r.Text)
+}
--- /dev/null
+++ b/internal/replica/members.go
@@ -0,0 +1,323 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"clayladder/internal/cluster"
+	"clayladder/internal/ledger"
+	"clayladder/internal/promise"
+)
+
+// newcomer is a process with an empty folder that has asked to join.
+type newcomer struct {
+	cluster.Newcomer
+	at  time.Time
+	why string // it has to wait
+}
+
+// forgetNewcomer is after how long without a word one is no longer counted with.
+const forgetNewcomer = 3 * time.Second
+
+// changeWithin is after how long a change of the voters that was proposed and not seen is taken for lost.
+const changeWithin = 5 * time.Second
+
+// beat tells followers how fresh the copy is, and asks a quorum anew.
+func (c *core) beat(now time.Time) {
+	up := 0
+	voters := 0
+	for _, m := range c.state.Members() {
+		if m.Learner {
+			continue
+		}
+		voters++
+		if at, ok := c.heard[m.ID]; m.ID == c.id() || (ok && now.Sub(at) < time.Second) {
+			up++
+		}
+	}
+	if !c.leading { // one that follows hears the leader alone
+		up = 0
+	}
+	c.tell(ledger.Update{Beat: true, Index: c.applied, Age: c.age(), Leader: c.leader(), Voters: uint32(voters), Up: uint32(up)})
+	if c.node != nil && c.lead != raft.None {
+		c.read(time.Second, func(*core, error) {}) // its success makes the copy fresh
+	}
+}
+
+// decide takes the next step in who the voters are, as the leader; without a cluster it looks for one.
+func (c *core) decide(now time.Time) {
+	if c.node == nil {
+		c.seek()
+		return
+	}
+	if !c.leading || !c.ready {
+		return
+	}
+	for id, n := range c.newcomers {
+		if now.Sub(n.at) > forgetNewcomer {
+			delete(c.newcomers, id)
+		}
+	}
+	if c.changing && now.Sub(c.changeAt) > changeWithin && len(c.conf.GetVotersOutgoing()) == 0 {
+		c.changing = false
+	}
+	if c.state.Due() <= c.clock(now) {
+		c.ours(&promise.Pass{})
+	}
+	v := cluster.View{Self: c.id(), Admitted: c.state.Admitted(), Changing: c.changing, Raised: c.state.Raised(), Committed: c.node.BasicStatus().GetCommit()}
+	match := map[uint64]uint64{}
+	c.node.WithProgress(func(id uint64, _ raft.ProgressType, p progress) { match[id] = p.Match })
+	for _, m := range c.state.Members() {
+		p := cluster.Peer{Member: m, Match: match[m.ID], Level: c.levels[m.ID], Gone: c.gone[m.Name], Heard: longAgo}
+		if m.ID == c.id() {
+			p.Heard, p.Level = 0, promise.Newest
+		} else if at, ok := c.heard[m.ID]; ok {
+			p.Heard = now.Sub(at)
+		}
+		v.Members = append(v.Members, p)
+	}
+	for _, n := range c.newcomers {
+		v.Newcomers = append(v.Newcomers, n.Newcomer)
+	}
+	step, why := cluster.Next(v, cluster.Options{Gone: c.Gone, Idle: learnerIdle})
+	for id, n := range c.newcomers {
+		n.why = why[id]
+	}
+	c.take(step, now)
+}
+
+// take carries out a step.
+func (c *core) take(s cluster.Step, now time.Time) {
+	change := func(changes []*raftpb.ConfChangeSingle, commands ...promise.Command) {
+		err := c.node.ProposeConfChange(&raftpb.ConfChangeV2{Changes: changes, Context: bringing(c.clock(now), commands...)})
+		if err == nil {
+			c.changing, c.changeAt = true, now
+		}
+		slog.Info("a change of the voters", "name", s.Member.Name, "id", fmt.Sprintf("%x", s.Member.ID), "instead_of", fmt.Sprintf("%x", s.Old), "kind", s.Kind, "err", err)
+	}
+	single := func(kind raftpb.ConfChangeType, id uint64) *raftpb.ConfChangeSingle {
+		return &raftpb.ConfChangeSingle{Type: kind.Enum(), NodeId: new(id)}
+	}
+	voter := s.Member
+	voter.Learner = false
+	switch s.Kind {
+	case cluster.Learn:
+		change([]*raftpb.ConfChangeSingle{single(raftpb.ConfChangeAddLearnerNode, s.Member.ID)}, &promise.Enrol{Member: s.Member})
+	case cluster.Swap:
+		delete(c.gone, s.Member.Name)
+		change([]*raftpb.ConfChangeSingle{single(raftpb.ConfChangeAddNode, s.Member.ID), single(raftpb.ConfChangeRemoveNode, s.Old)},
+			&promise.Enrol{Member: voter}, &promise.Strike{ID: s.Old})
+	case cluster.Promote:
+		change([]*raftpb.ConfChangeSingle{single(raftpb.ConfChangeAddNode, s.Member.ID)}, &promise.Enrol{Member: voter})
+	case cluster.Drop:
+		change([]*raftpb.ConfChangeSingle{single(raftpb.ConfChangeRemoveNode, s.Old)}, &promise.Strike{ID: s.Old})
+	case cluster.HandOver:
+		c.node.TransferLeader(s.Member.ID)
+	case cluster.RaiseTo:
+		c.ours(&promise.Raise{To: s.Level})
+	}
+}
+
+// seek asks the configured voters who they are, and begins a cluster or asks to join theirs.
+func (c *core) seek() {
+	if c.beginning {
+		return
+	}
+	for name := range c.Voters {
+		if name == c.Name {
+			c.reports[name] = cluster.Report{Name: name, ID: c.id(), Level: promise.Newest}
+			continue
+		}
+		r := ledger.Request{Verb: ledger.Who}
+		if c.reports[name].Cluster != 0 { // there is one: it wants to join
+			r = ledger.Request{Verb: ledger.Join, Level: promise.Newest, Members: []promise.Member{{ID: c.id(), Name: c.Name, Address: c.Address}}}
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(c.ctx, usualWithin/2)
+			defer cancel()
+			a, err := c.caller.Ask(ctx, name, r)
+			c.hand(eventFunc(func(c *core) { c.reported(name, a, err) }))
+		}()
+	}
+	members, why := cluster.Found(c.Name, c.Voters, c.reports)
+	if members == nil {
+		if !c.joining() {
+			c.waits = why
+		}
+		return
+	}
+	id := rand.Uint64()>>1 + 1
+	slog.Info("beginning a cluster", "cluster", fmt.Sprintf("%x", id), "voters", len(members))
+	for _, m := range members {
+		if m.ID == c.id() {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(c.ctx, usualWithin)
+			defer cancel()
+			if _, err := c.caller.Ask(ctx, m.Name, ledger.Request{Verb: ledger.Form, Cluster: id, Members: members}); err != nil {
+				slog.Warn("telling a voter of the new cluster", "name", m.Name, "err", err) // it will ask to join
+			}
+		}()
+	}
+	c.begin(id, members)
+}
+
+// joining tells whether some voter belongs to a cluster already.
+func (c *core) joining() bool {
+	for _, r := range c.reports {
+		if r.Cluster != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// reported takes what a voter has said of itself, or of the wish to join.
+func (c *core) reported(name string, a ledger.Answer, err error) {
+	if c.node != nil || c.beginning {
+		return
+	}
+	if err != nil {
+		delete(c.reports, name)
+		return
+	}
+	c.reports[name] = cluster.Report{Name: a.Name, ID: a.ID, Cluster: a.Cluster, Level: a.Level}
+	if a.Cluster == 0 || len(a.Members) == 0 {
+		if a.Text != "" {
+			c.waits = a.Text
+		}
+		return
+	}
+	slog.Info("joining", "cluster", fmt.Sprintf("%x", a.Cluster))
+	c.adopt(a.Cluster, a.Members)
+}
+
+// adopt makes the folder one of a cluster that is there already; what it holds comes from the others.
+func (c *core) adopt(id uint64, members []promise.Member) {
+	c.beginning = true
+	c.writer.put(job{begin: &beginning{cluster: id, done: func() {
+		for _, m := range members { // until a snapshot says who they are
+			if m.ID != c.id() {
+				c.connect(m)
+			}
+		}
+	}}})
+}
+
+// begin makes the folder one of a new cluster.
+func (c *core) begin(id uint64, members []promise.Member) {
+	c.beginning = true
+	x, err := founding(members)
+	if err != nil {
+		c.broken(err)
+		return
+	}
+	c.writer.put(job{begin: &beginning{cluster: id, snapshot: x}})
+}
+
+// founding is the state that all voters of a new cluster begin with.
+func founding(members []promise.Member) (*raftpb.Snapshot, error) {
+	s := promise.NewState()
+	conf := &raftpb.ConfState{}
+	members = slices.Clone(members)
+	slices.SortFunc(members, func(a, b promise.Member) int { return int(min(1, max(-1, int64(a.ID)-int64(b.ID)))) })
+	for _, m := range members {
+		conf.Voters = append(conf.Voters, m.ID)
+		for _, command := range []promise.Command{&promise.Admit{Name: m.Name, Address: m.Address}, &promise.Enrol{Member: m}} {
+			if r, err := s.Apply(1, 0, command); err != nil || !r.OK() {
+				return nil, fmt.Errorf("the first voters: %w %s", err, r.Text)
+			}
+		}
+	}
+	return &raftpb.Snapshot{Data: s.Encode(), Metadata: &raftpb.SnapshotMetadata{Index: new(uint64(1)), Term: new(uint64(1)), ConfState: conf}}, nil
+}
+
+// begun starts to take part, now that the disk knows of the cluster.
+func (c *core) begun(b *beginning) {
+	c.beginning = false
+	if b.snapshot != nil {
+		if err := c.memory.ApplySnapshot(b.snapshot); err != nil {
+			c.broken(err)
+			return
+		}
+		if err := c.memory.SetHardState(firstHard()); err != nil {
+			c.broken(err)
+			return
+		}
+		if err := c.restore(b.snapshot); err != nil {
+			c.broken(err)
+			return
+		}
+	}
+	if err := c.startNode(); err != nil {
+		c.broken(err)
+		return
+	}
+	c.rebase()
+	if b.done != nil {
+		b.done()
+	}
+}
+
+// form begins a cluster as the first voter by name has decided.
+func (c *core) form(a ask) {
+	i := slices.IndexFunc(a.Members, func(m promise.Member) bool { return m.ID == c.id() && m.Name == c.Name })
+	switch {
+	case c.node != nil && c.store.identity.Cluster == a.Cluster:
+		a.answer(ledger.Answer{Outcome: ledger.Yes})
+	case c.node != nil || c.beginning:
+		a.answer(ledger.Answer{Outcome: ledger.No, Text: "it belongs to a cluster already"})
+	case i < 0 || a.Cluster == 0:
+		a.answer(ledger.Answer{Outcome: ledger.No, Text: "it is not among the members of that cluster"})
+	default:
+		c.begin(a.Cluster, a.Members)
+		a.answer(ledger.Answer{Outcome: ledger.Yes})
+	}
+}
+
+// join lets a process with an empty folder in, once it is a member.
+func (c *core) join(a ask) {
+	if len(a.Members) != 1 || a.Members[0].ID == 0 || a.Members[0].Name == "" {
+		a.answer(ledger.Answer{Outcome: ledger.No, Text: "one member with a name and an id is wanted"})
+		return
+	}
+	m := a.Members[0]
+	if _, member := c.state.Member(m.ID); member && c.node != nil {
+		a.answer(ledger.Answer{Outcome: ledger.Yes, Members: c.state.Members()})
+		return
+	}
+	if c.elsewhere(a) {
+		return
+	}
+	n := c.newcomers[m.ID]
+	if n == nil {
+		n = &newcomer{why: "its wish has just come"}
+		c.newcomers[m.ID] = n
+		slog.Info("a voter with an empty folder wants to join", "name", m.Name, "id", fmt.Sprintf("%x", m.ID))
+	}
+	n.Newcomer, n.at = cluster.Newcomer{Report: cluster.Report{Name: m.Name, ID: m.ID, Level: a.Level}, Address: m.Address}, time.Now()
+	a.answer(ledger.Answer{Outcome: ledger.Nowhere, Text: n.why})
+}
+
+// goneForGood notes that staff know of a voter whose machine will not come back: it need not be waited for.
+func (c *core) goneForGood(a ask) {
+	if c.elsewhere(a) {
+		return
+	}
+	for _, m := range c.state.Members() {
+		if m.Name == a.Name && !m.Learner {
+			c.gone[a.Name] = true
+			a.answer(ledger.Answer{Outcome: ledger.Yes})
+			return
+		}
+	}
+	a.answer(ledger.Answer{Outcome: ledger.No, Text: fmt.Sprintf("there is no voter %s", a.Name)})
+}
