Ground: voters as processes, clients of theirs, and a checker of what these were answered

Promises are accepted only when they hold through faults between processes. Scripts may now have voters of the ledger, faults to them (killed, disk lost, a bit flipped, power gone, a twin, the leader of the moment), and clients whose calls are kept and checked: linearizability by porcupine, leases over their bound, slots given twice, copies older than they say, promises that are gone.

--- a/cmd/olivebench/ground.go
+++ b/cmd/olivebench/ground.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,7 +10,6 @@
 	"io"
 	"maps"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 
@@ -27,9 +27,9 @@
 
 // groundFlags are those of the command ground.
 type groundFlags struct {
-	program, out, keep string
-	seed, faults       int
-	check, figures     bool
+	program, ledger, out, keep string
+	seed, faults               int
+	check, figures             bool
 }
 
 // playGround plays scripts of faults between many processes.
@@ -37,6 +37,7 @@
 	var x groundFlags
 	f, err := flags("ground", "[flags] SCRIPT.yaml...", args, out, func(f *flag.FlagSet) {
 		f.StringVar(&x.program, "olivearch", "", "`PROGRAM` under test; left out: this source, built with the tag ground")
+		f.StringVar(&x.ledger, "oliveledger", "", "`PROGRAM` of the ledger's voters; left out: this source, built likewise")
 		f.StringVar(&x.out, "out", "", "`FOLDER` for a plot of each script's time (NAME-SEED.svg), and for schedules that fail")
 		f.StringVar(&x.keep, "keep", "", "`FOLDER` in which the processes' disks and logs stay")
 		f.IntVar(&x.seed, "seed", 0, "draw `N`: the script's seed, and with --faults the faults too; 0: the script's own")
@@ -71,15 +72,18 @@
 		}
 		return nil
 	}
-	if x.program == "" {
+	votes := slices.ContainsFunc(files, func(f *script.File) bool { return f.Voters.Count > 0 })
+	if x.program == "" || (votes && x.ledger == "") {
 		folder, err := os.MkdirTemp("", "olivearch-")
 		if err != nil {
 			return err
 		}
 		defer os.RemoveAll(folder)
-		if x.program, err = buildProgram(ctx, folder); err != nil {
-			return err
+		program, ledger, err := ground.Build(ctx, folder)
+		if err != nil {
+			return fmt.Errorf("building the programs under test (or name them with --olivearch and --oliveledger): %w", err)
 		}
+		x.program, x.ledger = cmp.Or(x.program, program), cmp.Or(x.ledger, ledger)
 	}
 	for _, file := range files {
 		errs = append(errs, x.play(ctx, file, out))
@@ -87,22 +91,13 @@
 	return errors.Join(errs...)
 }
 
-// buildProgram builds the program under test from the source that stands here.
-func buildProgram(ctx context.Context, folder string) (string, error) {
-	path := filepath.Join(folder, "olivearch")
-	if text, err := exec.CommandContext(ctx, "go", "build", "-tags", "ground", "-o", path, "clayladder/cmd/olivearch").CombinedOutput(); err != nil {
-		return "", fmt.Errorf("building the program under test (or name one with --olivearch): %w\n%s", err, text)
-	}
-	return path, nil
-}
-
 // play plays one script, and makes the schedule of faults shorter if one that was drawn fails.
 func (x *groundFlags) play(ctx context.Context, file *script.File, out io.Writer) error {
 	self, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	o := ground.Options{Program: x.program, Self: []string{self, standinRole}, Progress: os.Stderr}
+	o := ground.Options{Program: x.program, Ledger: x.ledger, Self: []string{self, standinRole}, Progress: os.Stderr}
 	if x.keep != "" {
 		o.Folder = filepath.Join(x.keep, file.Name)
 		if err := os.MkdirAll(o.Folder, 0o755); err != nil {
--- a/internal/ground/faults.go
+++ b/internal/ground/faults.go
@@ -53,7 +53,7 @@
 	w.mu.Unlock()
 	do, ok := map[string]func() error{"cut": x.onLinks, "slow": x.onLinks, "throttle": x.onLinks, "reset": x.onLinks, "half-close": x.onLinks, "lossy": x.onLinks,
 		"break": x.breakAll, "kill": x.kill, "kill-on-send": x.killOnSend, "stop": x.stop, "terminate": x.terminate, "lose": x.lose,
-		"clock": x.clock, "disk": x.disk, "crash": x.crash, "drain": x.drain, "stall": x.stall, "slow-node": x.slowNode,
+		"clock": x.clock, "disk": x.disk, "flip": x.flip, "power": x.power, "twin": x.twin, "crash": x.crash, "drain": x.drain, "stall": x.stall, "slow-node": x.slowNode,
 		"list-old": x.listOld, "list-down": x.listDown, "list-answers": x.listAnswers, "list-split": x.listSplit}[x.Kind]
 	if !ok {
 		return nil, fmt.Errorf("fault %d: nothing is known of %q", i, x.Kind)
@@ -99,7 +99,7 @@
 
 // pairs are the links that a fault lies on.
 func (x *fault) pairs() (all []link, from, to []script.Process) {
-	from, to = x.f.Choose(x.From, x.index), x.f.Choose(x.To, x.index+1<<16)
+	from, to = x.led(x.f.Choose(x.From, x.index)), x.led(x.f.Choose(x.To, x.index+1<<16))
 	for _, a := range from {
 		for _, b := range to {
 			if a != b {
@@ -118,6 +118,8 @@
 		return clientCaller
 	case script.Peer:
 		return crowd.FirstPeer + p.Index
+	case script.Voter:
+		return firstVoter + p.Index
 	}
 	return p.Index
 }
@@ -130,6 +132,8 @@
 		return w.peerService[p.Index]
 	case script.ListService:
 		return w.listService
+	case script.Voter:
+		return w.voters[p.Index].service
 	}
 	return w.balancers[p.Index].service
 }
@@ -189,45 +193,49 @@
 	return nil
 }
 
-// each calls f for each of the fault's balancers.
-func (x *fault) each(f func(b *balancer)) {
+// hosts are the machines that the fault happens to.
+func (x *fault) hosts() (all []*host) {
 	for _, p := range x.f.Choose(x.Of, x.index) {
-		if p.Kind == script.Balancer {
-			f(x.balancers[p.Index])
+		switch p.Kind {
+		case script.Balancer:
+			all = append(all, x.balancers[p.Index].host)
+		case script.Voter:
+			all = append(all, x.voters[x.voterIndex(p)].host)
 		}
 	}
+	return all
 }
 
-// together calls f for each of the fault's balancers at once, and returns when all calls have: the system may take long to end a process.
-func (x *fault) together(f func(b *balancer) (lift func())) func() {
+// together calls f for each of the fault's machines at once, and returns when all calls have: the system may take long to end a process.
+func (x *fault) together(f func(h *host) (lift func())) func() {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	var lifts []func()
-	x.each(func(b *balancer) {
+	for _, h := range x.hosts() {
 		all.Go(func() {
-			lift := f(b)
+			lift := f(h)
 			mu.Lock()
 			defer mu.Unlock()
 			lifts = append(lifts, lift)
 		})
-	})
+	}
 	all.Wait()
 	return ends(lifts)
 }
 
-// down ends a balancer's process and returns what starts it again.
-func (x *fault) down(b *balancer, after func()) func() {
-	end := x.excuse(b.index)
-	if !b.kill() {
+// down ends a machine's process and returns what starts it again.
+func (x *fault) down(h *host, after func()) func() {
+	end := h.excuse()
+	if !h.kill() && !h.fallen() {
 		end()
 		return func() {}
 	}
 	after()
-	return func() { x.restart(b, end) }
+	return func() { x.restart(h, end) }
 }
 
 func (x *fault) kill() error {
-	x.lift = x.together(func(b *balancer) func() { return x.down(b, func() {}) })
+	x.lift = x.together(func(h *host) func() { return x.down(h, func() {}) })
 	for _, p := range x.f.Choose(x.Of, x.index) {
 		if p.Kind == script.Peer {
 			x.peers[p.Index].process.Kill()
@@ -238,31 +246,31 @@
 
 // lose kills and takes the disk away.
 func (x *fault) lose() error {
-	x.lift = x.together(func(b *balancer) func() {
-		return x.down(b, func() {
-			if err := os.RemoveAll(b.folder); err != nil {
-				x.fail(err)
-			}
-		})
-	})
+	x.lift = x.together(func(h *host) func() { return x.down(h, func() { x.removeDisk(h) }) })
 	return nil
 }
 
+func (x *fault) removeDisk(h *host) {
+	if err := os.RemoveAll(h.folder); err != nil {
+		x.fail(err)
+	}
+}
+
 func (x *fault) stop() error {
 	var on []func()
-	x.each(func(b *balancer) {
-		p := b.running()
+	for _, h := range x.hosts() {
+		p := h.running()
 		if p == nil {
-			return
+			continue
 		}
-		excused, held := x.excuse(b.index), x.hold(b.index)
+		excused, held := h.excuse(), h.hold()
 		p.Stop() // fails only if it has ended
 		on = append(on, func() {
 			p.Continue()
 			held()
 			excused()
 		})
-	})
+	}
 	for _, p := range x.f.Choose(x.Of, x.index) {
 		if p.Kind == script.Peer {
 			process := x.peers[p.Index].process
@@ -279,37 +287,39 @@
 
 // terminate asks balancers to end, and starts each again as soon as it has.
 func (x *fault) terminate() error {
-	x.each(func(b *balancer) {
-		p := b.running()
+	for _, h := range x.hosts() {
+		p := h.running()
 		if p == nil {
-			return
+			continue
 		}
-		b.mu.Lock()
-		b.wanted = false
-		b.mu.Unlock()
+		h.mu.Lock()
+		h.wanted = false
+		h.mu.Unlock()
 		p.Terminate()
 		go func() {
 			select {
 			case <-p.Ended():
 			case <-time.After(frontNotices):
-				b.service.Point("")
+				h.service.Point("")
 			}
 			select {
 			case <-p.Ended():
 				if x.ctx.Err() == nil && !x.ending() {
-					x.restart(b, func() {})
+					x.restart(h, func() {})
 				}
 			case <-x.ctx.Done():
 			}
 		}()
-	})
+	}
 	return nil
 }
 
 // killOnSend kills a balancer as soon as a request of its has come to a node, again and again, and starts it again.
 func (x *fault) killOnSend() error {
 	chosen := map[int]bool{}
-	x.each(func(b *balancer) { chosen[b.index] = true })
+	for _, p := range x.f.Choose(x.Of, x.index) {
+		chosen[p.Index] = true
+	}
 	var mu sync.Mutex
 	busy, left := map[int]bool{}, x.Count
 	cut := func(i int) {
@@ -322,7 +332,7 @@
 		left--
 		b := x.balancers[i]
 		go func() {
-			up := x.down(b, func() {})
+			up := x.down(b.host, func() {})
 			time.Sleep(time.Duration(x.For))
 			up()
 			for !b.ready() && x.ctx.Err() == nil && !x.ending() {
@@ -455,19 +465,34 @@
 	return nil
 }
 
-// clock makes balancers' clocks wrong. What a process has read of it at its start stays read: one that is meant to start with a wrong
+// clock makes machines' clocks wrong. What a process has read of it at its start stays read: one that is meant to start with a wrong
 // clock is killed besides.
 func (x *fault) clock() error {
 	return x.tell(clockFile, time.Duration(x.Offset).String())
 }
 
-// disk makes balancers' disks fail.
+// disk makes machines' disks fail. A voter ends at the first write that fails; it is started again once the disk is well.
 func (x *fault) disk() error {
 	text := x.Disk
 	if x.Disk == "slow" {
 		text += " " + time.Duration(x.Delay).String()
 	}
-	return x.tell(diskFile, text)
+	if err := x.tell(diskFile, text); err != nil {
+		return err
+	}
+	well := x.lift
+	x.lift = func() {
+		well()
+		for _, p := range x.f.Choose(x.Of, x.index) {
+			if p.Kind != script.Voter {
+				continue
+			}
+			if h := x.voters[x.voterIndex(p)].host; h.fallen() {
+				x.restart(h, func() {})
+			}
+		}
+	}
+	return nil
 }
 
 // The files, beside a balancer's folder, that tell a test build what is wrong. The variables are those of internal/clock and
@@ -481,11 +506,11 @@
 func (x *fault) tell(file, text string) error {
 	var errs []error
 	var back []func()
-	x.each(func(b *balancer) {
-		path := b.folder + file
+	for _, h := range x.hosts() {
+		path := h.folder + file
 		errs = append(errs, os.WriteFile(path, []byte(text), 0o644))
 		back = append(back, func() { os.Remove(path) })
-	})
+	}
 	x.lift = ends(back)
 	return errors.Join(errs...)
 }
--- a/internal/ground/ground_test.go
+++ b/internal/ground/ground_test.go
@@ -1,9 +1,9 @@
 package ground
 
 import (
+	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -16,8 +16,8 @@
 // The test's program is what a ground starts: stand-ins, and balancers that break a rule.
 const roleVariable = "GROUND_ROLE"
 
-// program is the built program under test.
-var program string
+// The built programs under test.
+var program, ledgerProgram string
 
 func TestMain(m *testing.M) {
 	if rogue.LeftBehind() {
@@ -47,9 +47,8 @@
 		return 1
 	}
 	defer os.RemoveAll(folder)
-	program = filepath.Join(folder, "olivearch")
-	if text, err := exec.Command("go", "build", "-tags", "ground", "-o", program, "clayladder/cmd/olivearch").CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, text)
+	if program, ledgerProgram, err = Build(context.Background(), folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	return m.Run()
@@ -63,7 +62,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return Options{Program: program, Self: []string{self}, SelfEnv: []string{roleVariable + "=standin"}}
+	return Options{Program: program, Ledger: ledgerProgram, Self: []string{self}, SelfEnv: []string{roleVariable + "=standin"}}
 }
 
 func parsed(t *testing.T, text string) *script.File {
--- a/internal/ground/play.go
+++ b/internal/ground/play.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clayladder/internal/ground/event"
+	"clayladder/internal/ground/history"
 	"clayladder/internal/ground/judge"
 	"clayladder/internal/ground/script"
 	"clayladder/internal/spread"
@@ -18,6 +19,7 @@
 // Options are how a script is played.
 type Options struct {
 	Program  string   // the program under test, built with the tag "ground" if the script has faults of clock or disk
+	Ledger   string   // the ledger's voter, built with the same tag; for scripts with voters
 	Self     []string // the command that becomes a process of stand-ins (crowd.Run)
 	SelfEnv  []string // and what is added to its environment
 	Folder   string   // where processes have their disks and logs; empty: one that is removed at the end
@@ -29,7 +31,10 @@
 	if o.Progress == nil {
 		o.Progress = io.Discard
 	}
-	w := &world{f: f, program: o.Program, self: o.Self, selfEnv: o.SelfEnv, folder: o.Folder, over: make(chan struct{}), booted: map[int]func(){}, done: map[doneKey]int64{},
+	if f.Voters.Count > 0 && o.Ledger == "" {
+		return nil, errors.New("the script has voters, and no program of theirs is given")
+	}
+	w := &world{f: f, program: o.Program, ledger: o.Ledger, self: o.Self, selfEnv: o.SelfEnv, folder: o.Folder, over: make(chan struct{}), booted: map[int]func(){}, done: map[doneKey]int64{},
 		cutsShort: map[int]func(int){}, tallies: map[[2]int]*eventPeers{}, counts: counts{faults: map[string]int{}}}
 	if w.folder == "" {
 		if w.folder, err = os.MkdirTemp("", "ground-"); err != nil {
@@ -54,14 +59,25 @@
 	if err := w.load(); err != nil {
 		return nil, err
 	}
+	asking, err := w.ask()
+	if err != nil {
+		return nil, err
+	}
 	m.began = event.Now()
 	m.use(w)
 	if err := w.timeline(o.Progress, m); err != nil {
 		return nil, err
 	}
 	m.used(w)
+	var told history.Verdict
+	if asking != nil {
+		told = asking.finish()
+	}
 	v, inFlight, even := w.settle(m.began)
 	r = w.result(v, m)
+	if asking != nil {
+		asking.add(told, r)
+	}
 	r.Figures["deaths_in_flight"] = float64(inFlight)
 	r.Spread = even
 	evenness(even, time.Duration(f.Length), r.Figures)
@@ -132,8 +148,8 @@
 	w.mu.Unlock()
 	w.clients.dismiss()
 	var all sync.WaitGroup
-	for _, b := range w.balancers {
-		all.Go(func() { b.kill() })
+	for _, h := range w.hosts() {
+		all.Go(func() { h.kill() })
 	}
 	all.Wait()
 	w.nodes.dismiss()
--- a/internal/ground/result.go
+++ b/internal/ground/result.go
@@ -29,6 +29,7 @@
 	Breaches []string           `json:"breaches,omitempty"` // the first of each rule
 	Rules    map[string]int     `json:"rules,omitempty"`    // breaches by rule
 	Crashes  []string           `json:"crashes,omitempty"`
+	Wrong    []string           `json:"history,omitempty"` // what the ledger's history shows that may not be
 	Blurred  []string           `json:"blurred,omitempty"`
 	Slow     string             `json:"slow,omitempty"` // why the ground itself is the bottleneck
 	Findings []Finding          `json:"bounds,omitempty"`
@@ -76,47 +77,63 @@
 
 // measure is what is taken of the processes while they run.
 type measure struct {
-	started      time.Duration
-	began, ended int64
-	cpu          map[int]time.Duration // by process id
-	cpuEach      float64               // ms a second
-	memory       float64               // MB
+	started           time.Duration
+	began, ended      int64
+	balancers, voters usage
 }
 
-func (w *world) pids() (all []int) {
-	for _, b := range w.balancers {
-		if p := b.running(); p != nil {
-			all = append(all, p.ID())
+// usage is what a kind of process uses.
+type usage struct {
+	cpu    map[int]time.Duration // by process id
+	each   float64               // ms a second
+	memory float64               // MB
+}
+
+func pids(all []*host) (ids []int) {
+	for _, h := range all {
+		if p := h.running(); p != nil {
+			ids = append(ids, p.ID())
 		}
 	}
-	return all
+	return ids
 }
 
-func (m *measure) use(w *world) {
-	m.cpu = map[int]time.Duration{}
-	for _, pid := range w.pids() {
+func (u *usage) begin(all []*host) {
+	u.cpu = map[int]time.Duration{}
+	for _, pid := range pids(all) {
 		if d, err := procstat.CPU(pid); err == nil {
-			m.cpu[pid] = d
+			u.cpu[pid] = d
 		}
 	}
 }
 
-func (m *measure) used(w *world) {
+func (u *usage) end(all []*host, seconds float64) {
 	var sum time.Duration
 	n := 0
-	for _, pid := range w.pids() {
-		if d, err := procstat.CPU(pid); err == nil && m.cpu[pid] > 0 {
-			sum, n = sum+d-m.cpu[pid], n+1
+	for _, pid := range pids(all) {
+		if d, err := procstat.CPU(pid); err == nil && u.cpu[pid] > 0 {
+			sum, n = sum+d-u.cpu[pid], n+1
 		}
 		if mb, err := procstat.Resident(pid); err == nil {
-			m.memory = max(m.memory, mb)
+			u.memory = max(u.memory, mb)
 		}
 	}
 	if n > 0 {
-		m.cpuEach = float64(sum) / float64(n) / float64(m.ended-m.began) * 1000
+		u.each = sum.Seconds() * 1000 / float64(n) / seconds
 	}
 }
 
+func (m *measure) use(w *world) {
+	m.balancers.begin(w.balancerHosts())
+	m.voters.begin(w.voterHosts())
+}
+
+func (m *measure) used(w *world) {
+	seconds := float64(m.ended-m.began) / 1e9
+	m.balancers.end(w.balancerHosts(), seconds)
+	m.voters.end(w.voterHosts(), seconds)
+}
+
 func (w *world) result(v judge.Verdict, m *measure) *Result {
 	r := &Result{Script: w.f.Name, Seed: w.f.Seed, Faults: w.counts.faults, Crashes: w.counts.crashes[:min(len(w.counts.crashes), toldMost)]}
 	asked := float64(max(v.Asked, 1))
@@ -137,7 +154,8 @@
 		"lost": float64(v.Lost) / asked, "crossed": float64(v.Crossed), "in_aim": float64(inAim) / asked, "untaken": float64(w.counts.untaken), "twice": float64(v.Twice),
 		"p50": float64(h.ValueAtQuantile(50)) / 1000, "p99": float64(h.ValueAtQuantile(99)) / 1000, "executions": float64(v.Executions) / float64(max(v.Served, 1)),
 		"breaches": float64(len(v.Breaches)), "blurred": float64(len(v.Blurred)), "restarts": float64(w.counts.restarts), "crashes": float64(len(w.counts.crashes)),
-		"leaks": float64(w.relay.Leaks()), "relay_p99_ms": float64(lag) / 1e6, "start_s": m.started.Seconds(), "cpu_ms": m.cpuEach, "memory_mb": m.memory,
+		"leaks": float64(w.relay.Leaks()), "relay_p99_ms": float64(lag) / 1e6, "start_s": m.started.Seconds(), "cpu_ms": m.balancers.each, "memory_mb": m.balancers.memory,
+		"voter_cpu_ms": m.voters.each, "voter_memory_mb": m.voters.memory,
 		"recovered_s": w.recovered(v, m), "moved": float64(w.relay.Moved())}
 	w.peersSeen(r)
 	w.effort(r, m)
@@ -264,12 +282,12 @@
 }
 
 // structural are the figures that hold or not however slow the ground is.
-var structural = []string{"breaches", "crashes", "twice", "restarts", "deaths_in_flight", "peers_spoilt", "relay_p99_ms"}
+var structural = []string{"breaches", "crashes", "twice", "restarts", "deaths_in_flight", "peers_spoilt", "history_wrong", "promises_lost", "relay_p99_ms"}
 
 // judgeBounds compares the figures with what must hold. No breach and no crash is meant in any case.
 func (r *Result) judgeBounds(bounds []script.Bound) {
 	none := 0.0
-	all := append([]script.Bound{{Figure: "breaches", Most: &none}, {Figure: "crashes", Most: &none}}, bounds...)
+	all := append([]script.Bound{{Figure: "breaches", Most: &none}, {Figure: "crashes", Most: &none}, {Figure: "history_wrong", Most: &none}}, bounds...)
 	r.Holds = true
 	for _, b := range all {
 		x := r.Figures[b.Figure]
--- a/internal/ground/script/check.go
+++ b/internal/ground/script/check.go
@@ -38,6 +38,7 @@
 	k.whole()
 	k.balancers()
 	k.nodes()
+	k.voters()
 	k.load()
 	for i := range f.Faults {
 		k.fault(fmt.Sprintf("faults[%d]", i), &f.Faults[i])
@@ -122,6 +123,27 @@
 	k.span("list.notice", k.List.Notice, 0, time.Minute)
 }
 
+func (k checker) voters() {
+	v := &k.Voters
+	if v.Count == 0 {
+		return
+	}
+	strictyaml.Fill(&v.ReplaceAfter, config.Duration(2*time.Second))
+	strictyaml.Fill(&v.Clients, 6)
+	strictyaml.Fill(&v.Rate, 20)
+	if n := v.Count; n != 1 && n != 3 && n != 5 && n != 7 {
+		k.Fail("voters.count", "1, 3, 5 or 7 voters")
+	}
+	k.Within("voters.copies", float64(v.Copies), 0, float64(v.Count))
+	k.Within("voters.clients", float64(v.Clients), 1, 200)
+	k.Within("voters.rate", v.Rate, 0.01, 1000)
+	k.Within("voters.flood", float64(v.Flood), 0, 1000)
+	k.span("voters.replace_after", v.ReplaceAfter, 2*time.Second, time.Hour)
+	if v.Plant != "" {
+		k.One("voters.plant", "breach", v.Plant, "early", "amnesia", "unfenced", "unsynced")
+	}
+}
+
 func (k checker) load() {
 	l := &k.Load
 	strictyaml.Fill(&l.Repeat, "unsafe")
@@ -166,17 +188,18 @@
 		}
 	}},
 	"break":        {link: true},
-	"kill":         {of: []string{Balancer, Peer}},
+	"kill":         {of: []string{Balancer, Peer, Voter}},
 	"kill-on-send": {of: []string{Balancer}, needs: func(k checker, at string, x *Fault) { k.Within(at+".count", float64(x.Count), 1, 1e6) }},
-	"stop":         {of: []string{Balancer, Peer}},
-	"terminate":    {of: []string{Balancer}},
-	"lose":         {of: []string{Balancer}},
-	"clock": {of: []string{Balancer}, needs: func(k checker, at string, x *Fault) {
+	"stop":         {of: []string{Balancer, Peer, Voter}},
+	"terminate":    {of: []string{Balancer, Voter}},
+	"lose":         {of: []string{Balancer, Voter}},
+	"flip":         {of: []string{Voter}}, "power": {of: []string{Voter}}, "twin": {of: []string{Voter}},
+	"clock": {of: []string{Balancer, Voter}, needs: func(k checker, at string, x *Fault) {
 		if x.Offset == 0 {
 			k.Fail(at, "clock wants an offset")
 		}
 	}},
-	"disk": {of: []string{Balancer}, needs: func(k checker, at string, x *Fault) {
+	"disk": {of: []string{Balancer, Voter}, needs: func(k checker, at string, x *Fault) {
 		k.One(at+".disk", "disk fault", x.Disk, "full", "error", "slow", "torn")
 	}},
 	"crash": {of: []string{Node}}, "drain": {of: []string{Node}}, "stall": {of: []string{Node}},
@@ -204,8 +227,8 @@
 	strictyaml.Fill(&x.Way, "both")
 	k.One(at+".way", "way", x.Way, "both", "there", "back")
 	if what.link {
-		k.picks(at+".from", x.From, Clients, Balancer, Peer)
-		k.picks(at+".to", x.To, Balancer, Node, ListService, Peer)
+		k.picks(at+".from", x.From, Clients, Balancer, Peer, Voter)
+		k.picks(at+".to", x.To, Balancer, Node, ListService, Peer, Voter)
 	} else if len(what.of) > 0 {
 		k.picks(at+".of", x.Of, what.of...)
 	}
@@ -227,6 +250,8 @@
 			k.Fail(place, "%v", err)
 		case !slices.Contains(kinds, p.kind):
 			k.Fail(place, "%q is none of %s", word, strings.Join(kinds, ", "))
+		case p.index == Leader && count == 0:
+			k.Fail(place, "there are no voters")
 		case p.zone != "" && len(k.zoned(p)) == 0:
 			k.Fail(place, "no %s are in a zone %q", p.kind, p.zone)
 		case p.index >= count:
@@ -248,7 +273,12 @@
 	"recovered_s": "from the end of the last fault until nine in ten are in time again", "cpu_ms": "a second of each process, mean", "memory_mb": "resident, of the largest process",
 	"node_connections": "open at once at a node, the most of them, mean over nodes", "connects_s": "new connections to nodes a second",
 	"list_calls_s": "calls for lists a second, over all balancers",
-	"spread":       "deviation over mean of a second's requests by node, mean over seconds", "busiest": "the busiest node's over the mean, mean over seconds",
+	"promises":     "promises of the ledger's that were answered with yes", "promises_s": "these a second", "promises_lost": "subjects of one writer of which a promise is gone",
+	"history_wrong": "statements that the ledger's history could not have been", "history_open": "subjects whose history could not be checked in time",
+	"history_calls": "calls in the history", "yes_p50": "ms until a yes", "yes_p99": "ms until a yes", "yes_gap": "the longest time without any yes, ms",
+	"unsure": "calls of which nobody can say whether they hold", "nobody": "calls that certainly reached no voter that could", "leases": "leases granted", "slots": "bookings",
+	"looks": "looks at copies", "distrusted": "voters that ended since they did not trust their disks", "voter_cpu_ms": "a second of each voter, mean", "voter_memory_mb": "resident, of the largest voter",
+	"spread": "deviation over mean of a second's requests by node, mean over seconds", "busiest": "the busiest node's over the mean, mean over seconds",
 	"first_busiest": "the same in the first 100 ms", "idle_node_seconds": "seconds of single nodes without a request", "moved": "pieces that the relay moved",
 	"peers_lost": "share of datagrams between peers that did not come", "peers_twice": "share that came twice", "peers_late": "share that another overtook",
 	"peers_spoilt": "messages between peers that were not as sent, or out of order on a stream",
--- a/internal/ground/script/pick.go
+++ b/internal/ground/script/pick.go
@@ -16,9 +16,13 @@
 	Peer        = "peers"
 	Clients     = "clients"
 	ListService = "list"
+	Voter       = "voters"
 )
 
-var letters = map[string]string{"b": Balancer, "n": Node, "p": Peer}
+// Leader is the index of whichever voter leads.
+const Leader = -2
+
+var letters = map[string]string{"b": Balancer, "n": Node, "p": Peer, "v": Voter}
 
 // Process names one.
 type Process struct {
@@ -53,9 +57,12 @@
 		}
 		return pick{kind, i, 0, ""}, nil
 	}
+	if word == "leader" {
+		return pick{Voter, Leader, 0, ""}, nil
+	}
 	kind, part, some := strings.Cut(word, " ")
-	if !slices.Contains([]string{Balancer, Node, Peer, Clients, ListService}, kind) {
-		return pick{}, fmt.Errorf("%q names nobody: balancers, nodes, peers, clients, list, b-0, n-0, p-0 or a part such as \"nodes 25%%\"", word)
+	if !slices.Contains([]string{Balancer, Node, Peer, Clients, ListService, Voter}, kind) {
+		return pick{}, fmt.Errorf("%q names nobody: balancers, nodes, peers, voters, clients, list, leader, b-0, n-0, p-0 or a part such as \"nodes 25%%\"", word)
 	}
 	if !some {
 		return pick{kind, -1, 1, ""}, nil
@@ -78,6 +85,8 @@
 		return f.Nodes.Count
 	case Peer:
 		return f.Peers.Count
+	case Voter:
+		return f.Voters.Count
 	}
 	return 1 // clients, list
 }
@@ -97,7 +106,7 @@
 		if err != nil {
 			continue // Parse has told
 		}
-		if p.index >= 0 {
+		if p.index >= 0 || p.index == Leader {
 			add(p.kind, p.index)
 			continue
 		}
--- a/internal/ground/script/types.go
+++ b/internal/ground/script/types.go
@@ -25,6 +25,8 @@
 	Nodes Nodes `yaml:"nodes"`
 	// Processes that talk to each other, each with every other, over TCP and UDP: a stand-in, as the program's own do not talk.
 	Peers Peers `yaml:"peers,omitempty"`
+	// Voters of the ledger of promises; left out: none.
+	Voters Voters `yaml:"voters,omitempty"`
 	// The service that tells the balancers which nodes there are.
 	List List `yaml:"list,omitempty"`
 	// What clients ask.
@@ -90,6 +92,26 @@
 	Rate float64 `yaml:"rate,omitempty"`
 }
 
+// Voters are processes of oliveledger, v-0, v-1 and so on, and clients that ask them for promises and readings. All that these ask and are
+// answered is checked at the end: as one history that could have been (linearizability), and by what each kind of promise means.
+type Voters struct {
+	// How many: 1, 3, 5 or 7; left out: none.
+	Count int `yaml:"count" jsonschema:"minimum=0"`
+	// After how long without a word one may be replaced by an empty one; 2s if left out.
+	ReplaceAfter config.Duration `yaml:"replace_after,omitempty"`
+	// Disks that have a promise before it is answered; a majority if left out.
+	Copies int `yaml:"copies,omitempty" jsonschema:"minimum=0"`
+	// Clients whose history is checked; 6 if left out.
+	Clients int `yaml:"clients,omitempty" jsonschema:"minimum=0"`
+	// Calls a second of each of these; 20 if left out.
+	Rate float64 `yaml:"rate,omitempty"`
+	// Further clients that ask as fast as they are answered, of which no promise may be lost; left out: none.
+	Flood int `yaml:"flood,omitempty" jsonschema:"minimum=0"`
+	// A rule that the voters of a test build break: early (an answer before the copies), amnesia (an empty disk votes under its old id), unfenced
+	// (leases are given whatever their fence), unsynced (what is written is not synced).
+	Plant string `yaml:"plant,omitempty" jsonschema:"enum=early,enum=amnesia,enum=unfenced,enum=unsynced"`
+}
+
 // List is the list service.
 type List struct {
 	// How late it tells of what happened to a node; 500ms if left out.
@@ -132,6 +154,9 @@
 	For config.Duration `yaml:"for,omitempty"`
 	// Between processes [from, to]: cut [way], slow [way, delay, jitter], throttle [way, rate], reset [share, way, deliver], half-close
 	// [share, way, deliver], lossy (datagrams) [way, loss, twice, reorder], break (open connections are reset once).
+	// To voters [of]: kill, lose, stop, terminate, disk and clock as below, flip (killed, one bit on the disk is changed, started), power (killed, what was
+	// not synced is gone; a test build), twin (a second process with a copy of the disk, on another machine). leader is the voter that
+	// leads at that moment.
 	// To processes of the program [of]: kill (down for so long), kill-on-send (as soon as a request has reached a node; down for
 	// so long) [count], stop (SIGSTOP), terminate (SIGTERM, and started again), lose (killed, its folder removed), clock [offset],
 	// disk [disk, delay].
--- a/internal/ground/world.go
+++ b/internal/ground/world.go
@@ -26,6 +26,7 @@
 	settling  = 300 * time.Millisecond // for what is still on its way once all is answered
 	// The relay's callers beside the balancers, and the peers from crowd.FirstPeer on.
 	clientCaller, echoCaller = 60000, 60001
+	firstVoter, firstAsker   = 62000, 63000
 )
 
 var effects = map[string]event.Effect{"unsafe": event.Unsafe, "keyed": event.Keyed, "safe": event.Safe}
@@ -34,6 +35,7 @@
 type world struct {
 	f       *script.File
 	program string
+	ledger  string
 	self    []string
 	selfEnv []string
 	folder  string
@@ -46,6 +48,7 @@
 	list        *list
 	listService *relay.Service
 	balancers   []*balancer
+	voters      []*voter
 	nodes       *standin
 	clients     *standin
 	peers       []*standin
@@ -70,6 +73,7 @@
 // counts are what the world itself counts.
 type counts struct {
 	untaken, restarts int
+	distrusted        int // voters that ended since they did not trust their disks
 	crashes           []string
 	faults            map[string]int
 	deaths            []judge.Record
@@ -155,6 +159,9 @@
 	if err := w.startPeers(); err != nil {
 		return err
 	}
+	if err := w.buildVoters(); err != nil {
+		return err
+	}
 	for i := range f.Balancers.Count {
 		b, err := w.newBalancer(i)
 		if err != nil {
@@ -240,6 +247,9 @@
 
 // start starts all balancers, at once or spread as the script says, and returns when all are ready.
 func (w *world) start() error {
+	if err := w.startVoters(); err != nil {
+		return err
+	}
 	n := len(w.balancers)
 	failed := make(chan error, n)
 	for i, b := range w.balancers {
@@ -290,23 +300,23 @@
 	w.closing = true
 	ends := w.ends
 	w.mu.Unlock()
-	for _, b := range w.balancers {
-		b.mu.Lock()
-		b.wanted = false
-		b.mu.Unlock()
+	for _, h := range w.hosts() {
+		h.mu.Lock()
+		h.wanted = false
+		h.mu.Unlock()
 	}
 	for i := len(ends) - 1; i >= 0; i-- {
 		ends[i]()
 	}
 }
 
-// restart starts a balancer again, in a goroutine of its own.
-func (w *world) restart(b *balancer, then func()) {
+// restart starts a machine's process again, in a goroutine of its own.
+func (w *world) restart(h *host, then func()) {
 	w.mu.Lock()
 	w.counts.restarts++
 	w.mu.Unlock()
 	go func() {
-		if err := b.start(w.ctx); err != nil && w.ctx.Err() == nil && !w.ending() {
+		if err := h.start(w.ctx); err != nil && w.ctx.Err() == nil && !w.ending() {
 			w.fail(err)
 		}
 		then()
--- a/internal/ledger/caller.go
+++ b/internal/ledger/caller.go
@@ -32,12 +32,13 @@
 	mu     sync.Mutex
 	conns  map[string]*conn
 	hint   string // the voter that led when it was last asked
+	failed map[string]time.Time
 	closed bool
 }
 
 // NewCaller returns a caller of the voters, by name and address; its own name is for their logs.
 func NewCaller(name string, voters map[string]string) *Caller {
-	return &Caller{name: name, voters: maps.Clone(voters), conns: map[string]*conn{}}
+	return &Caller{name: name, voters: maps.Clone(voters), conns: map[string]*conn{}, failed: map[string]time.Time{}}
 }
 
 // Voters are the names that it knows.
@@ -64,6 +65,8 @@
 	if address == "" {
 		return nil, fmt.Errorf("no address of a voter %q is known", voter)
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.patience(ctx))
+	defer cancel()
 	x, err := open(ctx, address, c.name)
 	if err != nil {
 		return nil, err
@@ -83,10 +86,20 @@
 	return x, nil
 }
 
+// patience is how long one voter's connection is waited for: others have to have their turn.
+func (c *Caller) patience(ctx context.Context) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return dialWithin
+	}
+	return max(time.Until(end)/3, time.Millisecond)
+}
+
 // Ask sends a request to one voter. The error wraps ErrNobody if it reached nobody, else ErrUnsure.
 func (c *Caller) Ask(ctx context.Context, voter string, r Request) (Answer, error) {
 	x, err := c.connection(ctx, voter)
 	if err != nil {
+		c.fails(voter)
 		return Answer{}, fmt.Errorf("%w: %s: %w", ErrNobody, voter, err)
 	}
 	if end, ok := ctx.Deadline(); ok && r.Within == 0 {
@@ -97,17 +110,28 @@
 	case errors.Is(err, errNotSent):
 		return a, fmt.Errorf("%w: %s: %w", ErrNobody, voter, err)
 	case err != nil:
+		c.fails(voter)
 		return a, fmt.Errorf("%w: %s: %w", ErrUnsure, voter, err)
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.failed, voter)
 	if a.Leader != "" {
-		c.mu.Lock()
 		c.hint = a.Leader
-		c.mu.Unlock()
 	}
 	return a, nil
 }
 
-// order is in which order voters are asked: the leader first, the others by chance.
+// avoided is for how long a voter that could not be reached, or did not answer, is asked after the others.
+const avoided = 2 * time.Second
+
+func (c *Caller) fails(voter string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed[voter] = time.Now()
+}
+
+// order is in which order voters are asked: the leader first, the others by chance, last those that have just failed.
 func (c *Caller) order() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -116,6 +140,10 @@
 	if i := slices.Index(names, c.hint); i > 0 {
 		names[0], names[i] = names[i], names[0]
 	}
+	now := time.Now()
+	slices.SortStableFunc(names, func(a, b string) int {
+		return int(min(1, max(0, c.failed[a].Add(avoided).Sub(now)))) - int(min(1, max(0, c.failed[b].Add(avoided).Sub(now))))
+	})
 	return names
 }
 
--- a/internal/ledger/copy.go
+++ b/internal/ledger/copy.go
@@ -30,7 +30,6 @@
 	Up      int // of these, as the leader hears them; 0: not known
 	Trouble string
 	held    time.Time // a quorum confirmed then that nothing newer was promised
-	state   *promise.State
 }
 
 // Age is how long ago a quorum confirmed that nothing newer was promised than what is here.
@@ -83,7 +82,7 @@
 			slog.Warn("starting without the kept promises", "file", path, "err", err)
 		}
 	}
-	c.view.Store(&View{Known: known, Words: c.state.Words(), Cluster: c.cluster, Index: c.index, Trouble: "no voter has been reached yet", state: c.state})
+	c.view.Store(&View{Known: known, Words: c.state.Words(), Cluster: c.cluster, Index: c.index, Trouble: "no voter has been reached yet"})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.end = cancel
 	go c.run(ctx)
@@ -128,7 +127,7 @@
 			if c.index > began {
 				pause = followPause
 			}
-			c.show(voter, nil, err)
+			c.show(voter, nil, false, err)
 			c.keep(false)
 		}
 		select {
@@ -163,7 +162,7 @@
 		if held := at.Add(-u.Age); u.Beat && held.After(c.held) {
 			c.held = held
 		}
-		c.show(voter, &u, nil)
+		c.show(voter, &u, changed, nil)
 		if changed {
 			c.changed(c.view.Load().Words)
 		}
@@ -216,11 +215,11 @@
 }
 
 // show makes what there is now the view.
-func (c *Copy) show(voter string, u *Update, err error) {
+func (c *Copy) show(voter string, u *Update, changed bool, err error) {
 	before := c.view.Load()
 	v := &View{Known: c.cluster != 0, Words: before.Words, Cluster: c.cluster, Index: c.index, Voter: voter, Leader: before.Leader, Voters: before.Voters, Up: before.Up,
-		held: c.held, state: c.state}
-	if c.index != before.Index || c.state != before.state {
+		held: c.held}
+	if changed {
 		v.Words = c.state.Words()
 	}
 	if err != nil {
--- a/rigs/ground/main.go
+++ b/rigs/ground/main.go
@@ -13,7 +13,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strings"
@@ -91,9 +90,8 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	o.program = filepath.Join(folder, "olivearch")
-	if text, err := exec.CommandContext(ctx, "go", "build", "-tags", "ground", "-o", o.program, "./cmd/olivearch").CombinedOutput(); err != nil {
-		return fmt.Errorf("building the program: %w\n%s", err, text)
+	if o.program, _, err = ground.Build(ctx, folder); err != nil {
+		return fmt.Errorf("building the program: %w", err)
 	}
 	if o.out != "" {
 		if err := os.MkdirAll(o.out, 0o755); err != nil {
--- a/rigs/spread/sockets.go
+++ b/rigs/spread/sockets.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sync"
 	"time"
@@ -65,9 +64,9 @@
 		return err
 	}
 	defer os.RemoveAll(folder)
-	program := filepath.Join(folder, "olivearch")
-	if text, err := exec.CommandContext(ctx, "go", "build", "-tags", "ground", "-o", program, "./cmd/olivearch").CombinedOutput(); err != nil {
-		return fmt.Errorf("building the program: %w\n%s", err, text)
+	program, _, err := ground.Build(ctx, folder)
+	if err != nil {
+		return fmt.Errorf("building the program: %w", err)
 	}
 	atOnce := 2
 	if o.full { // hundreds of processes want the machine for themselves
