Balancers follow the ledger: staff's word survives a balancer and reaches all the others

maint-on was answered +OK and undone by a restart of that balancer, and the others were never told. A platform's balancer that is told of a ledger (RELAY_PROMISES names a file; nothing else changes without it) follows a copy of what is held, applies words on upstreams, zones and pools, caps and shares in its pool, keeps the copy on its disk, and passes maint-on and maint-off on; the answer says by how many voters it is held, or that it holds only here.

--- a/internal/ground/balancer.go
+++ b/internal/ground/balancer.go
@@ -64,6 +64,7 @@
 	}
 	b.born(b.index)
 	b.list.forget(b.index, known)
+	b.wordsHold(b.index)
 	text, err := json.Marshal(map[string]any{"name": b.name, "listen": b.address, "discovery": b.listService.At(b.index),
 		"seed": fmt.Sprintf("%016x", uint64(b.f.Seed)<<32|uint64(b.index)<<16|uint64(life)), "known": known,
 		"limits":   map[string]any{"cores": 1, "memory_mb": int64(b.f.Balancers.Memory) >> 20, "sockets": b.f.Balancers.Descriptors},
--- a/internal/ground/faults.go
+++ b/internal/ground/faults.go
@@ -53,7 +53,7 @@
 	w.mu.Unlock()
 	do, ok := map[string]func() error{"cut": x.onLinks, "slow": x.onLinks, "throttle": x.onLinks, "reset": x.onLinks, "half-close": x.onLinks, "lossy": x.onLinks,
 		"break": x.breakAll, "kill": x.kill, "kill-on-send": x.killOnSend, "stop": x.stop, "terminate": x.terminate, "lose": x.lose,
-		"clock": x.clock, "disk": x.disk, "flip": x.flip, "power": x.power, "twin": x.twin, "crash": x.crash, "drain": x.drain, "stall": x.stall, "slow-node": x.slowNode,
+		"clock": x.clock, "disk": x.disk, "word": x.word, "flip": x.flip, "power": x.power, "twin": x.twin, "crash": x.crash, "drain": x.drain, "stall": x.stall, "slow-node": x.slowNode,
 		"list-old": x.listOld, "list-down": x.listDown, "list-answers": x.listAnswers, "list-split": x.listSplit}[x.Kind]
 	if !ok {
 		return nil, fmt.Errorf("fault %d: nothing is known of %q", i, x.Kind)
@@ -162,7 +162,7 @@
 		}
 	}
 	for _, a := range from {
-		if a.Kind == script.Balancer && slices.ContainsFunc(to, func(p script.Process) bool { return p.Kind == script.ListService }) {
+		if a.Kind == script.Balancer && slices.ContainsFunc(to, func(p script.Process) bool { return p.Kind == script.ListService || p.Kind == script.Voter }) {
 			after = append(after, x.hold(a.Index))
 		}
 	}
--- a/internal/ground/script/check.go
+++ b/internal/ground/script/check.go
@@ -203,6 +203,11 @@
 		k.One(at+".disk", "disk fault", x.Disk, "full", "error", "slow", "torn")
 	}},
 	"crash": {of: []string{Node}}, "drain": {of: []string{Node}}, "stall": {of: []string{Node}},
+	"word": {of: []string{Node}, needs: func(k checker, at string, x *Fault) {
+		if k.Voters.Count == 0 {
+			k.Fail(at, "staff speak through the ledger, and there are no voters")
+		}
+	}},
 	"slow-node": {of: []string{Node}, needs: func(k checker, at string, x *Fault) { k.Within(at+".factor", x.Factor, 1, 1e4) }},
 	"list-old":  {}, "list-down": {},
 	"list-answers": {needs: share},
--- a/internal/ground/script/types.go
+++ b/internal/ground/script/types.go
@@ -160,7 +160,8 @@
 	// To processes of the program [of]: kill (down for so long), kill-on-send (as soon as a request has reached a node; down for
 	// so long) [count], stop (SIGSTOP), terminate (SIGTERM, and started again), lose (killed, its folder removed), clock [offset],
 	// disk [disk, delay].
-	// To nodes [of]: crash (comes back cold), drain (comes back restarted), stall (takes requests and answers none), slow-node [factor].
+	// To nodes [of]: word (staff take them out through the ledger: no balancer may send anything new there from a second after the yes on),
+	// crash (comes back cold), drain (comes back restarted), stall (takes requests and answers none), slow-node [factor].
 	// To the list service: list-old (tells nothing new), list-down, list-answers [share], list-split (half of the balancers, or those in
 	// from, are told that the nodes in of are gone).
 	Kind string `yaml:"kind"`
--- a/internal/ground/world.go
+++ b/internal/ground/world.go
@@ -66,6 +66,7 @@
 	done      map[doneKey]int64
 	cutsShort map[int]func(balancer int) // by fault: what is done as a request has come to a node
 	tallies   map[[2]int]*event.Peers
+	out       map[int]bool // nodes that staff have taken out through the ledger
 	counts    counts
 	closing   bool
 }
--- a/internal/maintenance/maintenance.go
+++ b/internal/maintenance/maintenance.go
@@ -19,7 +19,9 @@
 // Ledger holds the last call on each upstream, by its id in the node list. The zero value is empty. Its owner calls it from one
 // goroutine.
 type Ledger struct {
-	entries map[string]Entry
+	entries  map[string]Entry
+	shared   Shared
+	returned map[string]time.Duration // what the ledger of promises had out, and when it no longer had
 }
 
 // Out takes an upstream out. Taken out already it stays so.
--- /dev/null
+++ b/internal/maintenance/shared.go
@@ -0,0 +1,93 @@
+package maintenance
+
+import (
+	"maps"
+	"time"
+
+	"clayladder/internal/promise"
+)
+
+// Shared is what the ledger of promises says of a pool's upstreams: staff's word, given to all balancers. The zero value says nothing.
+type Shared struct {
+	All    bool // the whole pool is out
+	Out    map[string]bool
+	Zones  map[string]bool    // these are out
+	Caps   map[string]int     // attempts out at once of this balancer
+	Shares map[string]float64 // part of its weight
+}
+
+// Of picks what words say of a pool.
+func Of(words []promise.Word, pool string) Shared {
+	s := Shared{Out: map[string]bool{}, Zones: map[string]bool{}, Caps: map[string]int{}, Shares: map[string]float64{}}
+	for _, w := range words {
+		switch {
+		case w.Kind == promise.Out && w.Scope == promise.Upstream:
+			s.Out[w.Target] = true
+		case w.Kind == promise.Out && w.Scope == promise.Zone:
+			s.Zones[w.Target] = true
+		case w.Kind == promise.Out && w.Scope == promise.Pool:
+			s.All = s.All || w.Target == pool
+		case w.Kind == promise.Cap:
+			s.Caps[w.Target] = int(w.Value)
+		case w.Kind == promise.Share:
+			s.Shares[w.Target] = float64(w.Value) / 1000
+		}
+	}
+	return s
+}
+
+// Govern takes what the ledger says from now on, in the place of what it said before. What is no longer out counts as called back now.
+func (l *Ledger) Govern(s Shared, now time.Duration) {
+	maps.DeleteFunc(l.returned, func(_ string, at time.Duration) bool { return at < now-keepBack })
+	came := func(key string) {
+		if l.returned == nil {
+			l.returned = map[string]time.Duration{}
+		}
+		l.returned[key] = now
+	}
+	for id := range l.shared.Out {
+		if !s.Out[id] {
+			came(upstreamKey + id)
+		}
+	}
+	for zone := range l.shared.Zones {
+		if !s.Zones[zone] {
+			came(zoneKey + zone)
+		}
+	}
+	if l.shared.All && !s.All {
+		came(allKey)
+	}
+	l.shared = s
+}
+
+// The keys of what has come back, by what was out.
+const upstreamKey, zoneKey, allKey = "upstream ", "zone ", "all"
+
+// Released forgets that an upstream is out by this balancer's own word alone, now that the ledger says so to all.
+func (l *Ledger) Released(id string) {
+	if l.shared.Out[id] && l.entries[id].Out {
+		delete(l.entries, id)
+	}
+}
+
+// Held tells whether an upstream of a zone is out, by whose word ever.
+func (l *Ledger) Held(id, zone string) bool {
+	return l.IsOut(id) || l.shared.All || l.shared.Out[id] || l.shared.Zones[zone]
+}
+
+// Returned is when an upstream of a zone was called back by whatever word kept it out; 0: not lately.
+func (l *Ledger) Returned(id, zone string) time.Duration {
+	return max(l.BackAt(id), l.returned[upstreamKey+id], l.returned[zoneKey+zone], l.returned[allKey])
+}
+
+// Cap is how many attempts may be out at an upstream; 0: any number.
+func (l *Ledger) Cap(id string) int { return l.shared.Caps[id] }
+
+// Part is what an upstream has of its weight: over 0, and 1 where nothing is said.
+func (l *Ledger) Part(id string) float64 {
+	if x, ok := l.shared.Shares[id]; ok && x > 0 {
+		return x
+	}
+	return 1
+}
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -27,9 +27,10 @@
 	// Status returns nil if this process is ready to serve, or else why it is not.
 	Status() error
 	// Out takes an upstream out until Back. Nothing new goes to it once Out has returned nil. An id that is not known is an error.
-	Out(id string) error
+	// The note, if there is one, goes behind the yes.
+	Out(id string) (note string, err error)
 	// Back undoes Out, however often it was called.
-	Back(id string) error
+	Back(id string) (note string, err error)
 	// Standby drains the whole balancer, and Active ends that.
 	Standby() error
 	Active() error
@@ -38,15 +39,15 @@
 // call is a word that a line may begin with.
 type call struct {
 	argument string // that it takes; empty: none
-	run      func(o Operator, argument string) error
+	run      func(o Operator, argument string) (note string, err error)
 }
 
 var calls = map[string]call{
-	"status":    {"", func(o Operator, _ string) error { return o.Status() }},
+	"status":    {"", func(o Operator, _ string) (string, error) { return "", o.Status() }},
 	"maint-on":  {"ID", Operator.Out},
 	"maint-off": {"ID", Operator.Back},
-	"standby":   {"", func(o Operator, _ string) error { return o.Standby() }},
-	"active":    {"", func(o Operator, _ string) error { return o.Active() }},
+	"standby":   {"", func(o Operator, _ string) (string, error) { return "", o.Standby() }},
+	"active":    {"", func(o Operator, _ string) (string, error) { return "", o.Active() }},
 }
 
 // Carry carries out the call that a line holds, and returns its answer without the line end.
@@ -64,10 +65,11 @@
 	case len(words)-1 > wanted:
 		return fmt.Sprintf("-ERR %s: %.40q is too much", words[0], words[1+wanted])
 	}
-	if err := c.run(o, strings.Join(words[1:], "")); err != nil {
+	note, err := c.run(o, strings.Join(words[1:], ""))
+	if err != nil {
 		return "-ERR " + strings.Join(strings.Fields(err.Error()), " ") // one line, whatever the error holds
 	}
-	return "+OK"
+	return strings.TrimSpace("+OK " + note)
 }
 
 // Server answers the callers of one listener.
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -24,9 +24,10 @@
 	conns     int             // to it, open or opening
 	share     nodeshare.Share // where other pools of the process may use it too
 	entry     clayladder.Upstream
-	strays    uint64 // connections on which it sent what nobody had asked for
-	spoilt    uint64 // load reports that could not be read
-	why       string // the last of them could not
+	weight    float64 // by its list; staff's word may leave it a part of that
+	strays    uint64  // connections on which it sent what nobody had asked for
+	spoilt    uint64  // load reports that could not be read
+	why       string  // the last of them could not
 }
 
 // reported notes a load report that could not be read.
@@ -165,7 +166,7 @@
 		p.address = address
 	}
 	p.listed = u.State
-	p.entry = u
+	p.entry, p.weight = u, u.Weight
 	l.place(p)
 	return p
 }
@@ -173,7 +174,7 @@
 // place works out an upstream's state from its list, what the directory told, and what is out by hand. Until the directory has
 // answered for a node it gets nothing: other pools must have been told first that they share it.
 func (l *loop) place(p *peer) {
-	p.state = p.listed
+	p.state, p.entry.Most = p.listed, 0
 	if l.shares != nil {
 		share, known := l.told[p.address]
 		p.share = share
@@ -182,10 +183,14 @@
 			p.state = clayladder.Draining
 		}
 	}
-	if back := l.maint.BackAt(p.name); back > 0 { // it was restarted while out, and lists tell of that late
+	if back := l.maint.Returned(p.name, p.entry.Zone); back > 0 { // it was restarted while out, and lists tell of that late
 		p.entry.StartedAt = max(p.entry.StartedAt, back)
 	}
-	if l.maint.IsOut(p.name) && p.state == clayladder.Active {
+	p.entry.Weight = p.weight * l.maint.Part(p.name)
+	if most := l.maint.Cap(p.name); most > 0 && (p.entry.Most == 0 || most < p.entry.Most) {
+		p.entry.Most = most
+	}
+	if l.maint.Held(p.name, p.entry.Zone) && p.state == clayladder.Active {
 		p.state = clayladder.Draining
 	}
 	p.entry.State = p.state
--- a/internal/pool/staff.go
+++ b/internal/pool/staff.go
@@ -126,6 +126,51 @@
 	e.done <- nil
 }
 
+// Govern takes what the ledger of promises says of the upstreams, in the place of what it said before.
+func (p *Pool) Govern(s maintenance.Shared) { p.loop.hand(governed(s)) }
+
+// Released lets go of this pool's own word that an upstream is out, where the ledger of promises says so too.
+func (p *Pool) Released(id string) { p.loop.hand(released(id)) }
+
+// Knows tells whether an upstream is listed, or out by hand.
+func (p *Pool) Knows(id string) bool {
+	known := make(chan bool, 1)
+	p.loop.hand(asked{id, known})
+	x, _ := told(p.loop, known) // a pool that has ended knows none
+	return x
+}
+
+type asked struct {
+	id    string
+	known chan<- bool
+}
+
+func (e asked) apply(l *loop) { e.known <- l.named(e.id) != nil || l.maint.Held(e.id, "") }
+
+// governed is what the ledger says.
+type governed maintenance.Shared
+
+func (e governed) apply(l *loop) {
+	l.maint.Govern(maintenance.Shared(e), l.now())
+	var changed []clayladder.Upstream
+	for _, p := range l.peers {
+		before := p.entry
+		if l.place(p); p.entry != before {
+			l.withdraw(p)
+			changed = append(changed, p.entry)
+		}
+	}
+	if len(changed) > 0 {
+		l.balancer.Members(l.now(), clayladder.ListDelta, changed)
+		l.settle()
+	}
+}
+
+// released is an upstream that the ledger has out.
+type released string
+
+func (e released) apply(l *loop) { l.maint.Released(string(e)) }
+
 // named is the upstream that is listed under a name; nil if none is.
 func (l *loop) named(name string) *peer {
 	id, ok := l.names.Known(name)
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -15,6 +15,7 @@
 	"strconv"
 
 	"clayladder"
+	"clayladder/internal/config"
 	"clayladder/internal/discovery"
 	"clayladder/internal/pool"
 	"clayladder/internal/wire"
@@ -31,6 +32,7 @@
 	Known      discovery.Listing // the upstreams as last held, maybe stale
 	Meeting    string            // path at which a later process of this balancer asks to take its place; empty: none does
 	Management string            // host:port for the staff's calls; empty: none
+	Promises   *config.Promises  // the ledger in which it takes part; nil: none
 	Settings   clayladder.Settings
 	Links      wire.Links
 	keys       map[string]bool // that the file had, each with its path
@@ -80,6 +82,11 @@
 		return Config{}, fmt.Errorf("%s: %w", path, err)
 	}
 	c.keys = keysOf(all)
+	if path := getenv("RELAY_PROMISES"); path != "" {
+		if c.Promises, err = config.LoadPromises(path); err != nil {
+			return c, fmt.Errorf("RELAY_PROMISES: %w", err)
+		}
+	}
 	if folder := getenv("TMPDIR"); folder != "" {
 		c.Meeting = filepath.Join(folder, "olivearch-"+c.Name+".sock")
 	}
--- a/internal/proxy/operator.go
+++ b/internal/proxy/operator.go
@@ -31,10 +31,10 @@
 }
 
 // Out takes an upstream out. Once it has returned nothing new is sent there.
-func (b *Balancer) Out(id string) error { return b.maintain(id, true) }
+func (b *Balancer) Out(id string) (string, error) { return b.out(id) }
 
 // Back puts it back, as one that has just been started.
-func (b *Balancer) Back(id string) error { return b.maintain(id, false) }
+func (b *Balancer) Back(id string) (string, error) { return b.back(id) }
 
 // Standby drains the balancer: /healthz says no, and clients' connections are closed.
 func (b *Balancer) Standby() error { return b.drain(true) }
@@ -47,11 +47,3 @@
 	b.inform()
 	return nil
 }
-
-func (b *Balancer) maintain(id string, out bool) error {
-	if err := b.pool.Maintain(id, out); err != nil {
-		return err
-	}
-	b.inform()
-	return nil
-}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,8 @@
 	before *Predecessor // nil: no other process served before this one
 	other  atomic.Pointer[sibling]
 	began  atomic.Bool // to serve clients
+
+	promises *promises // nil: it takes no part in a ledger
 }
 
 // Start makes a balancer for the clients of a listener. Its pool follows discovery at once, and clients are served by Run.
@@ -37,6 +39,11 @@
 		return nil, err
 	}
 	b := &Balancer{config: c, pool: p, desk: newPlatform(c.Settings.Classes, p), end: end, before: before}
+	if c.Promises != nil {
+		b.promises = newPromises(c.Name, c.Promises)
+		b.promises.attach(b.govern, p.Released)
+		context.AfterFunc(life, b.promises.close)
+	}
 	b.front = edge.New(b.desk, listener, edge.Usual(c.clientConns()))
 	b.front.Spare(c.requestConns())
 	b.front.Spool(int64(c.MemoryMB) << 20 / 8)
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -192,6 +192,6 @@
 		return
 	}
 	c.number++
-	c.reads[c.number] = &reading{answer: answer, from: now, until: now.Add(within)}
+	c.reads[c.number] = &reading{answer: answer, from: now, asked: now, until: now.Add(within)}
 	c.node.ReadIndex(readingContext(c.id(), c.number))
 }
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -85,10 +85,14 @@
 type reading struct {
 	answer func(c *core, err error)
 	from   time.Time
+	asked  time.Time // last
 	until  time.Time
 	index  uint64
 }
 
+// askAgain is after how long without an answer a quorum is asked again.
+const askAgain = 4 * tick
+
 func newCore(cfg Config, s *store, held *content) (*core, error) {
 	others := map[string]string{}
 	for name, address := range cfg.Voters {
@@ -215,10 +219,14 @@
 		}
 	}
 	c.settle(now)
-	for id, r := range c.reads {
-		if now.After(r.until) {
-			delete(c.reads, id)
+	for number, r := range c.reads {
+		switch {
+		case now.After(r.until):
+			delete(c.reads, number)
 			r.answer(c, errNoQuorum)
+		case now.Sub(r.asked) > askAgain && c.node != nil && c.lead != raft.None: // a leader that changes, or a link that breaks, may drop it
+			r.asked = now
+			c.node.ReadIndex(readingContext(c.id(), number))
 		}
 	}
 	for i := 0; i < len(c.awaiting); i++ {
