--- a/cmd/oliveledger/main.go
+++ b/cmd/oliveledger/main.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime"
 	"syscall"
 	"time"
 
@@ -118,6 +119,7 @@
 	if err != nil {
 		return fmt.Errorf("listening: %w", err)
 	}
+	runtime.GOMAXPROCS(1) // it is beside a balancer; on several it uses twice as much when idle, for waking them
 	x, err := replica.New(replica.Config{Name: v.Name, Address: v.Voters[v.Name], Voters: v.Voters, Folder: v.Folder, Copies: v.Copies,
 		Gone: time.Duration(v.ReplaceAfter)}, l)
 	if err != nil {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -53,6 +53,7 @@
 type Peer struct {
 	promise.Member
 	Heard time.Duration // since the leader last heard of it; 0: the leader itself
+	Known time.Duration // since the leader has known it as a member, and could have heard it
 	Match uint64        // up to which its log is known to be the leader's
 	Level uint32        // of commands that its version knows; 0: not known
 	Gone  bool          // staff say that its machine has gone for good
@@ -129,7 +130,7 @@
 	for _, l := range learners { // given up, or another life of it is there: its disk was lost once more
 		_, admitted := v.Admitted[l.Name]
 		lost := slices.ContainsFunc(v.Newcomers, func(n Newcomer) bool { return n.Name == l.Name && n.ID != l.ID })
-		if !admitted || l.Heard > o.Idle || (lost && l.Heard > alive) {
+		if !admitted || l.silent() > o.Idle || (lost && l.silent() > alive) {
 			return Step{Kind: Drop, Old: l.ID}, why
 		}
 	}
@@ -192,16 +193,20 @@
 		if p.ID == n.ID {
 			return "it votes already"
 		}
-		if least := o.Gone; p.Heard < least && (!p.Gone || p.Heard < alive) {
-			if p.Gone {
-				least = alive
-			}
-			return fmt.Sprintf("the %s that it would replace was heard %v ago; after %v it may", n.Name, p.Heard.Round(time.Millisecond), least)
+		least := o.Gone
+		if p.Gone {
+			least = alive
+		}
+		if p.silent() < least {
+			return fmt.Sprintf("the %s that it would replace has been silent for %v; after %v it may", n.Name, p.silent().Round(time.Millisecond), least)
 		}
 	}
 	return ""
 }
 
+// silent is for how long the leader has heard nothing where it could have.
+func (p Peer) silent() time.Duration { return min(p.Heard, p.Known) }
+
 // without leaves one out.
 func without(all []Peer, i int) []Peer { return slices.Delete(slices.Clone(all), i, i+1) }
 
--- a/internal/ledger/caller.go
+++ b/internal/ledger/caller.go
@@ -208,7 +208,9 @@
 
 // ReadLocal returns what one voter has, however old: Age says since when no quorum has confirmed it.
 func (c *Caller) ReadLocal(ctx context.Context, voter string) (*promise.State, Answer, error) {
+	asked := time.Now()
 	a, err := c.Ask(ctx, voter, Request{Verb: Local})
+	a.Age += time.Since(asked) // it was told at some moment since
 	if err != nil {
 		return nil, a, err
 	}
--- a/internal/ledger/copy.go
+++ b/internal/ledger/copy.go
@@ -8,8 +8,10 @@
 	"hash/fnv"
 	"log/slog"
 	"maps"
+	"net"
 	"os"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +63,7 @@
 }
 
 const (
-	updateWithin = 5 * KeepAlive // a voter says something at least as often as KeepAlive
+	updateWithin = 2 * time.Second // a voter says something four times as often
 	keepEvery    = 200 * time.Millisecond
 	followPause  = 100 * time.Millisecond
 	followMost   = time.Second
@@ -147,19 +149,20 @@
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	first := true
+	pings := newPinger(conn)
+	defer pings.stop()
 	for {
 		conn.SetReadDeadline(time.Now().Add(updateWithin))
 		u, err := readUpdate(in)
 		if err != nil {
 			return err
 		}
-		at := time.Now()
 		changed, err := c.take(u, first)
 		if err != nil {
 			return err
 		}
 		first = false
-		if held := at.Add(-u.Age); u.Beat && held.After(c.held) {
+		if held := pings.sent(u.Ping); held.After(c.held) {
 			c.held = held
 		}
 		c.show(voter, &u, changed, nil)
@@ -170,6 +173,54 @@
 	}
 }
 
+// pinger sends pings and knows when it has sent them. How old a copy is can be told by the follower's own clock alone: what a voter says of
+// that may have waited in a stopped process or a cut link.
+type pinger struct {
+	mu    sync.Mutex
+	times map[uint64]time.Time
+	end   chan struct{}
+}
+
+const pingEvery = 500 * time.Millisecond
+
+func newPinger(conn net.Conn) *pinger {
+	p := &pinger{times: map[uint64]time.Time{}, end: make(chan struct{})}
+	go func() {
+		t := time.NewTicker(pingEvery)
+		defer t.Stop()
+		for n := uint64(1); ; n++ {
+			p.mu.Lock()
+			p.times[n] = time.Now()
+			p.mu.Unlock()
+			conn.SetWriteDeadline(time.Now().Add(updateWithin))
+			if WriteFrame(conn, EncodePing(n)) != nil {
+				return // whoever reads sees it too
+			}
+			select {
+			case <-t.C:
+			case <-p.end:
+				return
+			}
+		}
+	}()
+	return p
+}
+
+func (p *pinger) stop() { close(p.end) }
+
+// sent is when a ping was sent, and forgets those before it; zero: there is none of that number.
+func (p *pinger) sent(n uint64) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := p.times[n]
+	for k := range p.times {
+		if k < n {
+			delete(p.times, k)
+		}
+	}
+	return at
+}
+
 func readUpdate(in *bufio.Reader) (Update, error) {
 	b, err := ReadFrame(in, MaxFrame)
 	if err != nil {
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -106,7 +106,7 @@
 	Commands [][]byte // envelopes, all of the same index
 	Index    uint64   // of the last that was applied
 	Beat     bool
-	Age      time.Duration // how long ago a quorum confirmed that nothing newer was promised than Index
+	Ping     uint64 // of the follower's: all that was promised before it sent that is in Index; 0: not known
 	Leader   string
 	Cluster  uint64
 	Voters   uint32
@@ -373,7 +373,7 @@
 	}
 	w.Uint(3, u.Index)
 	w.Bool(4, u.Beat)
-	w.Uint(5, uint64(u.Age/time.Microsecond))
+	w.Uint(5, u.Ping)
 	w.String(6, u.Leader)
 	w.Uint(7, u.Cluster)
 	w.Uint(8, uint64(u.Voters))
@@ -394,7 +394,7 @@
 		case 4:
 			u.Beat = f.Bool()
 		case 5:
-			u.Age = micros(f.Uint, longAgo)
+			u.Ping = f.Uint
 		case 6:
 			return f.Text(&u.Leader, promise.MaxName)
 		case 7:
@@ -408,3 +408,21 @@
 	})
 	return u, err
 }
+
+// EncodePing writes a follower's ping.
+func EncodePing(n uint64) []byte {
+	var w protomsg.Writer
+	w.Uint(1, n)
+	return w.Bytes()
+}
+
+// DecodePing reads one.
+func DecodePing(b []byte) (n uint64, err error) {
+	err = protomsg.Each(b, func(f field) error {
+		if f.Number == 1 {
+			n = f.Uint
+		}
+		return nil
+	})
+	return n, err
+}
--- a/internal/manage/manage_test.go
+++ b/internal/manage/manage_test.go
@@ -14,14 +14,14 @@
 // log is an Operator that notes what it is asked.
 type log chan string
 
-func (l log) Status() error        { return errors.New("two\r\nlines") }
+func (l log) Status() error { return errors.New("two\r\nlines") }
 func (l log) Out(id string) (string, error) {
 	l <- "out " + id
 	return "held by 3 of 5", nil
 }
 func (l log) Back(id string) (string, error) { return "", fmt.Errorf("there is no upstream %q", id) }
-func (l log) Standby() error       { l <- "standby"; return nil }
-func (l log) Active() error        { l <- "active"; return nil }
+func (l log) Standby() error                 { l <- "standby"; return nil }
+func (l log) Active() error                  { l <- "active"; return nil }
 
 func TestCarry(t *testing.T) {
 	l := make(log, 10)
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -54,6 +54,7 @@
 	outboxes  map[uint64]*outbox // towards members that listen
 	followers map[*follower]bool
 	heard     map[uint64]time.Time
+	known     map[uint64]time.Time // since when, as the leader, members are known
 	levels    map[uint64]uint32
 	gone      map[string]bool // names of which staff say that the machine has gone
 	newcomers map[uint64]*newcomer
@@ -102,7 +103,7 @@
 	}
 	c := &core{Config: cfg, store: s, writer: newWriter(s), events: make(chan event, 4096), written: make(chan written), caller: ledger.NewCaller(cfg.Name, others),
 		memory: raft.NewMemoryStorage(), state: promise.NewState(), pending: map[uint64]*proposal{}, reads: map[uint64]*reading{},
-		links: map[uint64]*link{}, outboxes: map[uint64]*outbox{}, followers: map[*follower]bool{}, heard: map[uint64]time.Time{}, levels: map[uint64]uint32{},
+		links: map[uint64]*link{}, outboxes: map[uint64]*outbox{}, followers: map[*follower]bool{}, heard: map[uint64]time.Time{}, known: map[uint64]time.Time{}, levels: map[uint64]uint32{},
 		gone: map[string]bool{}, newcomers: map[uint64]*newcomer{}, reports: map[string]cluster.Report{}, waits: "it has just started"}
 	if s.identity.Cluster == 0 {
 		return c, nil
@@ -128,7 +129,7 @@
 
 // startNode begins to take part in the cluster of the folder.
 func (c *core) startNode() (err error) {
-	c.node, err = raft.NewRawNode(&raft.Config{ID: c.store.identity.ID, ElectionTick: electionTicks, HeartbeatTick: beatTicks, Storage: c.memory,
+	c.node, err = raft.NewRawNode(&raft.Config{ID: c.store.identity.ID, ElectionTick: electionTicks, HeartbeatTick: beatTicks, Storage: logStorage{c.memory, c},
 		Applied: c.applied, AsyncStorageWrites: true, MaxSizePerMsg: maxMessage, MaxCommittedSizePerReady: maxMessage, MaxUncommittedEntriesSize: maxUnsettled,
 		MaxInflightMsgs: maxInflight, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, StepDownOnRemoval: true, Logger: quietLogger{slog.Default()}})
 	c.waits = ""
@@ -237,9 +238,11 @@
 		}
 	}
 	if c.ticks%decideEvery == 0 {
-		c.beat(now)
 		c.decide(now)
 	}
+	if c.ticks%beatEvery == 0 {
+		c.beat(now)
+	}
 }
 
 var errNoQuorum = errors.New("no quorum has answered in time")
@@ -346,6 +349,9 @@
 		}
 		slog.Info("leader", "name", name, "term", c.node.BasicStatus().GetTerm())
 	}
+	if !c.leading && leading {
+		c.known = map[uint64]time.Time{}
+	}
 	if c.leading && !leading {
 		c.abandon(ledger.Unsure, "another voter leads now, and may have it or not")
 		c.ready, c.changing = false, false
@@ -370,16 +376,40 @@
 	return c.clockOf + uint64(now.Sub(c.clockAt)/time.Millisecond)
 }
 
+// logStorage is the log as the library reads it. The snapshot that it sends to those who lag is of now: it has to name them as
+// members, and one that was made before they were would be refused by them for ever.
+type logStorage struct {
+	*raft.MemoryStorage
+	core *core
+}
+
+// Snapshot implements raft.Storage.
+func (l logStorage) Snapshot() (*raftpb.Snapshot, error) {
+	c := l.core
+	if c.conf == nil {
+		return l.MemoryStorage.Snapshot()
+	}
+	return c.now()
+}
+
+// now is a snapshot of what is applied.
+func (c *core) now() (*raftpb.Snapshot, error) {
+	term, err := c.memory.Term(c.applied)
+	if err != nil {
+		return nil, raft.ErrSnapshotTemporarilyUnavailable
+	}
+	return &raftpb.Snapshot{Data: c.state.Encode(), Metadata: &raftpb.SnapshotMetadata{Index: new(c.applied), Term: new(term), ConfState: c.conf}}, nil
+}
+
 // snapshot hands the state to the disk once enough has been applied since the last one.
 func (c *core) snapshot() {
 	if c.saving || c.conf == nil || c.applied <= c.snapped || (c.applied-c.snapped < snapshotAfter && c.since < snapshotBytes) {
 		return
 	}
-	term, err := c.memory.Term(c.applied)
+	x, err := c.now()
 	if err != nil {
 		return
 	}
-	x := &raftpb.Snapshot{Data: c.state.Encode(), Metadata: &raftpb.SnapshotMetadata{Index: new(c.applied), Term: new(term), ConfState: c.conf}}
 	c.saving, c.snapped, c.since = true, c.applied, 0
 	keep := uint64(1)
 	if c.applied > keepEntries {
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -45,10 +45,20 @@
 	if !c.leading { // one that follows hears the leader alone
 		up = 0
 	}
-	c.tell(ledger.Update{Beat: true, Index: c.applied, Age: c.age(), Leader: c.leader(), Voters: uint32(voters), Up: uint32(up)})
-	if c.node != nil && c.lead != raft.None {
-		c.read(time.Second, func(*core, error) {}) // its success makes the copy fresh
-	}
+	pings := map[*follower]uint64{}
+	for f := range c.followers {
+		pings[f] = f.ping
+	}
+	// All that was promised before a follower sent its ping was promised before this reading began, and is sent to it before this word.
+	c.read(time.Second, func(c *core, err error) {
+		u := ledger.Update{Beat: true, Index: c.applied, Leader: c.leader(), Cluster: c.store.identity.Cluster, Voters: uint32(voters), Up: uint32(up)}
+		for f, ping := range pings {
+			if err == nil {
+				u.Ping = ping
+			}
+			f.push(u.Encode())
+		}
+	})
 }
 
 // decide takes the next step in who the voters are, as the leader; without a cluster it looks for one.
@@ -75,7 +85,10 @@
 	match := map[uint64]uint64{}
 	c.node.WithProgress(func(id uint64, _ raft.ProgressType, p progress) { match[id] = p.Match })
 	for _, m := range c.state.Members() {
-		p := cluster.Peer{Member: m, Match: match[m.ID], Level: c.levels[m.ID], Gone: c.gone[m.Name], Heard: longAgo}
+		if _, known := c.known[m.ID]; !known {
+			c.known[m.ID] = now
+		}
+		p := cluster.Peer{Member: m, Match: match[m.ID], Level: c.levels[m.ID], Gone: c.gone[m.Name], Heard: longAgo, Known: now.Sub(c.known[m.ID])}
 		if m.ID == c.id() {
 			p.Heard, p.Level = 0, promise.Newest
 		} else if at, ok := c.heard[m.ID]; ok {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -29,8 +29,9 @@
 const (
 	tick          = 50 * time.Millisecond
 	electionTicks = 12 // 0.6 to 1.2 s without a leader's word
-	beatTicks     = 2
-	decideEvery   = 5 // ticks
+	beatTicks     = 3
+	decideEvery   = 5  // ticks
+	beatEvery     = 10 // ticks: followers hear how fresh their copies are
 	learnerIdle   = time.Minute
 	maxPending    = 8192 // proposals without an answer
 	maxUnsettled  = 8 << 20
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -114,6 +114,7 @@
 			f.push(c.whole())
 			c.followers[f] = true
 			serve = func() {
+				go c.pings(in, f)
 				f.write(conn)
 				c.hand(eventFunc(func(c *core) { delete(c.followers, f) }))
 			}
@@ -172,6 +173,7 @@
 		case <-idle.C:
 			ledger.WriteFrame(&frames, nil)
 		}
+		idle.Reset(ledger.KeepAlive) // what is said says that the voter is there
 		conn.SetWriteDeadline(time.Now().Add(writeWithin))
 		_, err := conn.Write(frames.Bytes())
 		if snapshots {
@@ -243,6 +245,7 @@
 	updates chan []byte
 	closed  chan struct{}
 	once    sync.Once
+	ping    uint64 // its last; belongs to the core
 }
 
 func newFollower() *follower {
@@ -259,9 +262,27 @@
 	}
 }
 
+// pings takes a follower's pings until its connection ends.
+func (c *core) pings(in *bufio.Reader, f *follower) {
+	for {
+		b, err := ledger.ReadFrame(in, maxHello)
+		var n uint64
+		if err == nil {
+			n, err = ledger.DecodePing(b)
+		}
+		if err != nil {
+			f.close()
+			return
+		}
+		if !c.hand(eventFunc(func(*core) { f.ping = n })) {
+			return
+		}
+	}
+}
+
 // whole is an update with all that is held.
 func (c *core) whole() []byte {
-	u := ledger.Update{State: c.state.Encode(), Index: c.applied, Age: c.age(), Leader: c.leader(), Cluster: c.store.identity.Cluster, Beat: true}
+	u := ledger.Update{State: c.state.Encode(), Index: c.applied, Leader: c.leader(), Cluster: c.store.identity.Cluster, Beat: true}
 	return u.Encode()
 }
 
