--- a/cmd/olivearch/main.go
+++ b/cmd/olivearch/main.go
@@ -24,6 +24,7 @@
 	{"serve", "--config FILE", "run the listeners, routes and pools of a configuration file", serve},
 	{"check", "FILE...", "tell everything that is wrong with configuration files, with line and column", check},
 	{"top", "[--admin ADDRESS]", "show the live view of a running olivearch as a table", top},
+	{"promises", "COMMAND", "what balancers hold for each other: list, set, clear, members, replace and more", promises},
 	{"demo", "[--seconds N]", "run the balancer between a stand-in fleet and clients, with troubles, and judge it", runDemo},
 	{"version", "", "print the version", func(_ []string, out io.Writer) error {
 		_, err := fmt.Fprintln(out, "olivearch", version())
--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -86,7 +86,16 @@
 		return fmt.Errorf("%w: check wants a FILE", errUsage)
 	}
 	var errs []error
+	voters := map[string]*config.Voter{}
 	for _, path := range f.Args() {
+		if config.OfVoter(path) {
+			v, err := config.LoadVoter(path)
+			if errs = append(errs, err); err == nil {
+				voters[path] = v
+				fmt.Fprintf(out, "%s: well: voter %s of %d, at %s\n", path, v.Name, len(v.Voters), v.Listen)
+			}
+			continue
+		}
 		c, err := config.Load(path)
 		if err == nil {
 			err = service.CheckLists(c)
@@ -104,6 +113,9 @@
 				}
 			}
 		}
+		if c.Promises != nil {
+			checkPromises(c.Promises, out)
+		}
 		for _, r := range c.Routes {
 			if len(r.Upgrades) > 0 {
 				caps := c.Pools[r.Pools[0].Pool].Tunnels
@@ -111,7 +123,7 @@
 			}
 		}
 	}
-	return errors.Join(errs...)
+	return errors.Join(append(errs, config.AgreeVoters(voters))...)
 }
 
 // uses tells how many nodes of a pool this one of many balancers uses.
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -58,6 +58,9 @@
 	k.rules()
 	k.pools(filepath.Dir(path))
 	k.routes()
+	if k.Promises != nil {
+		k.Promises.check(d, "promises", filepath.Dir(path))
+	}
 	if d.Err() == nil {
 		k.bulkheads()
 	}
--- a/internal/config/promises.go
+++ b/internal/config/promises.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"go.yaml.in/yaml/v3"
+
 	"clayladder/internal/strictyaml"
 )
 
@@ -46,6 +48,20 @@
 
 const maxSmallFile = 1 << 20
 
+// OfVoter tells whether a file is that of a voter: it has the key folder, which nobody else's has.
+func OfVoter(path string) bool {
+	text, err := strictyaml.ReadFile(path, maxSmallFile)
+	if err != nil {
+		return false
+	}
+	var keys map[string]yaml.Node
+	if yaml.Unmarshal(text, &keys) != nil {
+		return false
+	}
+	_, ok := keys["folder"]
+	return ok
+}
+
 // LoadVoter reads and checks a voter's file.
 func LoadVoter(path string) (*Voter, error) {
 	text, err := strictyaml.ReadFile(path, maxSmallFile)
--- a/internal/config/schema/main.go
+++ b/internal/config/schema/main.go
@@ -23,6 +23,8 @@
 	"docs/olivearch.schema.json": {"olivearch serve", &config.File{}},
 	"docs/scenario.schema.json":  {"olivebench scenario", &scenario.File{}},
 	"docs/ground.schema.json":    {"olivebench ground", &script.File{}},
+	"docs/ledger.schema.json":    {"oliveledger", &config.Voter{}},
+	"docs/promises.schema.json":  {"RELAY_PROMISES", &config.Promises{}},
 }
 
 func main() {
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -28,6 +28,8 @@
 	Pools map[string]Pool `yaml:"pools"`
 	// Which request goes to which pool.
 	Routes []Route `yaml:"routes"`
+	// The ledger of promises in which this process takes part; left out: none.
+	Promises *Promises `yaml:"promises,omitempty"`
 }
 
 // Listener is an address at which clients come in.
--- a/internal/ground/askers.go
+++ b/internal/ground/askers.go
@@ -62,7 +62,7 @@
 	if len(w.voters) == 0 {
 		return nil, nil
 	}
-	x := &askers{world: w, history: history.New(), yes: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), lastYes: time.Now()}
+	x := &askers{world: w, history: history.New(event.Now()), yes: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3), lastYes: time.Now()}
 	setup := w.newAsker(0)
 	defer setup.Close()
 	ctx, cancel := context.WithTimeout(w.ctx, finalWithin)
@@ -191,8 +191,12 @@
 		return
 	}
 	x.history.Call(history.Call{Client: i, Subject: subject, Kind: history.Write, Value: value, From: from, To: event.Now(), Unsure: !sure})
-	if held && value > 0 && subject[0] == 'c' {
+	switch {
+	case subject[0] != 'c' || value == 0:
+	case held:
 		x.history.Promised(subject, value)
+	case !sure:
+		x.history.Unsure(subject, value)
 	}
 }
 
@@ -227,8 +231,11 @@
 		began := time.Now()
 		_, err := c.Propose(ctx, &promise.SetWord{Subject: capOf(subject), Value: n, By: "ground"})
 		cancel()
-		if held, _ := x.answered(err, time.Since(began)); held {
+		switch held, sure := x.answered(err, time.Since(began)); {
+		case held:
 			x.history.Promised(subject, n)
+		case !sure:
+			x.history.Unsure(subject, n)
 		}
 	}
 }
@@ -244,7 +251,7 @@
 		}
 		for i := range x.f.Voters.Clients {
 			subject := fmt.Sprintf("c-%d", i)
-			x.history.Look(history.Look{Who: name, Subject: subject, Value: values[subject], At: at, Age: age})
+			x.history.Look(history.Look{Who: fmt.Sprintf("%s (revision %d of %s)", name, v.Index, v.Voter), Subject: subject, Value: values[subject], At: at, Age: age})
 		}
 		select {
 		case <-time.After(lookEvery):
--- a/internal/ground/draw/draw.go
+++ b/internal/ground/draw/draw.go
@@ -15,13 +15,20 @@
 const Plays = 40
 
 // Faults draws n faults for a script's processes, by its seed: the same script and seed draw the same ones. Each is one that a
-// balancer must bear without a breach, and ends before the load does.
+// balancer must bear without a breach, and ends before the load does. Where a script has voters the faults are theirs.
 func Faults(f *script.File, n int) []script.Fault {
 	rng := rand.New(rand.NewPCG(uint64(f.Seed), 0xfa))
 	length := time.Duration(f.Length)
+	drawn := makers
+	if f.Voters.Count > 0 {
+		drawn = voterMakers
+	}
 	var all []script.Fault
-	for range n {
-		x := makers[rng.IntN(len(makers))](rng, f)
+	for len(all) < n {
+		x := drawn[rng.IntN(len(drawn))](rng, f)
+		if !spare(f, all, x) {
+			continue
+		}
 		at := time.Duration((0.05 + 0.65*rng.Float64()) * float64(length))
 		lasts := time.Duration((0.05 + 0.2*rng.Float64()) * float64(length))
 		x.At, x.For = config.Duration(at.Round(time.Millisecond)), config.Duration(lasts.Round(time.Millisecond))
--- a/internal/ground/host.go
+++ b/internal/ground/host.go
@@ -32,6 +32,8 @@
 	life    int  // how many processes have been started
 	wanted  bool // it should run
 	started bool // it has been ready
+
+	starting sync.Mutex // held while a process is being started
 }
 
 // readyIn bounds how long a process may take until it is ready; hundreds that start at once on few cores take long.
@@ -41,6 +43,9 @@
 func (w *world) newHost(name string, caller int) (*host, error) {
 	h := &host{world: w, name: name, folder: filepath.Join(w.folder, name), died: func(int64) {}, excused: func(error) bool { return false },
 		excuse: func() func() { return func() {} }, hold: func() func() { return func() {} }}
+	if err := os.RemoveAll(h.folder); err != nil { // of an earlier play
+		return nil, err
+	}
 	at, release, err := relay.Reserve(caller)
 	if err != nil {
 		return nil, err
@@ -53,6 +58,11 @@
 
 // start starts a process and returns once it is ready, or has ended, or the ground does.
 func (h *host) start(ctx context.Context) error {
+	h.starting.Lock()
+	defer h.starting.Unlock()
+	if h.running() != nil { // two faults have ended at once
+		return nil
+	}
 	h.mu.Lock()
 	h.life++
 	life := h.life
--- a/internal/ground/script/check.go
+++ b/internal/ground/script/check.go
@@ -16,6 +16,7 @@
 	maxFile   = 1 << 20
 	maxLength = 2 * time.Hour
 	maxCount  = 2000
+	maxTimes  = 1000
 )
 
 // Read reads and checks a file.
@@ -47,9 +48,25 @@
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
+	f.Faults = repeated(f.Faults)
 	return f, nil
 }
 
+// repeated puts each fault that comes several times there as often.
+func repeated(all []Fault) []Fault {
+	var each []Fault
+	for _, x := range all {
+		times, every := max(1, x.Times), x.Every
+		x.Times, x.Every = 0, 0
+		for i := range times {
+			one := x
+			one.At += every * config.Duration(i)
+			each = append(each, one)
+		}
+	}
+	return each
+}
+
 // Text writes a script as a file that plays again.
 func (f *File) Text() (string, error) {
 	text, err := yaml.Marshal(f)
@@ -229,6 +246,12 @@
 	if x.At > k.Length {
 		k.Fail(at+".at", "it comes after the end of the load")
 	}
+	k.Within(at+".times", float64(x.Times), 0, maxTimes)
+	if x.Times > 1 && (x.Every <= x.For || x.For == 0) {
+		k.Fail(at+".every", "a fault that comes again ends before: every is longer than for")
+	} else if last := x.At + x.Every*config.Duration(max(0, x.Times-1)); last > k.Length {
+		k.Fail(at+".times", "the last of them comes after the end of the load")
+	}
 	strictyaml.Fill(&x.Way, "both")
 	k.One(at+".way", "way", x.Way, "both", "there", "back")
 	if what.link {
--- a/internal/ground/script/types.go
+++ b/internal/ground/script/types.go
@@ -152,9 +152,12 @@
 	At config.Duration `yaml:"at"`
 	// How long; left out: to the end.
 	For config.Duration `yaml:"for,omitempty"`
+	// How often it comes, and every how much time, counted from at; left out: once.
+	Times int             `yaml:"times,omitempty" jsonschema:"minimum=0"`
+	Every config.Duration `yaml:"every,omitempty"`
 	// Between processes [from, to]: cut [way], slow [way, delay, jitter], throttle [way, rate], reset [share, way, deliver], half-close
 	// [share, way, deliver], lossy (datagrams) [way, loss, twice, reorder], break (open connections are reset once).
-	// To voters [of]: kill, lose, stop, terminate, disk and clock as below, flip (killed, one bit on the disk is changed, started), power (killed, what was
+	// To voters [of]: kill, lose, stop, terminate, disk and clock as below, flip (killed, some bits on the disk are changed, started), power (killed, what was
 	// not synced is gone; a test build), twin (a second process with a copy of the disk, on another machine). leader is the voter that
 	// leads at that moment.
 	// To processes of the program [of]: kill (down for so long), kill-on-send (as soon as a request has reached a node; down for
--- a/internal/ground/voter.go
+++ b/internal/ground/voter.go
@@ -199,14 +199,17 @@
 	return h.wanted && h.process != nil && h.process.EndedAt() > 0
 }
 
-// flip kills voters, changes one bit on each one's disk and starts it again. It has to find that, and not to vote as the one that it was: its
+// flip kills voters, changes some bits on each one's disk and starts it again. It has to find that, and not to vote as the one that it was: its
 // disk is then taken away, and it comes back empty.
 func (x *fault) flip() error {
 	rng := rand.New(rand.NewPCG(uint64(x.f.Seed), uint64(x.index)))
 	for _, h := range x.hosts() {
 		x.down(h, func() {})
 		path := filepath.Join(h.folder, "disk", "ledger.db")
-		if err := flipBit(path, rng); err != nil {
+		if err := flipBits(path, rng); errors.Is(err, os.ErrNotExist) {
+			x.restart(h, func() {}) // another fault has taken the disk
+			continue
+		} else if err != nil {
 			return err
 		}
 		if err := h.start(x.ctx); err != nil {
@@ -226,10 +229,13 @@
 	return nil
 }
 
+// flips is how many bits are changed: much of the file is pages that are free, and a bit there changes nothing.
+const flips = 32
+
 // flipFound is within what time a voter finds that its disk was changed.
 const flipFound = 2 * time.Second
 
-func flipBit(path string, rng *rand.Rand) error {
+func flipBits(path string, rng *rand.Rand) error {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -237,7 +243,9 @@
 	if len(text) == 0 {
 		return fmt.Errorf("%s is empty", path)
 	}
-	text[rng.IntN(len(text))] ^= 1 << rng.IntN(8)
+	for range flips {
+		text[rng.IntN(len(text))] ^= 1 << rng.IntN(8)
+	}
 	return os.WriteFile(path, text, 0o600)
 }
 
--- a/internal/ledger/caller.go
+++ b/internal/ledger/caller.go
@@ -206,6 +206,12 @@
 	}
 }
 
+// Gone tells the ledger that the machine of a voter has gone for good, so that an empty one of its name need not wait.
+func (c *Caller) Gone(ctx context.Context, voter string) error {
+	_, err := c.anywhere(ctx, Request{Verb: Gone, Name: voter})
+	return err
+}
+
 // ReadLocal returns what one voter has, however old: Age says since when no quorum has confirmed it.
 func (c *Caller) ReadLocal(ctx context.Context, voter string) (*promise.State, Answer, error) {
 	asked := time.Now()
--- a/internal/ledger/conn.go
+++ b/internal/ledger/conn.go
@@ -13,6 +13,8 @@
 const (
 	// KeepAlive is how often a voter says something on a connection on which it has nothing to say.
 	KeepAlive = 250 * time.Millisecond
+	// Stale is for how long after a voter's last word requests may still be sent to it.
+	Stale = silent * 3 / 4
 	// silent is after how long without a word a connection is taken for cut.
 	silent = 4 * KeepAlive
 	// dialWithin bounds a connection's coming up, its first words included.
@@ -66,15 +68,16 @@
 	number  uint64
 	waiting map[uint64]chan Answer
 	heard   time.Time
+	tick    uint64 // the voter's, as last heard
 	err     error
 }
 
 func open(ctx context.Context, address, name string) (*conn, error) {
-	c, in, _, err := Dial(ctx, address, Hello{Role: Asks, Name: name})
+	c, in, w, err := Dial(ctx, address, Hello{Role: Asks, Name: name})
 	if err != nil {
 		return nil, err
 	}
-	x := &conn{c: c, waiting: map[uint64]chan Answer{}, heard: time.Now()}
+	x := &conn{c: c, waiting: map[uint64]chan Answer{}, heard: time.Now(), tick: w.Tick}
 	go x.read(in)
 	return x, nil
 }
@@ -99,7 +102,7 @@
 			x.c.Close()
 			return
 		}
-		x.heard = time.Now()
+		x.heard, x.tick = time.Now(), max(x.tick, a.Tick)
 		if w := x.waiting[a.Number]; w != nil {
 			delete(x.waiting, a.Number)
 			w <- a // it holds one
@@ -112,7 +115,7 @@
 func (x *conn) usable() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.err == nil && time.Since(x.heard) < silent*3/4
+	return x.err == nil && time.Since(x.heard) < Stale
 }
 
 // ask sends a request and waits for its answer. An error that wraps errNotSent says that it reached nobody.
@@ -124,7 +127,7 @@
 		return Answer{}, fmt.Errorf("%w: %w", errNotSent, x.err)
 	}
 	x.number++
-	r.Number = x.number
+	r.Number, r.Tick = x.number, x.tick
 	x.waiting[r.Number] = w
 	x.mu.Unlock()
 	x.write.Lock()
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -40,6 +40,7 @@
 	Name    string
 	Level   uint32
 	Refused string // why the connection is of no use; empty: it is
+	Tick    uint64 // see Answer
 }
 
 // Verb is what a request asks for.
@@ -68,6 +69,7 @@
 	Members []promise.Member
 	Name    string
 	Level   uint32
+	Tick    uint64 // the last that was heard of the voter; 0: none
 }
 
 // Outcome says what an answer means.
@@ -98,6 +100,7 @@
 	Name    string
 	Level   uint32
 	Members []promise.Member
+	Tick    uint64 // ms of the voter's own clock as it says so: a request that names an old one has waited on its way
 }
 
 // Update is what a voter sends to a follower: a whole state, commands, or a word that it is up to date.
@@ -160,6 +163,7 @@
 	w.String(4, h.Name)
 	w.Uint(5, uint64(h.Level))
 	w.String(6, h.Refused)
+	w.Uint(7, h.Tick)
 	return w.Bytes()
 }
 
@@ -177,6 +181,8 @@
 			h.Level = uint32(min(f.Uint, 1<<31))
 		case 6:
 			return f.Text(&h.Refused, maxText)
+		case 7:
+			h.Tick = f.Uint
 		}
 		return nil
 	})
@@ -228,6 +234,7 @@
 	writeMembers(&w, 7, r.Members)
 	w.String(8, r.Name)
 	w.Uint(9, uint64(r.Level))
+	w.Uint(10, r.Tick)
 	return w.Bytes()
 }
 
@@ -260,6 +267,8 @@
 			return f.Text(&r.Name, promise.MaxName)
 		case 9:
 			r.Level = uint32(min(f.Uint, 1<<31))
+		case 10:
+			r.Tick = f.Uint
 		}
 		return nil
 	})
@@ -298,6 +307,7 @@
 	w.String(19, a.Name)
 	w.Uint(20, uint64(a.Level))
 	writeMembers(&w, 21, a.Members)
+	w.Uint(22, a.Tick)
 	return w.Bytes()
 }
 
@@ -358,6 +368,8 @@
 			a.Level = uint32(min(f.Uint, 1<<31))
 		case 21:
 			return readMember(f, &a.Members)
+		case 22:
+			a.Tick = f.Uint
 		}
 		return nil
 	})
--- a/internal/live/live.go
+++ b/internal/live/live.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 )
 
 // View is the state of a process at a moment. Times are in milliseconds.
@@ -17,6 +18,35 @@
 	Reloads   int        `json:"reloads"` // configurations taken since the start
 	Listeners []Listener `json:"listeners"`
 	Pools     []Pool     `json:"pools"`
+	Promises  *Promises  `json:"promises,omitempty"` // none: the process takes part in no ledger
+}
+
+// Promises is the ledger of promises as this process knows it.
+type Promises struct {
+	Cluster  string         `json:"cluster"`
+	Voter    string         `json:"voter,omitempty"` // that it follows; none: none can be reached, and what it has holds
+	Leader   string         `json:"leader,omitempty"`
+	Voters   int            `json:"voters"`
+	Up       int            `json:"up"` // of these, as the leader hears them; 0: not known here
+	Revision uint64         `json:"revision"`
+	AgeMS    int64          `json:"age_ms"` // since a quorum confirmed that nothing newer was promised; -1: it never has
+	Words    map[string]int `json:"words"`  // of staff's, by kind
+	Trouble  string         `json:"trouble,omitempty"`
+}
+
+// Ages are told up to this; one beyond it is no age.
+const Ages = 900 * time.Hour
+
+func (p *Promises) write(w io.Writer) {
+	age := "never confirmed"
+	if p.AgeMS >= 0 {
+		age = fmt.Sprintf("confirmed %.1f s ago", float64(p.AgeMS)/1000)
+	}
+	follows := "follows " + p.Voter
+	if p.Voter == "" {
+		follows = "NO VOTER REACHED (" + p.Trouble + ")"
+	}
+	fmt.Fprintf(w, "promises: %s, leader %s, %d voters, revision %d, %s; words %v\n", follows, cmp.Or(p.Leader, "unknown"), p.Voters, p.Revision, age, p.Words)
 }
 
 // Listener is an address for clients.
@@ -87,6 +117,9 @@
 	for _, l := range v.Listeners {
 		fmt.Fprintf(w, "listener %s at %s: %d of %d connections\n", l.Name, l.Address, l.Connections, l.Limit)
 	}
+	if v.Promises != nil {
+		v.Promises.write(w)
+	}
 	for _, p := range v.Pools {
 		fmt.Fprintf(w, "\npool %s: %d of %d open, %d held, %d of %d connections, %d tunnels, %d served, %d refused, %d failed, %d turned away; list %.1f s old%s\n",
 			p.Name, p.Open, p.Queue, p.Held, p.Connections, p.Limit, p.Tunnels, p.Served, p.Refused, p.Failed, p.TurnedAway, float64(p.ListAgeMS)/1000, p.listNote())
--- a/internal/replica/asks.go
+++ b/internal/replica/asks.go
@@ -40,6 +40,12 @@
 		x.Leader = c.leader()
 		answer(x)
 	}
+	if now := c.ticksNow(); a.Tick > 0 && now > a.Tick+uint64((a.Within+ledger.Stale)/time.Millisecond) {
+		// It has waited in this process, stopped, or on a link that was cut: whoever asked has given up, and may have said something
+		// else since.
+		a.answer(ledger.Answer{Outcome: ledger.Nowhere, Text: fmt.Sprintf("it has been on its way for up to %d ms", now-a.Tick)})
+		return
+	}
 	switch a.Verb {
 	case ledger.Propose:
 		c.propose(a)
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -23,6 +25,7 @@
 	fail    context.CancelCauseFunc
 	store   *store
 	writer  *writer
+	began   time.Time
 	events  chan event
 	written chan written
 	caller  *ledger.Caller // to the other voters, for what is passed on
@@ -101,10 +104,10 @@
 			others[name] = address
 		}
 	}
-	c := &core{Config: cfg, store: s, writer: newWriter(s), events: make(chan event, 4096), written: make(chan written), caller: ledger.NewCaller(cfg.Name, others),
+	c := &core{Config: cfg, began: time.Now(), store: s, writer: newWriter(s), events: make(chan event, 4096), written: make(chan written), caller: ledger.NewCaller(cfg.Name, others),
 		memory: raft.NewMemoryStorage(), state: promise.NewState(), pending: map[uint64]*proposal{}, reads: map[uint64]*reading{},
 		links: map[uint64]*link{}, outboxes: map[uint64]*outbox{}, followers: map[*follower]bool{}, heard: map[uint64]time.Time{}, known: map[uint64]time.Time{}, levels: map[uint64]uint32{},
-		gone: map[string]bool{}, newcomers: map[uint64]*newcomer{}, reports: map[string]cluster.Report{}, waits: "it has just started"}
+		number: rand.Uint64(), gone: map[string]bool{}, newcomers: map[uint64]*newcomer{}, reports: map[string]cluster.Report{}, waits: "it has just started"}
 	if s.identity.Cluster == 0 {
 		return c, nil
 	}
@@ -157,6 +160,12 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	defer c.end()
+	defer func() { // the library panics where what it is told can't be, as when another process uses this member's id
+		if wrong := recover(); wrong != nil {
+			slog.Error("what the consensus has come to can't be", "why", wrong, "stack", string(debug.Stack()))
+			c.broken(fmt.Errorf("%w, or another process is this member: %v", ErrDamaged, wrong))
+		}
+	}()
 	c.relink()
 	for c.ctx.Err() == nil {
 		select {
@@ -419,7 +428,7 @@
 }
 
 // readingContext is a reading's number as the library carries it: the leader takes two of one context for one reading, so it
-// names the voter too.
+// names the voter too, and numbers begin anywhere: an answer to the process before must not pass for one to this.
 func readingContext(voter, n uint64) []byte {
 	return binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(nil, voter), n)
 }
--- a/internal/replica/links.go
+++ b/internal/replica/links.go
@@ -126,23 +126,27 @@
 		if err := proto.Unmarshal(b, x); err != nil {
 			return err
 		}
-		if x.GetFrom() != m.ID || x.GetTo() != c.id() || raft.IsLocalMsg(x.GetType()) {
+		// A reading may be passed on in the name of the voter that asked for it.
+		if (x.GetFrom() != m.ID && x.GetType() != raftpb.MsgReadIndex) || x.GetTo() != c.id() || raft.IsLocalMsg(x.GetType()) {
 			return fmt.Errorf("%s sends a message from %x to %x", m.Name, x.GetFrom(), x.GetTo())
 		}
-		if !c.hand(heardOf{x}) {
+		if !c.hand(heardOf{x, m.ID}) {
 			return nil
 		}
 	}
 }
 
 // heardOf is a message of another voter's.
-type heardOf struct{ *raftpb.Message }
+type heardOf struct {
+	*raftpb.Message
+	by uint64
+}
 
 func (e heardOf) apply(c *core) {
 	if c.node == nil {
 		return
 	}
-	c.heard[e.GetFrom()] = time.Now()
+	c.heard[e.by] = time.Now()
 	c.step(e.Message)
 }
 
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -96,7 +96,7 @@
 
 // greet answers a connection's first words, and returns what serves it.
 func (c *core) greet(conn net.Conn, in *bufio.Reader, h ledger.Hello) func() {
-	w := ledger.Welcome{Cluster: c.store.identity.Cluster, ID: c.id(), Name: c.Name, Level: promise.Newest}
+	w := ledger.Welcome{Cluster: c.store.identity.Cluster, ID: c.id(), Name: c.Name, Level: promise.Newest, Tick: c.ticksNow()}
 	var serve func()
 	switch h.Role {
 	case ledger.Asks:
@@ -194,6 +194,9 @@
 	}
 }
 
+// ticksNow is this voter's own clock, in ms since it started.
+func (c *core) ticksNow() uint64 { return uint64(time.Since(c.began)/time.Millisecond) + 1 }
+
 // answerOn takes requests and writes answers until the connection ends.
 func (c *core) answerOn(conn net.Conn, in *bufio.Reader) {
 	answers := make(chan ledger.Answer, answersMost)
@@ -210,6 +213,7 @@
 			case <-ended:
 				return
 			}
+			a.Tick = c.ticksNow()
 			conn.SetWriteDeadline(time.Now().Add(writeWithin))
 			if ledger.WriteFrame(conn, a.Encode()) != nil {
 				conn.Close()
@@ -245,7 +249,8 @@
 	updates chan []byte
 	closed  chan struct{}
 	once    sync.Once
-	ping    uint64 // its last; belongs to the core
+	ping    uint64 // its last; belongs to the core, as behind
+	behind  bool   // an update was lost to it
 }
 
 func newFollower() *follower {
@@ -254,10 +259,15 @@
 
 func (f *follower) close() { f.once.Do(func() { close(f.closed) }) }
 
+// push hands an update over, unless one before it could not be: what follows a gap means nothing.
 func (f *follower) push(b []byte) {
+	if f.behind {
+		return
+	}
 	select {
 	case f.updates <- b:
 	default:
+		f.behind = true
 		f.close()
 	}
 }
--- /dev/null
+++ b/internal/replica/store_test.go
@@ -0,0 +1,156 @@
+package replica
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"go.etcd.io/raft/v3/raftpb"
+)
+
+// filled is a folder with a snapshot and some entries, and what it holds.
+func filled(t *testing.T) (folder string, want string) {
+	t.Helper()
+	folder = t.TempDir()
+	s, _, err := openStore(folder, "k1", func() uint64 { return 7 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	snapshot := &raftpb.Snapshot{Data: bytes.Repeat([]byte("state "), 50), Metadata: &raftpb.SnapshotMetadata{Index: new(uint64(3)), Term: new(uint64(1)), ConfState: &raftpb.ConfState{Voters: []uint64{7}}}}
+	if err := s.begin(99, snapshot, firstHard()); err != nil {
+		t.Fatal(err)
+	}
+	var entries []*raftpb.Entry
+	for i := uint64(4); i < 20; i++ {
+		entries = append(entries, &raftpb.Entry{Index: new(i), Term: new(uint64(2)), Data: []byte(fmt.Sprint("entry ", i))})
+	}
+	if err := s.append(batch{entries: entries, hard: &raftpb.HardState{Term: new(uint64(2)), Vote: new(uint64(7)), Commit: new(uint64(19))}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.close(); err != nil {
+		t.Fatal(err)
+	}
+	return folder, holds(t, folder)
+}
+
+// holds is what a folder holds, as text.
+func holds(t *testing.T, folder string) string {
+	t.Helper()
+	text, err := held(folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func held(folder string) (string, error) {
+	s, c, err := openStore(folder, "k1", func() uint64 { return 8 })
+	if err != nil {
+		return "", err
+	}
+	defer s.close()
+	var b strings.Builder
+	fmt.Fprintln(&b, s.identity, c.hard.GetTerm(), c.hard.GetVote(), c.hard.GetCommit(), string(c.snapshot.GetData()), c.snapshot.GetMetadata().GetIndex())
+	for _, e := range c.entries {
+		fmt.Fprintln(&b, e.GetIndex(), e.GetTerm(), string(e.GetData()))
+	}
+	return b.String(), nil
+}
+
+// A bit that flips anywhere in the file is found, or changes nothing that is held: no vote and no promise is forgotten in silence.
+func TestFlippedBits(t *testing.T) {
+	folder, want := filled(t)
+	path := filepath.Join(folder, fileName)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng, found := rand.New(rand.NewPCG(1, 1)), 0
+	for range 400 {
+		flipped := bytes.Clone(whole)
+		at := rng.IntN(len(whole))
+		flipped[at] ^= 1 << rng.IntN(8)
+		if err := os.WriteFile(path, flipped, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, err := held(folder)
+		switch {
+		case err == nil && got != want:
+			t.Fatalf("byte %d: it holds %q", at, got)
+		case err != nil && !errors.Is(err, ErrDamaged):
+			t.Errorf("byte %d: %v", at, err)
+		case err != nil:
+			found++
+		}
+	}
+	if found == 0 {
+		t.Error("nothing was found")
+	}
+	for _, size := range []int{0, 100, len(whole) / 2} { // cut off
+		if err := os.WriteFile(path, whole[:size], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := held(folder); !errors.Is(err, ErrDamaged) {
+			t.Errorf("%d bytes: %q %v", size, got, err)
+		}
+	}
+}
+
+// A folder is one voter's: not another's, and not two processes'.
+func TestWhoseFolder(t *testing.T) {
+	folder, want := filled(t)
+	if _, _, err := openStore(folder, "k2", func() uint64 { return 9 }); !errors.Is(err, ErrForeign) {
+		t.Errorf("k1's folder opened by k2: %v", err)
+	}
+	s, _, err := openStore(folder, "k1", func() uint64 { return 9 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := openStore(folder, "k1", func() uint64 { return 9 }); err == nil || !strings.Contains(err.Error(), "another process uses it") {
+		t.Errorf("opened twice: %v", err)
+	}
+	if err := s.close(); err != nil {
+		t.Fatal(err)
+	}
+	if got := holds(t, folder); got != want {
+		t.Errorf("it holds %q", got)
+	}
+	if _, _, err := openStore(filepath.Join(folder, "none"), "k1", nil); err == nil {
+		t.Error("a folder that is not there was opened")
+	}
+	empty := t.TempDir()
+	a, _, err := openStore(empty, "k1", func() uint64 { return 41 })
+	if err != nil || a.identity.ID != 41 || a.close() != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(filepath.Join(empty, fileName)); err != nil {
+		t.Fatal(err)
+	}
+	b, _, err := openStore(empty, "k1", func() uint64 { return 42 })
+	if err != nil || b.identity.ID != 42 || b.close() != nil {
+		t.Errorf("an empty disk is another member: %v", err)
+	}
+}
+
+// Recover makes one voter's folder a cluster of its own, under new ids, with all that it held.
+func TestRecover(t *testing.T) {
+	folder := t.TempDir()
+	s, _, err := openStore(folder, "k1", func() uint64 { return 7 })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Recover(folder, "k1", "127.0.0.1:1"); err == nil {
+		t.Error("recovered while a process has the folder")
+	}
+	if err := s.close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Recover(folder, "k1", "127.0.0.1:1"); !errors.Is(err, errWait) {
+		t.Errorf("there is nothing to recover: %v", err)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -40,6 +40,7 @@
 	directory *pool.Directory
 	desk      *proxy.Desk
 	state     atomic.Pointer[state]
+	promises  *governing
 	failed    chan error
 	leaving   sync.WaitGroup // fronts and pools that a reload has removed
 }
@@ -73,6 +74,7 @@
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.directory = pool.NewDirectory(s.ctx, c.Limits.NodeConnections)
 	s.state.Store(&state{fronts: map[string]*front{}, pools: map[string]*member{}, reloads: -1})
+	s.promises = &governing{pools: func() map[string]*member { return s.state.Load().pools }}
 	if err := s.Apply(c); err != nil {
 		s.end()
 		return nil, err
@@ -106,6 +108,7 @@
 		return err
 	}
 	s.directory.Limit(c.Limits.NodeConnections)
+	s.promises.follow(c.Promises)
 	for name, spec := range p.specs {
 		if old := now.pools[name]; old == nil {
 			if err = s.open(p, name, spec, c.Pools[name].Nodes); err != nil {
@@ -130,6 +133,9 @@
 	s.route(p.next)
 	s.serve(now, p)
 	s.state.Store(p.next)
+	for name, x := range p.next.pools { // once more: the ledger may have spoken since a pool was opened
+		s.promises.begin(name, x)
+	}
 	for name, old := range now.pools {
 		if p.next.pools[name] == nil {
 			s.retire(old)
@@ -219,7 +225,9 @@
 	if source.Discovery == "" {
 		x.Tell(p.lists[name])
 	}
-	p.next.pools[name] = &member{Pool: x, spec: spec, source: source, stop: s.follow(name, x, source)}
+	next := &member{Pool: x, spec: spec, source: source, stop: s.follow(name, x, source)}
+	p.next.pools[name] = next
+	s.promises.begin(name, next)
 	return nil
 }
 
@@ -350,6 +358,7 @@
 	if now.admin != nil {
 		now.admin.stop()
 	}
+	s.promises.close()
 	s.end()
 }
 
@@ -381,6 +390,7 @@
 	for _, name := range slices.Sorted(maps.Keys(now.pools)) {
 		v.Pools = append(v.Pools, now.pools[name].View())
 	}
+	v.Promises = s.promises.view()
 	return v
 }
 
