--- a/internal/replica/store.go
+++ b/internal/replica/store.go
@@ -69,31 +69,32 @@
 	if info, err := os.Stat(folder); err != nil || !info.IsDir() {
 		return nil, nil, fmt.Errorf("folder %s: there is none", folder)
 	}
-	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a page number that makes no sense may lead out of the file
-	defer func() {
-		if wrong := recover(); wrong != nil { // and bbolt panics where pages make no sense
-			s, c, err = nil, nil, fmt.Errorf("%w: %s: %v", ErrDamaged, path, wrong)
-		}
-	}()
 	lock, err := lockFolder(folder)
 	if err != nil {
 		return nil, nil, err
 	}
+	var db *bbolt.DB
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true)) // a page number that makes no sense may lead out of the file
 	defer func() {
-		if err != nil {
-			lock.Close()
+		if wrong := recover(); wrong != nil { // and bbolt panics where pages make no sense
+			s, c, err = nil, nil, fmt.Errorf("%w: %s: %v", ErrDamaged, path, wrong)
 		}
+		if err == nil {
+			return
+		}
+		if db != nil {
+			go db.Close() // it waits for what the panic has left open, perhaps for ever
+		}
+		lock.Close()
 	}()
 	if err := refreshFile(path); err != nil {
 		return nil, nil, err
 	}
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWithin})
-	if err != nil {
+	if db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWithin}); err != nil {
 		return nil, nil, fmt.Errorf("%s: %w", path, err)
 	}
 	s = &store{db: db, path: path, lock: lock}
 	if c, err = s.load(name, draw); err != nil {
-		db.Close()
 		return nil, nil, err
 	}
 	return s, c, nil
@@ -129,7 +130,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %s: %w", ErrDamaged, path, err)
 	}
-	defer old.Close()
+	defer func() { go old.Close() }() // it waits for what a panic has left open, perhaps for ever
 	fresh := path + ".new"
 	if err := os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
