--- /dev/null
+++ b/internal/replica/voter_test.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"clayladder/internal/ledger"
+	"clayladder/internal/promise"
+)
+
+// TestVoters runs three voters in one process, for the race detector: what several processes do is shown on the ground.
+func TestVoters(t *testing.T) {
+	addresses, listeners := map[string]string{}, map[string]net.Listener{}
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := fmt.Sprintf("k%d", i)
+		addresses[name], listeners[name] = l.Addr().String(), l
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	for name, l := range listeners {
+		v, err := New(Config{Name: name, Address: addresses[name], Voters: addresses, Folder: t.TempDir(), Gone: 2 * time.Second, Copies: 3}, l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all.Go(func() {
+			if err := v.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	c := ledger.NewCaller("test", addresses)
+	defer c.Close()
+	words := make(chan int, 1000)
+	copied := ledger.Follow("test", addresses, "", func(w []promise.Word) { words <- len(w) })
+	defer copied.Close()
+	within, end := context.WithTimeout(t.Context(), 30*time.Second)
+	defer end()
+	var askers sync.WaitGroup
+	for i := range 8 {
+		askers.Go(func() {
+			for k := range 20 {
+				a, err := c.Propose(within, &promise.SetWord{Subject: promise.Subject{Kind: promise.Out, Scope: promise.Upstream, Target: fmt.Sprintf("s-%d-%d", i, k)}, By: "test"})
+				if err != nil || a.Held != 3 || a.Of != 3 { // copies: 3
+					t.Errorf("held by %d of %d: %v", a.Held, a.Of, err)
+					return
+				}
+			}
+		})
+	}
+	askers.Wait()
+	s, _, err := c.Read(within)
+	if err != nil || len(s.Words()) != 160 {
+		t.Fatalf("%v", err)
+	}
+	for n := range words {
+		if n == 160 {
+			break
+		}
+	}
+	if _, err := c.Propose(within, &promise.SetBound{Name: "b", Limit: 2}); err != nil {
+		t.Fatal(err)
+	}
+	one, err := c.Take(within, "b", "x", 2, time.Second, nil)
+	if err != nil || !one.Valid(time.Now()) {
+		t.Fatal(err)
+	}
+	if _, err := c.Take(within, "b", "y", 1, time.Second, nil); err == nil {
+		t.Error("the bound is overdrawn")
+	}
+	if two, err := c.Take(within, "b", "x", 2, time.Second, one); err != nil || two.Fence != one.Fence {
+		t.Errorf("renewing: %+v %v", two, err)
+	}
+	if err := c.Gone(within, "nobody"); err == nil {
+		t.Error("a voter that there is not has gone")
+	}
+	for _, name := range c.Voters() {
+		if a, err := c.Ask(within, name, ledger.Request{Verb: ledger.Status}); err != nil || len(a.Body) == 0 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	cancel()
+	all.Wait()
+}
