--- a/internal/replica/asks.go
+++ b/internal/replica/asks.go
@@ -36,7 +36,7 @@
 	}
 	answer := a.answer
 	a.answer = func(x ledger.Answer) { // every answer says who gives it
-		x.Name, x.ID, x.Cluster, x.Level = c.Name, c.id(), c.store.identity.Cluster, promise.Newest
+		x.Name, x.ID, x.Cluster, x.Level = c.Name, c.id(), c.identity.Cluster, promise.Newest
 		x.Leader = c.leader()
 		answer(x)
 	}
@@ -189,7 +189,7 @@
 	match := map[uint64]uint64{}
 	if c.node != nil {
 		b := c.node.BasicStatus()
-		s.Cluster, s.Term, s.Committed = hex(c.store.identity.Cluster), b.GetTerm(), b.GetCommit()
+		s.Cluster, s.Term, s.Committed = hex(c.identity.Cluster), b.GetTerm(), b.GetCommit()
 		s.Role = map[raft.StateType]string{raft.StateFollower: "follower", raft.StateCandidate: "candidate", raft.StatePreCandidate: "candidate", raft.StateLeader: "leader"}[b.RaftState]
 		c.node.WithProgress(func(id uint64, _ raft.ProgressType, p progress) { match[id] = p.Match })
 	}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -21,14 +21,15 @@
 // core owns a voter's state. All of it belongs to the goroutine of run; the others hand it events.
 type core struct {
 	Config
-	ctx     context.Context
-	fail    context.CancelCauseFunc
-	store   *store
-	writer  *writer
-	began   time.Time
-	events  chan event
-	written chan written
-	caller  *ledger.Caller // to the other voters, for what is passed on
+	ctx      context.Context
+	fail     context.CancelCauseFunc
+	store    *store
+	identity identity // the folder's, as this goroutine knows it
+	writer   *writer
+	began    time.Time
+	events   chan event
+	written  chan written
+	caller   *ledger.Caller // to the other voters, for what is passed on
 
 	memory  *raft.MemoryStorage
 	node    *raft.RawNode // nil: it belongs to no cluster yet
@@ -104,7 +105,7 @@
 			others[name] = address
 		}
 	}
-	c := &core{Config: cfg, began: time.Now(), store: s, writer: newWriter(s), events: make(chan event, 4096), written: make(chan written), caller: ledger.NewCaller(cfg.Name, others),
+	c := &core{Config: cfg, began: time.Now(), store: s, identity: s.identity, writer: newWriter(s), events: make(chan event, 4096), written: make(chan written), caller: ledger.NewCaller(cfg.Name, others),
 		memory: raft.NewMemoryStorage(), state: promise.NewState(), pending: map[uint64]*proposal{}, reads: map[uint64]*reading{},
 		links: map[uint64]*link{}, outboxes: map[uint64]*outbox{}, followers: map[*follower]bool{}, heard: map[uint64]time.Time{}, known: map[uint64]time.Time{}, levels: map[uint64]uint32{},
 		number: rand.Uint64(), gone: map[string]bool{}, newcomers: map[uint64]*newcomer{}, reports: map[string]cluster.Report{}, waits: "it has just started"}
@@ -132,7 +133,7 @@
 
 // startNode begins to take part in the cluster of the folder.
 func (c *core) startNode() (err error) {
-	c.node, err = raft.NewRawNode(&raft.Config{ID: c.store.identity.ID, ElectionTick: electionTicks, HeartbeatTick: beatTicks, Storage: logStorage{c.memory, c},
+	c.node, err = raft.NewRawNode(&raft.Config{ID: c.identity.ID, ElectionTick: electionTicks, HeartbeatTick: beatTicks, Storage: logStorage{c.memory, c},
 		Applied: c.applied, AsyncStorageWrites: true, MaxSizePerMsg: maxMessage, MaxCommittedSizePerReady: maxMessage, MaxUncommittedEntriesSize: maxUnsettled,
 		MaxInflightMsgs: maxInflight, CheckQuorum: true, PreVote: true, DisableProposalForwarding: true, StepDownOnRemoval: true, Logger: quietLogger{slog.Default()}})
 	c.waits = ""
@@ -153,7 +154,7 @@
 	return nil
 }
 
-func (c *core) id() uint64 { return c.store.identity.ID }
+func (c *core) id() uint64 { return c.identity.ID }
 
 // run is the goroutine.
 func (c *core) run() {
--- a/internal/replica/links.go
+++ b/internal/replica/links.go
@@ -80,7 +80,7 @@
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.links[m.ID] = &link{m, cancel}
-	hello := ledger.Hello{Role: ledger.Hears, Cluster: c.store.identity.Cluster, From: c.id(), Name: c.Name, Level: promise.Newest}
+	hello := ledger.Hello{Role: ledger.Hears, Cluster: c.identity.Cluster, From: c.id(), Name: c.Name, Level: promise.Newest}
 	go c.hear(ctx, m, c.reachable(m), hello)
 }
 
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -51,7 +51,7 @@
 	}
 	// All that was promised before a follower sent its ping was promised before this reading began, and is sent to it before this word.
 	c.read(time.Second, func(c *core, err error) {
-		u := ledger.Update{Beat: true, Index: c.applied, Leader: c.leader(), Cluster: c.store.identity.Cluster, Voters: uint32(voters), Up: uint32(up)}
+		u := ledger.Update{Beat: true, Index: c.applied, Leader: c.leader(), Cluster: c.identity.Cluster, Voters: uint32(voters), Up: uint32(up)}
 		for f, ping := range pings {
 			if err == nil {
 				u.Ping = ping
@@ -255,7 +255,7 @@
 
 // begun starts to take part, now that the disk knows of the cluster.
 func (c *core) begun(b *beginning) {
-	c.beginning = false
+	c.beginning, c.identity.Cluster = false, b.cluster
 	if b.snapshot != nil {
 		if err := c.memory.ApplySnapshot(b.snapshot); err != nil {
 			c.broken(err)
@@ -284,7 +284,7 @@
 func (c *core) form(a ask) {
 	i := slices.IndexFunc(a.Members, func(m promise.Member) bool { return m.ID == c.id() && m.Name == c.Name })
 	switch {
-	case c.node != nil && c.store.identity.Cluster == a.Cluster:
+	case c.node != nil && c.identity.Cluster == a.Cluster:
 		a.answer(ledger.Answer{Outcome: ledger.Yes})
 	case c.node != nil || c.beginning:
 		a.answer(ledger.Answer{Outcome: ledger.No, Text: "it belongs to a cluster already"})
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -96,7 +96,7 @@
 
 // greet answers a connection's first words, and returns what serves it.
 func (c *core) greet(conn net.Conn, in *bufio.Reader, h ledger.Hello) func() {
-	w := ledger.Welcome{Cluster: c.store.identity.Cluster, ID: c.id(), Name: c.Name, Level: promise.Newest, Tick: c.ticksNow()}
+	w := ledger.Welcome{Cluster: c.identity.Cluster, ID: c.id(), Name: c.Name, Level: promise.Newest, Tick: c.ticksNow()}
 	var serve func()
 	switch h.Role {
 	case ledger.Asks:
@@ -292,7 +292,7 @@
 
 // whole is an update with all that is held.
 func (c *core) whole() []byte {
-	u := ledger.Update{State: c.state.Encode(), Index: c.applied, Leader: c.leader(), Cluster: c.store.identity.Cluster, Beat: true}
+	u := ledger.Update{State: c.state.Encode(), Index: c.applied, Leader: c.leader(), Cluster: c.identity.Cluster, Beat: true}
 	return u.Encode()
 }
 
@@ -301,7 +301,7 @@
 	if len(c.followers) == 0 {
 		return
 	}
-	u.Cluster = c.store.identity.Cluster
+	u.Cluster = c.identity.Cluster
 	b := u.Encode()
 	for f := range c.followers {
 		f.push(b)
--- a/rigs/promises/main.go
+++ b/rigs/promises/main.go
@@ -21,6 +21,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -114,7 +115,7 @@
 	if o.program, o.ledger, err = ground.Build(ctx, folder); err != nil {
 		return fmt.Errorf("building the programs: %w", err)
 	}
-	for _, part := range []func(context.Context, options) error{f.speed, f.idle, f.gaps, f.path, f.lostDisks, f.drawn, f.known} {
+	for _, part := range []func(context.Context, options) error{f.speed, f.idle, f.gaps, f.path, f.lost, f.known} {
 		if err := part(ctx, o); err != nil {
 			return err
 		}
@@ -227,35 +228,52 @@
 	x.Open += r.Figures["history_open"]
 }
 
-func (f *Figures) lostDisks(ctx context.Context, o options) error {
-	for i := range o.rounds {
-		o.seed = i + 1
-		r, err := play(ctx, o, "name: two-lost\nlength: 6s\n"+trivial+`voters: {count: 5, clients: 4, rate: 20, flood: 12}
-faults: [{at: 1500ms, for: 100ms, kind: lose, of: [leader, v-0]}]
-`, nil)
-		if err != nil {
-			return err
+// rounds plays n scripts, several at a time: of these no time is measured.
+func rounds(ctx context.Context, o options, n int, text string, change func(*script.File)) (all Rounds, broken []string, err error) {
+	results, errs := make([]*ground.Result, n), make([]error, n)
+	places := make(chan struct{}, max(1, min(4, runtime.GOMAXPROCS(0)-1)))
+	var players sync.WaitGroup
+	for i := range n {
+		players.Go(func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			one := o
+			one.seed = o.seed + i
+			if errs[i] = ctx.Err(); errs[i] == nil {
+				results[i], errs[i] = play(ctx, one, text, change)
+			}
+		})
+	}
+	players.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return all, nil, err
+	}
+	for i, r := range results {
+		if all.count(r); !r.Holds {
+			broken = append(broken, fmt.Sprintf("%s, seed %d: %v %v", r.Script, o.seed+i, r.Wrong, r.Crashes))
 		}
-		f.Rounds.count(r)
 	}
-	f.bound("promises lost with two of five disks", f.Rounds.Lost+f.Rounds.Wrong, 0)
-	return nil
+	return all, broken, nil
 }
 
-func (f *Figures) drawn(ctx context.Context, o options) error {
-	for i := range o.schedules {
-		o.seed = i + 1
-		r, err := play(ctx, o, "name: drawn\nlength: 6s\n"+trivial+"voters: {count: 5, clients: 8, rate: 25}\n", func(s *script.File) { s.Faults = draw.Faults(s, 6) })
-		if err != nil {
-			return err
-		}
-		f.Schedules.count(r)
-		if !r.Holds {
-			f.Broken = append(f.Broken, fmt.Sprintf("schedule %d: %v %v", o.seed, r.Wrong, r.Crashes))
-		}
-	}
-	f.bound("wrong in drawn schedules", f.Schedules.Lost+f.Schedules.Wrong, 0)
-	return nil
+// lost plays what no promise may be lost in: rounds in which two of five disks go, and schedules that chance draws.
+func (f *Figures) lost(ctx context.Context, o options) error {
+	var both sync.WaitGroup
+	var errs [2]error
+	var broken [2][]string
+	both.Go(func() {
+		f.Rounds, broken[0], errs[0] = rounds(ctx, o, o.rounds, "name: two-lost\nlength: 6s\n"+trivial+`voters: {count: 5, clients: 4, rate: 20, flood: 12}
+faults: [{at: 1500ms, for: 100ms, kind: lose, of: [leader, v-0]}]
+`, nil)
+	})
+	both.Go(func() {
+		f.Schedules, broken[1], errs[1] = rounds(ctx, o, o.schedules, "name: drawn\nlength: 6s\n"+trivial+"voters: {count: 5, clients: 8, rate: 25}\n",
+			func(s *script.File) { s.Faults = draw.Faults(s, 6) })
+	})
+	both.Wait()
+	f.Broken = append(f.Broken, append(broken[0], broken[1]...)...)
+	f.bound("promises lost", f.Rounds.Lost+f.Rounds.Wrong+f.Schedules.Lost+f.Schedules.Wrong, 0)
+	return errors.Join(errs[:]...)
 }
 
 // known has staff take nodes out while many balancers follow: rule 3 is broken by one that has not heard of it a second later.
