--- a/cmd/olivearch/promises.go
+++ b/cmd/olivearch/promises.go
@@ -27,19 +27,19 @@
 const promisesUsage = `olivearch promises asks the ledger of promises (docs/operate/promises.md).
 
 Usage:
-  olivearch promises [flags] list                          what staff have said, bounds, leases and slots
-  olivearch promises [flags] show TARGET                   what is said of one: an upstream's id, zone/NAME, pool/NAME
-  olivearch promises [flags] set out TARGET                take it out for all balancers
-  olivearch promises [flags] set cap ID N                  a balancer has at most N attempts out there
-  olivearch promises [flags] set share ID PARTS            thousandths of its usual share, 1 to 1000
-  olivearch promises [flags] clear out|cap|share TARGET    take that back
-  olivearch promises [flags] bound NAME LIMIT              a bound for leases (with --slots: for places in each second); 0 removes it
-  olivearch promises [flags] members                       the voters, as each of them sees it
-  olivearch promises [flags] members add NAME=ADDRESS      let a voter of that name join
-  olivearch promises [flags] members remove NAME           take a voter out, once the others can do without
-  olivearch promises [flags] replace NAME                  its machine has gone for good: an empty one need not wait
-  olivearch promises [flags] snapshot FILE                 write what staff have said, and the bounds, to a file
-  olivearch promises [flags] restore FILE                  say it all anew, to an empty ledger
+  olivearch promises list                          what staff have said, bounds, leases and slots
+  olivearch promises show TARGET                   what is said of one: an upstream's id, zone/NAME, pool/NAME
+  olivearch promises set out TARGET                take it out for all balancers
+  olivearch promises set cap ID N                  a balancer has at most N attempts out there
+  olivearch promises set share ID PARTS            thousandths of its usual share, 1 to 1000
+  olivearch promises clear out|cap|share TARGET    take that back
+  olivearch promises bound NAME LIMIT              a bound for leases (with --slots: for places in each second); 0 removes it
+  olivearch promises members                       the voters, as each of them sees it
+  olivearch promises members add NAME=ADDRESS      let a voter of that name join
+  olivearch promises members remove NAME           take a voter out, once the others can do without
+  olivearch promises replace NAME                  its machine has gone for good: an empty one need not wait
+  olivearch promises snapshot FILE                 write what staff have said, and the bounds, to a file
+  olivearch promises restore FILE                  say it all anew, to an empty ledger
 
 Flags:
 `
@@ -67,7 +67,7 @@
 	f.DurationVar(&c.hold, "for", 0, "`TIME` after which a word ends by itself; left out: when it is cleared")
 	f.BoolVar(&c.slots, "slots", false, "the bound is for places in each second")
 	f.BoolVar(&c.stale, "stale", false, "list and show: what any voter has, however old, where no quorum answers")
-	if err := f.Parse(args); errors.Is(err, flag.ErrHelp) {
+	if err := parseAnywhere(f, args, &c.args); errors.Is(err, flag.ErrHelp) {
 		fmt.Fprint(out, promisesUsage)
 		f.SetOutput(out)
 		f.PrintDefaults()
@@ -75,7 +75,7 @@
 	} else if err != nil {
 		return fmt.Errorf("%w: promises: %v", errUsage, err)
 	}
-	if c.args = f.Args(); len(c.args) == 0 {
+	if len(c.args) == 0 {
 		return fmt.Errorf("%w: promises wants a command: list, show, set, clear, bound, members, replace, snapshot or restore", errUsage)
 	}
 	voters, err := c.addresses()
@@ -105,6 +105,19 @@
 	return command.do(ctx, words)
 }
 
+// parseAnywhere takes flags before, between and behind the words.
+func parseAnywhere(f *flag.FlagSet, args []string, words *[]string) error {
+	for len(args) > 0 {
+		if err := f.Parse(args); err != nil {
+			return err
+		}
+		if args = f.Args(); len(args) > 0 {
+			*words, args = append(*words, args[0]), args[1:]
+		}
+	}
+	return nil
+}
+
 // addresses are the voters', from a flag or a file.
 func (c *ledgerCall) addresses() (map[string]string, error) {
 	if c.file != "" {
--- a/internal/ledger/caller.go
+++ b/internal/ledger/caller.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -149,7 +150,7 @@
 
 // anywhere asks one voter after the other until one can do it, or the context ends. What is not sure is not asked again.
 func (c *Caller) anywhere(ctx context.Context, r Request) (Answer, error) {
-	var last error
+	why := map[string]string{} // by voter, what it said last
 	for {
 		for _, voter := range c.order() {
 			r.Within = 0
@@ -158,9 +159,11 @@
 			case errors.Is(err, ErrUnsure):
 				return a, err
 			case err != nil:
-				last = err
+				if ctx.Err() == nil || why[voter] == "" { // that there was no time left says nothing of the voter
+					why[voter] = strings.TrimPrefix(err.Error(), ErrNobody.Error()+": ")
+				}
 			case a.Outcome == Nowhere:
-				last = fmt.Errorf("%w: %s: %s", ErrNobody, voter, a.Text)
+				why[voter] = voter + ": " + a.Text
 			case a.Outcome == Unsure:
 				return a, fmt.Errorf("%w: %s: %s", ErrUnsure, voter, a.Text)
 			case a.Outcome == No:
@@ -171,17 +174,26 @@
 				return a, fmt.Errorf("%w: voter %s gives an answer of a kind that this version does not know", ErrUnsure, voter)
 			}
 			if ctx.Err() != nil {
-				return Answer{}, last
+				return Answer{}, nobody(why)
 			}
 		}
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
-			return Answer{}, last
+			return Answer{}, nobody(why)
 		}
 	}
 }
 
+// nobody joins what the voters said.
+func nobody(why map[string]string) error {
+	var all []string
+	for _, voter := range slices.Sorted(maps.Keys(why)) {
+		all = append(all, why[voter])
+	}
+	return fmt.Errorf("%w: %s", ErrNobody, strings.Join(all, "; "))
+}
+
 // Propose asks for a promise. A nil error says that it is held by Held of Of voters, on their disks. An error wraps ErrRefused,
 // ErrNobody or ErrUnsure; what is not sure is not proposed again, as it could then hold twice or undo what came between.
 func (c *Caller) Propose(ctx context.Context, command promise.Command) (Answer, error) {
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -191,12 +191,7 @@
 
 func writeMembers(w writer, n protomsg.Number, all []promise.Member) {
 	for _, m := range all {
-		w.Message(n, func(w writer) {
-			w.Uint(1, m.ID)
-			w.String(2, m.Name)
-			w.String(3, m.Address)
-			w.Bool(4, m.Learner)
-		})
+		w.Message(n, m.Write)
 	}
 }
 
@@ -205,19 +200,7 @@
 		return fmt.Errorf("%w: more than %d members", protomsg.ErrMalformed, maxMembers)
 	}
 	var m promise.Member
-	err := protomsg.Each(f.Raw, func(f field) error {
-		switch f.Number {
-		case 1:
-			m.ID = f.Uint
-		case 2:
-			return f.Text(&m.Name, promise.MaxName)
-		case 3:
-			return f.Text(&m.Address, promise.MaxName)
-		case 4:
-			m.Learner = f.Bool()
-		}
-		return nil
-	})
+	err := protomsg.Each(f.Raw, m.Read)
 	*into = append(*into, m)
 	return err
 }
@@ -290,12 +273,7 @@
 	w.Uint(7, a.Result.Clock)
 	w.Uint(8, a.Result.Fence)
 	w.Int(9, a.Result.Free)
-	for _, x := range a.Result.Booked {
-		w.Message(10, func(w writer) {
-			w.Uint(1, x.Second)
-			w.Int(2, x.Places)
-		})
-	}
+	promise.WriteBooked(&w, 10, a.Result.Booked)
 	w.Uint(11, uint64(a.Held))
 	w.Uint(12, uint64(a.Of))
 	w.String(13, a.Leader)
@@ -334,16 +312,7 @@
 		case 9:
 			a.Result.Free = f.Int()
 		case 10:
-			var x promise.Booked
-			err := protomsg.Each(f.Raw, func(f field) error {
-				switch f.Number {
-				case 1:
-					x.Second = f.Uint
-				case 2:
-					x.Places = f.Int()
-				}
-				return nil
-			})
+			x, err := promise.ReadBooked(f.Raw)
 			a.Result.Booked = append(a.Result.Booked, x)
 			return err
 		case 11:
--- a/internal/promise/codec.go
+++ b/internal/promise/codec.go
@@ -330,14 +330,16 @@
 func (*Pass) encode(writer)      {}
 func (*Pass) decode(field) error { return nil }
 
-func (m *Member) write(w writer) {
+// Write adds its fields to a message.
+func (m *Member) Write(w *protomsg.Writer) {
 	w.Uint(1, m.ID)
 	w.String(2, m.Name)
 	w.String(3, m.Address)
 	w.Bool(4, m.Learner)
 }
 
-func (m *Member) read(f field) error {
+// Read takes a field of a message.
+func (m *Member) Read(f protomsg.Field) error {
 	switch f.Number {
 	case 1:
 		m.ID = f.Uint
@@ -351,8 +353,8 @@
 	return nil
 }
 
-func (c *Enrol) encode(w writer)      { c.Member.write(w) }
-func (c *Enrol) decode(f field) error { return c.Member.read(f) }
+func (c *Enrol) encode(w writer)      { c.Member.Write(w) }
+func (c *Enrol) decode(f field) error { return c.Member.Read(f) }
 
 func (c *Strike) encode(w writer) { w.Uint(1, c.ID) }
 
@@ -394,7 +396,7 @@
 					w.Uint(4, l.Fence)
 				})
 			}
-			writeBooked(w, 5, b.Booked())
+			WriteBooked(w, 5, b.Booked())
 		})
 	}
 	for _, key := range slices.Sorted(maps.Keys(s.bookings)) {
@@ -404,19 +406,20 @@
 			w.String(2, x.holder)
 			w.Uint(3, x.sequence)
 			w.Uint(4, x.until)
-			writeBooked(w, 5, x.answer)
+			WriteBooked(w, 5, x.answer)
 		})
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.admitted)) {
 		w.Message(8, func(w writer) { (&Admit{name, s.admitted[name]}).encode(w) })
 	}
 	for _, m := range s.Members() {
-		w.Message(9, func(w writer) { m.write(w) })
+		w.Message(9, func(w writer) { m.Write(w) })
 	}
 	return w.Bytes()
 }
 
-func writeBooked(w writer, n protomsg.Number, all []Booked) {
+// WriteBooked adds places to a message, under a field's number.
+func WriteBooked(w *protomsg.Writer, n protomsg.Number, all []Booked) {
 	for _, x := range all {
 		w.Message(n, func(w writer) {
 			w.Uint(1, x.Second)
@@ -425,7 +428,8 @@
 	}
 }
 
-func readBooked(b []byte) (x Booked, err error) {
+// ReadBooked reads places from a field's bytes.
+func ReadBooked(b []byte) (x Booked, err error) {
 	err = protomsg.Each(b, func(f field) error {
 		switch f.Number {
 		case 1:
@@ -466,7 +470,7 @@
 			s.admitted[c.Name] = c.Address
 		case 9:
 			var m Member
-			if err := protomsg.Each(f.Raw, m.read); err != nil {
+			if err := protomsg.Each(f.Raw, m.Read); err != nil {
 				return err
 			}
 			s.members[m.ID] = m
@@ -541,7 +545,7 @@
 			s.used += l.cost()
 			return err
 		case 5:
-			x, err := readBooked(f.Raw)
+			x, err := ReadBooked(f.Raw)
 			if b.booked[x.Second] == 0 {
 				s.used += costBooked
 			}
@@ -574,7 +578,7 @@
 		case 4:
 			x.until = f.Uint
 		case 5:
-			one, err := readBooked(f.Raw)
+			one, err := ReadBooked(f.Raw)
 			x.answer = append(x.answer, one)
 			return err
 		}
