--- a/internal/ledger/copy.go
+++ b/internal/ledger/copy.go
@@ -157,7 +157,8 @@
 		if err != nil {
 			return err
 		}
-		changed, err := c.take(u, first)
+		before, spoken := c.state, c.state.Spoken()
+		err = c.take(u, first)
 		if err != nil {
 			return err
 		}
@@ -165,11 +166,12 @@
 		if held := pings.sent(u.Ping); held.After(c.held) {
 			c.held = held
 		}
-		c.show(voter, &u, changed, nil)
-		if changed {
+		said := c.state != before || c.state.Spoken() != spoken
+		c.show(voter, &u, said, nil)
+		if said {
 			c.changed(c.view.Load().Words)
 		}
-		c.keep(false)
+		c.keep(said) // what staff have said at once, the rest at times
 	}
 }
 
@@ -229,24 +231,24 @@
 	return DecodeUpdate(b)
 }
 
-// take applies an update, and tells whether words may have changed.
-func (c *Copy) take(u Update, first bool) (changed bool, err error) {
+// take applies an update.
+func (c *Copy) take(u Update, first bool) error {
 	if c.cluster != 0 && u.Cluster != c.cluster {
-		return false, fmt.Errorf("cluster %x answers, and %x is followed: what was promised there still holds here", u.Cluster, c.cluster)
+		return fmt.Errorf("cluster %x answers, and %x is followed: what was promised there still holds here", u.Cluster, c.cluster)
 	}
 	if u.State != nil {
 		s, err := promise.DecodeState(u.State)
 		if err != nil {
-			return false, err
+			return err
 		}
 		if u.Index < c.index {
-			return false, fmt.Errorf("it has come to %d, and %d is known here", u.Index, c.index)
+			return fmt.Errorf("it has come to %d, and %d is known here", u.Index, c.index)
 		}
 		c.state, c.cluster, c.index = s, u.Cluster, u.Index
-		return true, nil
+		return nil
 	}
 	if first {
-		return false, fmt.Errorf("%w: no state came first", protomsg.ErrMalformed)
+		return fmt.Errorf("%w: no state came first", protomsg.ErrMalformed)
 	}
 	for _, b := range u.Commands {
 		if u.Index <= c.index {
@@ -256,21 +258,20 @@
 		if errors.Is(err, promise.ErrUnknownKind) { // of a newer version: it says nothing about the words that are known here
 			continue
 		} else if err != nil {
-			return false, err
+			return err
 		}
 		c.state.Apply(u.Index, e.Clock, e.Command) // a higher level only brings kinds that are passed over
-		changed = true
 	}
 	c.index = max(c.index, u.Index)
-	return changed, nil
+	return nil
 }
 
 // show makes what there is now the view.
-func (c *Copy) show(voter string, u *Update, changed bool, err error) {
+func (c *Copy) show(voter string, u *Update, said bool, err error) {
 	before := c.view.Load()
 	v := &View{Known: c.cluster != 0, Words: before.Words, Cluster: c.cluster, Index: c.index, Voter: voter, Leader: before.Leader, Voters: before.Voters, Up: before.Up,
 		held: c.held}
-	if changed {
+	if said {
 		v.Words = c.state.Words()
 	}
 	if err != nil {
@@ -321,9 +322,9 @@
 	return nil
 }
 
-// keep writes the file if something is new, at times or for the last time.
-func (c *Copy) keep(last bool) {
-	if c.path == "" || c.index == c.kept || (!last && time.Since(c.keptAt) < keepEvery) {
+// keep writes the file if something is new, at times or now.
+func (c *Copy) keep(now bool) {
+	if c.path == "" || c.index == c.kept || (!now && time.Since(c.keptAt) < keepEvery) {
 		return
 	}
 	c.keptAt = time.Now()
--- a/internal/promise/state.go
+++ b/internal/promise/state.go
@@ -21,6 +21,7 @@
 	members  map[uint64]Member
 	used     int64  // bytes, estimated
 	due      uint64 // nothing ends before it
+	spoken   uint64 // how often words have changed since this copy was made
 }
 
 // booking is a holder's last, kept so that it can be asked again.
@@ -51,6 +52,9 @@
 // Used is how much is held, in bytes by a fixed estimate, of MaxBytes.
 func (s *State) Used() int64 { return s.used }
 
+// Spoken grows whenever words change. It is of this copy of the state alone.
+func (s *State) Spoken() uint64 { return s.spoken }
+
 // Words are all that hold, by subject.
 func (s *State) Words() []Word {
 	return slices.SortedFunc(maps.Values(s.words), func(a, b Word) int {
@@ -212,6 +216,7 @@
 func (s *State) dropWord(of Subject) {
 	if w, ok := s.words[of]; ok {
 		s.used -= w.cost()
+		s.spoken++
 		delete(s.words, of)
 	}
 }
@@ -243,6 +248,7 @@
 	}
 	s.words[c.Subject] = w
 	s.used += more
+	s.spoken++
 	if w.Until > 0 {
 		s.due = min(s.due, w.Until)
 	}
