--- a/internal/ground/result.go
+++ b/internal/ground/result.go
@@ -287,7 +287,11 @@
 // judgeBounds compares the figures with what must hold. No breach and no crash is meant in any case.
 func (r *Result) judgeBounds(bounds []script.Bound) {
 	none := 0.0
-	all := append([]script.Bound{{Figure: "breaches", Most: &none}, {Figure: "crashes", Most: &none}, {Figure: "history_wrong", Most: &none}}, bounds...)
+	all := []script.Bound{{Figure: "breaches", Most: &none}, {Figure: "crashes", Most: &none}}
+	if _, told := r.Figures["history_wrong"]; told {
+		all = append(all, script.Bound{Figure: "history_wrong", Most: &none})
+	}
+	all = append(all, bounds...)
 	r.Holds = true
 	for _, b := range all {
 		x := r.Figures[b.Figure]
