--- a/internal/ground/promises_test.go
+++ b/internal/ground/promises_test.go
@@ -269,7 +269,17 @@
 	if err := p.propose(c, &promise.SetWord{Subject: word, By: "test"}); err != nil {
 		t.Fatal(err)
 	}
-	p.read(c)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) { // a yes may be of the two that are lost
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		s, _, err := c.ReadLocal(ctx, "k0")
+		cancel()
+		if err == nil && len(s.Words()) == 1 {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("k0 does not have it: %v", err)
+		}
+	}
 	for _, name := range []string{"k1", "k2"} {
 		running[name].kill()
 		if err := os.RemoveAll(filepath.Join(p.folder, name)); err != nil {
