Balancers: a word that was taken back before its copy came does not stay on here

Found in reading: maint-on at one balancer and a clear elsewhere before the first's copy had come so far left the upstream out there for good, since the balancer's own word was only let go where the ledger still said out. Once the ledger has had the word, what it says counts alone; where it has been taken back the upstream is called back. And a follower whose greeting could not be written stayed in the voter's list, and was told everything until the voter ended; it is taken out whichever way its connection ends.

The unit test of words over a list fails without the first mend (this balancer's own word outlives the ledger's).

--- a/internal/maintenance/shared.go
+++ b/internal/maintenance/shared.go
@@ -64,10 +64,15 @@
 // The keys of what has come back, by what was out.
 const upstreamKey, zoneKey, allKey = "upstream ", "zone ", "all"
 
-// Released forgets that an upstream is out by this balancer's own word alone, now that the ledger says so to all.
-func (l *Ledger) Released(id string) {
-	if l.shared.Out[id] && l.entries[id].Out {
+// Released ends this balancer's own word that an upstream is out, now that the ledger has had it: what the ledger says of it counts alone.
+// Where that has been taken back since, the upstream is called back now.
+func (l *Ledger) Released(id string, now time.Duration) {
+	switch {
+	case !l.entries[id].Out:
+	case l.shared.Out[id]:
 		delete(l.entries, id)
+	default:
+		l.Back(id, now)
 	}
 }
 
--- a/internal/maintenance/shared_test.go
+++ b/internal/maintenance/shared_test.go
@@ -22,7 +22,7 @@
 	if !l.Held("a", "y") || !l.Held("b", "z") || l.Held("b", "y") || l.Cap("b") != 4 || l.Part("b") != 0.25 {
 		t.Errorf("%+v", l)
 	}
-	l.Released("a") // by its own word alone no longer
+	l.Released("a", 3) // by its own word alone no longer
 	if l.IsOut("a") || !l.Held("a", "y") {
 		t.Error("it is out by the ledger's word")
 	}
@@ -35,8 +35,8 @@
 		t.Errorf("%+v", l)
 	}
 	l.Out("d", 1)
-	l.Released("d") // the ledger does not say so: it stays
-	if !l.Held("d", "") {
-		t.Error("this balancer's own word is forgotten")
+	l.Released("d", 2*time.Hour) // the ledger had it, and somebody has taken it back before this balancer heard of it
+	if l.Held("d", "") || l.Returned("d", "") != 2*time.Hour {
+		t.Error("this balancer's own word outlives the ledger's")
 	}
 }
--- a/internal/pool/staff.go
+++ b/internal/pool/staff.go
@@ -129,7 +129,7 @@
 // Govern takes what the ledger of promises says of the upstreams, in the place of what it said before.
 func (p *Pool) Govern(s maintenance.Shared) { p.loop.hand(governed(s)) }
 
-// Released lets go of this pool's own word that an upstream is out, where the ledger of promises says so too.
+// Released ends this pool's own word that an upstream is out, now that the ledger of promises has had it.
 func (p *Pool) Released(id string) { p.loop.hand(released(id)) }
 
 // Knows tells whether an upstream is listed, or out by hand.
@@ -166,10 +166,13 @@
 	}
 }
 
-// released is an upstream that the ledger has out.
+// released is an upstream that the ledger has had out.
 type released string
 
-func (e released) apply(l *loop) { l.maint.Released(string(e)) }
+func (e released) apply(l *loop) {
+	l.maint.Released(string(e), l.now())
+	l.overlay(l.named(string(e)))
+}
 
 // named is the upstream that is listed under a name; nil if none is.
 func (l *loop) named(name string) *peer {
--- a/internal/replica/serve.go
+++ b/internal/replica/serve.go
@@ -98,6 +98,7 @@
 func (c *core) greet(conn net.Conn, in *bufio.Reader, h ledger.Hello) func() {
 	w := ledger.Welcome{Cluster: c.identity.Cluster, ID: c.id(), Name: c.Name, Level: promise.Newest, Tick: c.ticksNow()}
 	var serve func()
+	left := func() {} // once the connection is of no more use, greeted or not
 	switch h.Role {
 	case ledger.Asks:
 		serve = func() { c.answerOn(conn, in) }
@@ -116,8 +117,8 @@
 			serve = func() {
 				go c.pings(in, f)
 				f.write(conn)
-				c.hand(eventFunc(func(c *core) { delete(c.followers, f) }))
 			}
+			left = func() { c.hand(eventFunc(func(c *core) { delete(c.followers, f) })) }
 		}
 	case ledger.Hears:
 		m, member := c.state.Member(h.From)
@@ -140,6 +141,7 @@
 		w.Refused = fmt.Sprintf("there is no role %d", h.Role)
 	}
 	return func() {
+		defer left()
 		conn.SetDeadline(time.Now().Add(helloWithin))
 		if ledger.WriteFrame(conn, w.Encode()) != nil || serve == nil {
 			return
