Tests: a request that comes late is refused by a voter

The refusal of requests that had waited in a stopped process was shown by drawn schedules alone. A test writes one as if long ago; with the check taken out it fails (the outcome is a yes).

--- a/internal/replica/voter_test.go
+++ b/internal/replica/voter_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -86,6 +87,40 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
+	if o := late(t, addresses["k0"]); o != ledger.Nowhere {
+		t.Errorf("a request that has been on its way for longer than its asker waited: %v", o)
+	}
 	cancel()
 	all.Wait()
 }
+
+// late asks for a promise as one whose request was written long ago, and came only now.
+func late(t *testing.T, address string) ledger.Outcome {
+	t.Helper()
+	var c net.Conn
+	var in *bufio.Reader
+	for { // the voter's clock has to have come beyond what an asker waits
+		conn, r, w, err := ledger.Dial(t.Context(), address, ledger.Hello{Role: ledger.Asks, Name: "late"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c, in = conn, r; w.Tick > uint64(2*ledger.Stale/time.Millisecond) {
+			break
+		}
+		c.Close()
+	}
+	defer c.Close()
+	r := ledger.Request{Number: 9, Verb: ledger.Propose, Within: time.Millisecond, Tick: 1, Command: promise.Encode(&promise.SetBound{Name: "late", Limit: 1})}
+	if err := ledger.WriteFrame(c, r.Encode()); err != nil {
+		t.Fatal(err)
+	}
+	for {
+		b, err := ledger.ReadFrame(in, ledger.MaxFrame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a, err := ledger.DecodeAnswer(b); err != nil || a.Number == r.Number {
+			return a.Outcome
+		}
+	}
+}
