Ledger: a joiner that dies before it knows the members finds them when it starts anew

One that died between the two started with a cluster and nobody to connect to (members.go, decide; links.go, relink), and its name could not vote again until somebody removed its folder. It now asks the configured voters as long as it knows no members, and is let in anew if it was given up meanwhile. TestJoinerThatDies starts from such a folder.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -344,6 +344,7 @@
 
 // rebase tells all that depend on the state that it is another.
 func (c *core) rebase() {
+	c.waits = ""
 	c.relink()
 	for f := range c.followers {
 		f.push(c.whole())
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -67,6 +67,10 @@
 		c.seek()
 		return
 	}
+	if len(c.state.Members()) == 0 { // it joins, and may have been started anew before it was told of the members
+		c.askToJoin()
+		return
+	}
 	if !c.leading || !c.ready {
 		return
 	}
@@ -144,20 +148,14 @@
 		return
 	}
 	for name := range c.Voters {
-		if name == c.Name {
+		switch {
+		case name == c.Name:
 			c.reports[name] = cluster.Report{Name: name, ID: c.id(), Level: promise.Newest}
-			continue
+		case c.reports[name].Cluster != 0: // there is one: it wants to join
+			c.inquire(name, c.wish())
+		default:
+			c.inquire(name, ledger.Request{Verb: ledger.Who})
 		}
-		r := ledger.Request{Verb: ledger.Who}
-		if c.reports[name].Cluster != 0 { // there is one: it wants to join
-			r = ledger.Request{Verb: ledger.Join, Level: promise.Newest, Members: []promise.Member{{ID: c.id(), Name: c.Name, Address: c.Address}}}
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(c.ctx, usualWithin/2)
-			defer cancel()
-			a, err := c.caller.Ask(ctx, name, r)
-			c.hand(eventFunc(func(c *core) { c.reported(name, a, err) }))
-		}()
 	}
 	members, why := cluster.Found(c.Name, c.Voters, c.reports)
 	if members == nil {
@@ -183,6 +181,39 @@
 	c.begin(id, members)
 }
 
+// wish is the request to join.
+func (c *core) wish() ledger.Request {
+	return ledger.Request{Verb: ledger.Join, Level: promise.Newest, Members: []promise.Member{{ID: c.id(), Name: c.Name, Address: c.Address}}}
+}
+
+// inquire asks a voter who it is, or to be let in.
+func (c *core) inquire(name string, r ledger.Request) {
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, usualWithin/2)
+		defer cancel()
+		a, err := c.caller.Ask(ctx, name, r)
+		c.hand(eventFunc(func(c *core) { c.reported(name, a, err) }))
+	}()
+}
+
+// askToJoin asks the configured voters who the members are, until a snapshot has told.
+func (c *core) askToJoin() {
+	for name := range c.Voters {
+		if name != c.Name {
+			c.inquire(name, c.wish())
+		}
+	}
+}
+
+// hearAll begins to hear members that another voter has told of, until a snapshot says who they are.
+func (c *core) hearAll(members []promise.Member) {
+	for _, m := range members {
+		if m.ID != c.id() {
+			c.connect(m)
+		}
+	}
+}
+
 // joining tells whether some voter belongs to a cluster already.
 func (c *core) joining() bool {
 	for _, r := range c.reports {
@@ -195,6 +226,10 @@
 
 // reported takes what a voter has said of itself, or of the wish to join.
 func (c *core) reported(name string, a ledger.Answer, err error) {
+	if c.node != nil && err == nil && a.Cluster == c.identity.Cluster && len(c.state.Members()) == 0 {
+		c.waits = a.Text
+		c.hearAll(a.Members)
+	}
 	if c.node != nil || c.beginning {
 		return
 	}
@@ -216,13 +251,7 @@
 // adopt makes the folder one of a cluster that is there already; what it holds comes from the others.
 func (c *core) adopt(id uint64, members []promise.Member) {
 	c.beginning = true
-	c.writer.put(job{begin: &beginning{cluster: id, done: func() {
-		for _, m := range members { // until a snapshot says who they are
-			if m.ID != c.id() {
-				c.connect(m)
-			}
-		}
-	}}})
+	c.writer.put(job{begin: &beginning{cluster: id, done: func() { c.hearAll(members) }}})
 }
 
 // begin makes the folder one of a new cluster.
--- a/internal/replica/voter_test.go
+++ b/internal/replica/voter_test.go
@@ -94,6 +94,71 @@
 	all.Wait()
 }
 
+// TestJoinerThatDies: one that had been let in died before it was told who the members are. Started anew, it finds them.
+func TestJoinerThatDies(t *testing.T) {
+	addresses, listeners := map[string]string{}, map[string]net.Listener{}
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := fmt.Sprintf("k%d", i)
+		addresses[name], listeners[name] = l.Addr().String(), l
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	run := func(ctx context.Context, name, folder string, l net.Listener) (ended chan struct{}) {
+		v, err := New(Config{Name: name, Address: addresses[name], Voters: addresses, Folder: folder, Gone: 2 * time.Second}, l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended = make(chan struct{})
+		all.Go(func() {
+			defer close(ended)
+			if err := v.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+		return ended
+	}
+	dies, kill := context.WithCancel(ctx)
+	run(ctx, "k0", t.TempDir(), listeners["k0"])
+	run(ctx, "k1", t.TempDir(), listeners["k1"])
+	ended := run(dies, "k2", t.TempDir(), listeners["k2"])
+	c := ledger.NewCaller("test", addresses)
+	defer c.Close()
+	within, end := context.WithTimeout(t.Context(), 40*time.Second)
+	defer end()
+	_, a, err := c.Read(within)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kill()
+	<-ended
+	folder := t.TempDir()
+	s, _, err := openStore(folder, "k2", func() uint64 { return 77 })
+	if err != nil || s.begin(a.Cluster, nil, nil) != nil || s.close() != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", addresses["k2"])
+	if err != nil {
+		t.Fatal(err)
+	}
+	run(ctx, "k2", folder, l)
+	for {
+		state, _, err := c.Read(within)
+		if err != nil {
+			t.Fatalf("it does not come to vote: %v", err)
+		}
+		if m, ok := state.Member(77); ok && !m.Learner {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	cancel()
+	all.Wait()
+}
+
 // late asks for a promise as one whose request was written long ago, and came only now.
 func late(t *testing.T, address string) ledger.Outcome {
 	t.Helper()
