Tests: nodes and discovery of two tests are one; a twin is of the voter that words choose

Two tests of the program had the same stand-in nodes and discovery service written out, and the ground found a twin's voter by reading its number out of a name.

--- a/cmd/olivearch/promises_test.go
+++ b/cmd/olivearch/promises_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,26 +21,10 @@
 // answer says when it could not be copied; requests are served throughout.
 func TestStaffsWordIsShared(t *testing.T) {
 	var hits [2]atomic.Int64
-	var members []string
-	for i := range hits {
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			hits[i].Add(1)
-			io.WriteString(w, "done")
-		}))
-		defer s.Close()
-		members = append(members, fmt.Sprintf(`{"id":"s-%08x","host_port":"%s","phase":"up","size":1}`, i+1, s.Listener.Addr()))
-	}
-	list := fmt.Sprintf(`{"revision":7,"complete":true,"members":[%s]}`, strings.Join(members, ","))
-	discovery := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Query().Get("since") == "7" { // nothing newer
-			select {
-			case <-r.Context().Done():
-			case <-time.After(time.Second):
-			}
-		}
-		io.WriteString(w, list)
-	}))
-	defer discovery.Close()
+	discovery := discover(t, len(hits), func(node int, w http.ResponseWriter, r *http.Request) {
+		hits[node].Add(1)
+		io.WriteString(w, "done")
+	})
 	folder := t.TempDir()
 	voter := filepath.Join(folder, "oliveledger")
 	if out, err := exec.Command("go", "build", "-o", voter, "clayladder/cmd/oliveledger").CombinedOutput(); err != nil {
--- a/cmd/olivearch/upgrade_test.go
+++ b/cmd/olivearch/upgrade_test.go
@@ -62,18 +62,13 @@
 	}
 }
 
-// TestUpgrade starts the program, and twice another beside it that takes its place, while clients ask on connections that
-// they keep and on new ones. No request is lost or refused, kept connections stay open, and what staff have said holds.
-func TestUpgrade(t *testing.T) {
-	var hits [2]atomic.Int64
+// discover starts so many nodes and a discovery service that lists them, all until the test ends.
+func discover(t *testing.T, nodes int, answer func(node int, w http.ResponseWriter, r *http.Request)) *httptest.Server {
+	t.Helper()
 	var members []string
-	for i := range hits {
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			hits[i].Add(1)
-			time.Sleep(2 * time.Millisecond)
-			io.WriteString(w, r.Header.Get("X-Request-Id"))
-		}))
-		defer s.Close()
+	for i := range nodes {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { answer(i, w, r) }))
+		t.Cleanup(s.Close)
 		members = append(members, fmt.Sprintf(`{"id":"s-%08x","host_port":"%s","phase":"up","size":1}`, i+1, s.Listener.Addr()))
 	}
 	list := fmt.Sprintf(`{"revision":7,"complete":true,"members":[%s]}`, strings.Join(members, ","))
@@ -86,7 +81,19 @@
 		}
 		io.WriteString(w, list)
 	}))
-	defer discovery.Close()
+	t.Cleanup(discovery.Close)
+	return discovery
+}
+
+// TestUpgrade starts the program, and twice another beside it that takes its place, while clients ask on connections that
+// they keep and on new ones. No request is lost or refused, kept connections stay open, and what staff have said holds.
+func TestUpgrade(t *testing.T) {
+	var hits [2]atomic.Int64
+	discovery := discover(t, len(hits), func(node int, w http.ResponseWriter, r *http.Request) {
+		hits[node].Add(1)
+		time.Sleep(2 * time.Millisecond)
+		io.WriteString(w, r.Header.Get("X-Request-Id"))
+	})
 	listen, folder := free(t), t.TempDir()
 	// Longer than the address of a Unix socket may be.
 	temporary := filepath.Join(folder, strings.Repeat("long", 30))
--- a/internal/ground/voter.go
+++ b/internal/ground/voter.go
@@ -271,9 +271,9 @@
 // twin starts a second process of a voter's name, with a copy of its disk, on another machine.
 func (x *fault) twin() error {
 	var lifts []func()
-	for i, h := range x.hosts() {
-		v := x.voters[x.voterIndex(script.Process{Kind: script.Voter, Index: voterOf(h)})]
-		t, err := x.newHost(fmt.Sprintf("%s-twin-%d-%d", h.name, x.index, i), firstVoter+500+x.index*10+i)
+	for i, p := range x.led(x.f.Choose(x.Of, x.index)) {
+		v := x.voters[p.Index]
+		t, err := x.newHost(fmt.Sprintf("%s-twin-%d-%d", v.name, x.index, i), firstVoter+500+x.index*10+i)
 		if err != nil {
 			return err
 		}
@@ -303,9 +303,3 @@
 	x.lift = ends(lifts)
 	return nil
 }
-
-func voterOf(h *host) int {
-	var i int
-	fmt.Sscanf(h.name, "v-%d", &i)
-	return i
-}
