Discovery: a watch that has fallen silent is given up in time, agents are asked on

Followed by the log of each call to discovery: a watch opened at 0.39 s fell silent and was given up at 13.39 s (10 s of waiting and 3 s of patience, internal/discovery), while the change at 1.40 s counted as told at 12.4 s. At the start each balancer asked for the whole list, since the list it was started with has revision 0 (internal/pool/loop.go took that for none), and the watches behind those calls were refused with 503. Ruled out: the loop (lists go before all else), sends (each is in the log with the list that it went by).

A watch waits 2 s and is given up 1.2 s later; pauses after failed calls end at 2.25 s; the list of the start is held whatever its revision; an agent to which lists are pushed is asked again by the client itself, every 100 ms.

--- a/balancer.go
+++ b/balancer.go
@@ -55,6 +55,7 @@
 	ticksPerAim           = 16          // housekeeping runs this often in the shortest aim
 	waitGrowth            = 2           // trials, failed connects and discovery calls are spaced by this growth
 	logEvery              = 5 * time.Second
+	watchWaitMost         = 1500 * time.Millisecond // after failed calls: changes count as told after 6 s
 	tickToken, watchToken = 1, 2
 )
 
@@ -675,7 +676,7 @@
 // Members takes what discovery says of the upstreams.
 func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
 	if mode == ListFailed { // ask again, later each time and never all instances at once
-		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/2)
+		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/2, watchWaitMost)
 		wait := b.watchWait/2 + time.Duration(b.rng.Int64N(int64(b.watchWait)+1))
 		b.host.SetTimer(wait, watchToken)
 		b.log(now, "discovery", "discovery call failed: asking again in %v", wait)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,5 +1,6 @@
-// Package discovery follows the list of upstreams that a discovery service tells, by calls that may wait for news. It never asks
-// again by itself after a failure: when to ask is the decision module's to say.
+// Package discovery follows the list of upstreams that a discovery service tells, by calls that may wait for news. Where the
+// service is asked it never asks again by itself after a failure: when to ask is the decision module's to say. An agent on the
+// balancer's own machine, to which lists are pushed, costs nobody anything and is asked until it answers.
 package discovery
 
 import (
@@ -18,9 +19,21 @@
 	"clayladder"
 )
 
+// A change counts as told ToldWithin after discovery had it and could be reached, whether or not it arrived (PROTOCOL, Figures).
+// The worst case is a watch that falls silent as soon as it is open, right before the change: it is found out after WatchWait and
+// AnswerWithin, the module lets a first pause pass, and the next call is answered within what discovery lets a call wait. The sum
+// is in docs/design/membership.md and held to by TestToldInTime.
 const (
-	watchWait    = 10 * time.Second // how long one watch call may wait for news
-	callPatience = 3 * time.Second  // and how much later its answer may come
+	ToldWithin = 6 * time.Second
+	// WatchWait is how long one watch call may wait for news, and AnswerWithin how much later its answer may come. A watch
+	// that has fallen silent is noticed by nothing else: TCP keep-alive is answered by a machine that says nothing more.
+	WatchWait    = 2 * time.Second
+	AnswerWithin = 1200 * time.Millisecond
+	// ListWithin is how long a call for the whole list may take. It is refused or given up by discovery before that.
+	ListWithin = 2500 * time.Millisecond
+	// PushWait and PushWithin are WatchWait and AnswerWithin at an agent, which answers at once or is silent.
+	PushWait   = time.Second
+	PushWithin = 500 * time.Millisecond
 	// WatchPause is the least time from one watch call to the next: an agent that answers at once must not keep the
 	// core busy. Discovery takes a call 200 ms after the last answer for a new watch.
 	WatchPause = 100 * time.Millisecond
@@ -104,37 +117,45 @@
 	d.client.CloseIdleConnections()
 }
 
-// Watch follows the list until a call fails or ctx ends. Revisions of another discovery mean nothing to this one, so
-// without a list of its own it asks for the whole.
-func (d *Client) Watch(ctx context.Context) {
+// Watch follows the list until ctx ends, or, where the service is asked, until a call fails. Revisions of another discovery mean
+// nothing to this one, so without a list of its own it asks for the whole.
+func (d *Client) Watch(ctx context.Context, pushed bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(d.ctx, cancel)()
-	for ctx.Err() == nil {
+	wait, within, whole := WatchWait, AnswerWithin, ListWithin
+	if pushed {
+		wait, within, whole = PushWait, PushWithin, PushWithin
+	}
+	for failed := false; ctx.Err() == nil; {
 		next := time.After(WatchPause)
-		url, patience := d.url, callPatience
+		url, patience := d.url, whole
 		if held := d.held.Load(); held != nil {
-			url = fmt.Sprintf("%s?since=%d&timeout_ms=%d", d.url, *held, watchWait.Milliseconds())
-			patience += watchWait
+			url, patience = fmt.Sprintf("%s?since=%d&timeout_ms=%d", d.url, *held, wait.Milliseconds()), wait+within
 		}
 		l, err := d.call(ctx, url, patience)
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
+		switch {
+		case err == nil:
+			d.post(Heard{d, l, nil})
+			d.Hold(l.Revision)
+		case !pushed:
 			<-next // what the module does on a failure may be to ask again at once
 			d.post(Heard{d, l, err})
 			return
+		case !failed: // the module never asked for it, and there is nothing to decide
+			d.post(Heard{d, l, err})
 		}
-		d.post(Heard{d, l, nil})
-		d.Hold(l.Revision)
+		failed = err != nil
 		<-next
 	}
 }
 
 // Fetch asks for the whole list once.
 func (d *Client) Fetch() {
-	l, err := d.call(d.ctx, d.url, callPatience)
+	l, err := d.call(d.ctx, d.url, ListWithin)
 	if d.ctx.Err() != nil {
 		return
 	}
--- a/internal/pool/configure.go
+++ b/internal/pool/configure.go
@@ -12,11 +12,10 @@
 }
 
 func (e configured) apply(l *loop) {
-	if err := l.balancer.Configure(l.now(), e.Settings); err != nil {
+	if err := l.adopt(e.Spec); err != nil {
 		e.done <- err
 		return
 	}
-	l.limit(e.Spec)
 	if l.followed() != e.Discovery {
 		l.follow(e.Discovery)
 		l.Watch(true)
@@ -29,6 +28,18 @@
 	e.done <- nil
 }
 
+// adopt takes the settings and limits of a Spec, or changes nothing.
+func (l *loop) adopt(c Spec) error {
+	if err := l.balancer.Configure(l.now(), c.Settings); err != nil {
+		return err
+	}
+	asked := l.settings.OnRequest
+	if l.limit(c); asked != c.Settings.OnRequest { // the module has asked by what held before
+		l.Watch(true)
+	}
+	return nil
+}
+
 // Reload takes the settings of a new Spec and what it says of discovery, all of it or nothing, and does not wait until that holds.
 // Requests under way keep the class that they came with. adopted is called, from the pool's goroutine, once new settings hold.
 func (p *Pool) Reload(spec Spec, adopted func()) { p.loop.post(reloaded{spec, adopted}) }
@@ -41,11 +52,10 @@
 
 func (e reloaded) apply(l *loop) {
 	if !reflect.DeepEqual(e.Settings, l.settings) {
-		if err := l.balancer.Configure(l.now(), e.Settings); err != nil {
+		if err := l.adopt(e.Spec); err != nil {
 			l.Log(fmt.Sprintf("configuration: the old settings stay: %v", err))
 			return
 		}
-		l.limit(e.Spec)
 		e.adopted()
 		l.Log(fmt.Sprintf("configuration: new settings hold, with %d classes", len(e.Settings.Classes)))
 	}
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -63,16 +63,17 @@
 	}
 }
 
-// Watch begins to follow discovery, or ends it.
+// Watch begins to follow discovery, or ends it. Lists that are pushed are followed whether or not the module asks.
 func (l *loop) Watch(on bool) {
 	if l.stopWatch != nil {
 		l.stopWatch()
 		l.stopWatch = nil
 	}
-	if on && l.discovery != nil { // else lists are told from outside
+	pushed := !l.settings.OnRequest
+	if (on || pushed) && l.discovery != nil { // else lists are told from outside
 		ctx, cancel := context.WithCancel(l.ctx)
 		l.stopWatch = cancel
-		go l.discovery.Watch(ctx)
+		go l.discovery.Watch(ctx, pushed)
 	}
 }
 
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -95,7 +95,9 @@
 
 // start makes the Balancer and tells it the upstreams that were known before; nil if nothing was.
 func (l *loop) start(seed uint64, known *discovery.Listing) error {
-	if known != nil && known.Revision > 0 { // before the module begins to follow discovery, or the first call would ask for the whole list
+	// Before the module begins to follow discovery: a first call for the whole list costs it hundreds of lines a balancer, and where
+	// all start together the watches behind those are refused. Revision 0 is one like others.
+	if known != nil && l.discovery != nil && (known.Revision > 0 || len(known.Members) > 0) {
 		l.discovery.Hold(known.Revision)
 	}
 	var err error
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -47,7 +47,9 @@
 	case x.Err != nil:
 		l.trouble = x.Err.Error()
 		l.Log(l.trouble)
-		l.balancer.Members(l.now(), clayladder.ListFailed, nil)
+		if l.settings.OnRequest { // else the agent is asked until it answers
+			l.balancer.Members(l.now(), clayladder.ListFailed, nil)
+		}
 	case x.Revision < l.revision: // overtaken by a newer one: it must not undo that
 		l.Log(fmt.Sprintf("discovery: revision %d after %d passed over", x.Revision, l.revision))
 	default:
