Attempts: the window, the client and the site's word on cancels hold up to the first byte

Its log: sent at 19.136 s, cancelled after 302 ms; the next connection was not up in 121 ms; the third was chosen at 19.559 s, within the window, and written at 19.604 s, after it. maySend (balancer.go) judges at the choice, and a connection that comes up late lies between that and the first byte. Ruled out: the module's sum of the window (the choice was in time) and a copy of the node's.

An attempt has an end by which it must be written (Balancer.Until) and a gate that is asked right before its first byte: whether the client is still there (its reader's word, or a look at its socket where the request is older than 50 ms). What has not been written of a request that is closed never is, also where the site allows no cancels.

--- a/api.go
+++ b/api.go
@@ -256,6 +256,7 @@
 	Probed(now time.Duration, p ProbeResult)
 	Timer(now time.Duration, token uint64)
 	Room(now time.Duration, up UpstreamID, most int) // Upstream.Most has changed
+	Until(id RequestID) time.Duration                // before which a Send must be written; asked from within Host.Send too
 }
 
 var _ Events = (*Balancer)(nil)
--- a/balancer.go
+++ b/balancer.go
@@ -113,6 +113,21 @@
 	return true
 }
 
+// Until tells when upstreams that may have run a keyed request forget it: its newest attempt must be written
+// before then, however long its connection takes. 0: there is no such time.
+func (b *Balancer) Until(id RequestID) (until time.Duration) {
+	r := b.requests[id]
+	if r == nil || r.class.Repeat != Keyed {
+		return 0
+	}
+	for _, a := range r.attempts[:max(0, len(r.attempts)-1)] {
+		if end := a.sentAt + r.class.Memory - b.tick; !a.neverRan && (until == 0 || end < until) {
+			until = end
+		}
+	}
+	return until
+}
+
 // mayRefuse alone decides whether the client may be told that a retry is harmless.
 func (b *Balancer) mayRefuse(r *request) bool {
 	return r.class.Repeat == Safe || (r.class.Repeat == Keyed && r.class.Group == GroupAll) ||
--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"clayladder/internal/body"
@@ -127,6 +128,26 @@
 	return true
 }
 
+// Present looks, without waiting and without taking a byte, whether the client is still connected. What it has sent beyond its
+// request is the reader's to see.
+func (c *client) Present() bool {
+	raw, ok := c.pace.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	fd, err := raw.SyscallConn()
+	if err != nil {
+		return true
+	}
+	present := true
+	err = fd.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		present = n > 0 || (err != nil && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE))
+	})
+	return err == nil && present // closed here, it has been given up
+}
+
 func timedOut(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
@@ -194,7 +215,7 @@
 		return false, f.answer(c, f.health(), c.last)
 	}
 	q := call.Asked()
-	q.Reply, c.call = c.answers, call
+	q.Reply, q.Client, c.call = c.answers, c, call
 	c.state.Store(waiting)
 	refused, err := call.Enter()
 	if err != nil || refused.Status != 0 {
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -35,13 +35,19 @@
 	limit   alarm        // of its own, before the request's deadline
 }
 
-var _ upstream.Observer = (*attempt)(nil)
+var _ interface {
+	upstream.Observer
+	upstream.Gate
+} = (*attempt)(nil)
 
 // Written, Hint and Began are called from the link's goroutine.
 func (a *attempt) Written()                { a.loop.post(written{a}) }
 func (a *attempt) Hint(h http1.Fields)     { a.loop.post(hinted{a, h}) }
 func (a *attempt) Began(r upstream.Result) { a.loop.post(began{a, r}) }
 
+// Open looks once more, from the link's goroutine, whether anybody still waits for the answer.
+func (a *attempt) Open() bool { return a.req.waits() }
+
 // Send makes an attempt.
 func (l *loop) Send(id clayladder.RequestID, up clayladder.UpstreamID, timeout time.Duration) {
 	r, p := l.requests[id], l.peers[up]
@@ -51,7 +57,10 @@
 	}
 	now := l.now()
 	a := &attempt{loop: l, req: r, n: len(r.attempts), peer: p, via: l.transport, sentAt: now}
-	a.Message, a.Address, a.Told = &r.Message, p.address, a
+	a.Message, a.Address, a.Told, a.Gate = &r.Message, p.address, a, a
+	if until := l.balancer.Until(id); until > 0 {
+		a.Until = time.Now().Add(until - now)
+	}
 	r.attempts, r.out = append(r.attempts, a), r.out+1
 	wait := r.deadline - now
 	if timeout > 0 && timeout < wait {
@@ -157,6 +166,9 @@
 	if a.told {
 		l.ghost(a.peer, -1)
 	}
+	if a.req.gone.Load() && !a.req.closed && e.Status != clayladder.OK { // seen as it was to be written, or meanwhile
+		l.leave(a.req)
+	}
 	l.tell(a, e.Result)
 	l.forget(a.peer)
 }
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"clayladder"
@@ -18,14 +19,37 @@
 	Message upstream.Message
 	At      time.Duration // when its last byte had come, on the pool's clock
 	Reply   chan Answer   // holds the one answer, and an interim one (status 103) where its message wants these
+	Client  Client        // nil: nobody knows whether it is still there
 
 	loop     *loop // of the pool that it was asked of
 	deadline time.Duration
 	attempts []*attempt
 	out      int // attempts whose outcome the module has not had
 	closed   bool
-	hinted   bool  // its client has had an interim answer
-	end      alarm // at the deadline
+	gone     atomic.Bool // its client has been seen to have left, which the loop may not know yet
+	hinted   bool        // its client has had an interim answer
+	end      alarm       // at the deadline
+}
+
+// Client is who waits for a request's answer.
+type Client interface {
+	// Present tells, without waiting and from any goroutine, whether the client is still connected.
+	Present() bool
+}
+
+// presentFor is how long a client is taken to be there after its request's last byte, in which no look at its connection is worth
+// its cost: nothing of a request may go out later than 100 ms after its client has left.
+const presentFor = 50 * time.Millisecond
+
+// waits tells whether the client is still there. It may be called from any goroutine.
+func (q *Request) waits() bool {
+	if q.gone.Load() {
+		return false
+	}
+	if q.Client != nil && q.loop.now()-q.At > presentFor && !q.Client.Present() {
+		q.gone.Store(true)
+	}
+	return !q.gone.Load()
 }
 
 // Answer is what a client gets, once.
@@ -41,14 +65,21 @@
 	Whole      bool           // RetryAfter goes out in whole seconds, as RFC 9110 (section 10.2.3) has it
 }
 
-// Left tells that the client of a request that was asked has gone.
-func (q *Request) Left() { q.loop.post(left{q}) }
+// Left tells that the client of a request that was asked has gone. Nothing of it is sent from then on, also while the loop is busy.
+func (q *Request) Left() {
+	q.gone.Store(true)
+	q.loop.post(left{q})
+}
 
 // arrived is a client's request.
 type arrived struct{ *Request }
 
 func (e arrived) apply(l *loop) {
 	r := e.Request
+	if r.gone.Load() { // while the loop was busy: nobody waits for an answer
+		r.closed = true
+		return
+	}
 	if l.open[r.Name] { // an upstream could not tell the two apart: the newcomer goes, the first is spared
 		r.closed = true
 		r.Reply <- Answer{Status: http.StatusConflict}
@@ -83,8 +114,7 @@
 func (e left) apply(l *loop) {
 	r := e.Request
 	if !r.closed {
-		l.close(r)
-		l.balancer.Gone(l.now(), r.ID)
+		l.leave(r)
 		return
 	}
 	for { // the answer came as the client left: nobody else reads it
@@ -98,6 +128,12 @@
 	}
 }
 
+// leave drops a request whose client has gone.
+func (l *loop) leave(r *Request) {
+	l.close(r)
+	l.balancer.Gone(l.now(), r.ID)
+}
+
 // answer gives a client the one answer.
 func (l *loop) answer(r *Request, a Answer) {
 	if r.closed {
@@ -116,9 +152,15 @@
 	l.close(r)
 }
 
-// close notes that nothing more is owed for r.
+// close notes that nothing more is owed for r. What has not been written of it never is, whether or not the site lets attempts be
+// cancelled: nothing of those has reached anybody.
 func (l *loop) close(r *Request) {
 	r.closed = true
+	for _, a := range r.attempts {
+		if !a.told && a.Drop() {
+			l.due = append(l.due, owing{a, clayladder.Moot})
+		}
+	}
 	l.release(r)
 }
 
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -133,11 +133,13 @@
 
 // send writes the attempt's message on a connection and reads the answer.
 func (d HTTP1) send(a *Attempt, c *conn) Result {
-	if !a.Claim(c.giveUp) { // dropped: its request ended or its node left
+	if a.Shut() || !a.Claim(c.giveUp) { // dropped: its request ended or its node left
 		return Result{Status: clayladder.Moot, Conn: c}
 	}
 	// A machine that has gone silent takes bytes until its buffers are full, and then none for ever.
-	c.writeWithin(a.Wait)
+	if c.writeWithin(a.Wait); !a.Until.IsZero() && a.Until.Before(c.writes) {
+		c.SetWriteDeadline(a.Until)
+	}
 	rest := a.Message.Rest
 	if rest != nil {
 		if !rest.Hold() { // the client's side has ended
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -26,7 +26,9 @@
 //  5. Attempt.Told hears Written and Began from Do, each at most once and in this order, before Do returns. Began is only for an
 //     answer that goes on as it comes; Do's own result is then of its end.
 //  6. After GiveUp(at) has returned true, Do returns soon after that time. Whatever it returns then is late news.
-//  7. Do gives up on a request that it can't write within Attempt.Wait, and on an answer whose node falls silent in the middle.
+//  7. Nothing is written, and the attempt ends as Moot, where Attempt.Gate is shut or Attempt.Until has passed by then. A request of
+//     which the last byte is not written by Until ends as one that was not written within Attempt.Wait.
+//  8. Do gives up on a request that it can't write within Attempt.Wait, and on an answer whose node falls silent in the middle.
 type Transport interface {
 	Do(a *Attempt) Result
 	// Probe asks a node for its load by itself, or only whether it runs.
@@ -52,6 +54,12 @@
 	Began(Result)
 }
 
+// Gate is asked whether a request may still go out, from the goroutine that carries it and right before its first byte: between the
+// choice of a node and that byte may lie a new connection that came up late.
+type Gate interface {
+	Open() bool
+}
+
 // The stages of an attempt. One that waits for its connection may be dropped; what has been claimed for writing counts as sent.
 const (
 	waiting int32 = iota
@@ -67,6 +75,8 @@
 	Wait    time.Duration // that the node is told, and that the request may take to be written
 	Rest    time.Duration // that its connection still needs before anything is written
 	Conn    Conn          // idle, to go on with; nil: one is opened
+	Until   time.Time     // the request has to be written before then; zero: Wait alone bounds it
+	Gate    Gate          // nil: it is open
 	Told    Observer      // nil: answers are taken whole
 
 	stage  atomic.Int32
@@ -83,6 +93,11 @@
 	return a.stage.CompareAndSwap(waiting, claimed)
 }
 
+// Shut tells whether the request may no longer go out.
+func (a *Attempt) Shut() bool {
+	return (!a.Until.IsZero() && !time.Now().Before(a.Until)) || (a.Gate != nil && !a.Gate.Open())
+}
+
 // GiveUp lets an attempt that has been claimed wait for its answer until a time and no longer. It fails if none has been claimed.
 func (a *Attempt) GiveUp(at time.Time) bool {
 	if a.stage.Load() != claimed {
--- a/internal/upstream/upstreamtest/upstreamtest.go
+++ b/internal/upstream/upstreamtest/upstreamtest.go
@@ -72,7 +72,7 @@
 		name string
 		test func(*testing.T, Suite)
 	}{
-		{"a dropped attempt writes nothing", dropped}, {"outcomes", outcomes}, {"nobody listens", refused},
+		{"a dropped attempt writes nothing", dropped}, {"a gate is shut", shut}, {"outcomes", outcomes}, {"nobody listens", refused},
 		{"a connection serves again", again}, {"one attempt is one write", oneWrite}, {"a long answer goes on", long},
 		{"a long answer is cut", cut}, {"a node falls silent in an answer", hang}, {"a wait is given up", givenUp},
 		{"more than was asked for", extra}, {"a body goes on as it comes", upload}, {"a client fails in its body", clientFails},
@@ -159,6 +159,34 @@
 	none(t, n)
 }
 
+// gate is open or shut.
+type gate bool
+
+func (g gate) Open() bool { return bool(g) }
+
+// shut: what may no longer go out by the time that a connection stands is not written, and the connection serves the next.
+func shut(t *testing.T, s Suite) {
+	n, tr := s.Node(t), s.Transport()
+	var c upstream.Conn
+	for _, set := range []func(*upstream.Attempt){
+		func(a *upstream.Attempt) { a.Gate = gate(false) },
+		func(a *upstream.Attempt) { a.Until = time.Now() },
+		func(a *upstream.Attempt) { a.Until, a.Gate = time.Now().Add(patience), gate(false) },
+	} {
+		a := attempt(n.Address(), c)
+		set(a)
+		r := tr.Do(a)
+		expect(t, "status", r.Status, clayladder.Moot)
+		expect(t, "given up", a.GiveUp(time.Now()), false)
+		c = r.Conn
+	}
+	none(t, n)
+	a := attempt(n.Address(), c)
+	a.Until, a.Gate = time.Now().Add(patience), gate(true)
+	expect(t, "status of one that may go out", tr.Do(a).Status, clayladder.OK)
+	expect(t, "what arrived", arrives(t, n), a.Message.Header.Get("X-Request-Id"))
+}
+
 func outcomes(t *testing.T, s Suite) {
 	for _, x := range []struct {
 		do     Behaviour
