Ground: watches that fall silent or are reset, and words that count as told after 6 s

Need: a change counts as told 6 s after the list service had it and could be reached, whether or not it came; the judge held balancers only to what was written to them. It now records such words as due, but not to balancers that were cut off, stopped or born meanwhile.

Three hard cases with six processes each: all watches silent as soon as they are open, all reset, the service down and nodes draining as it is back.

--- a/internal/ground/hard_test.go
+++ b/internal/ground/hard_test.go
@@ -83,6 +83,39 @@
   - {at: 1700ms, for: 200ms, kind: kill, of: [b-1, b-2, b-3, b-4]}
   - {at: 1700ms, for: 200ms, kind: lose, of: [b-0]}
 `, func(r *Result) bool { return r.Figures["served"] > 0.75 && r.Figures["refused"] > 0.02 }},
+		{"all watches fall silent as soon as they are open, and nodes drain", `
+name: silent-watches
+length: 9s
+balancers: {count: 6}
+nodes: {count: 8}
+load: {rate: 15}
+faults:
+  - {at: 100ms, kind: list-silent}
+  - {at: 200ms, kind: drain, of: [n-0, n-1]}
+  - {at: 1500ms, kind: list-silent}
+  - {at: 1600ms, kind: drain, of: [n-2]}
+`, func(r *Result) bool { return r.Figures["served"] > 0.9 && r.Figures["due"] == 3 }},
+		{"all watches are reset, and nodes drain", `
+name: reset-watches
+length: 8s
+balancers: {count: 6}
+nodes: {count: 8}
+load: {rate: 15}
+faults:
+  - {at: 200ms, for: 400ms, every: 500ms, times: 3, kind: list-reset}
+  - {at: 300ms, kind: drain, of: [n-0, n-1]}
+`, func(r *Result) bool { return r.Figures["served"] > 0.9 && r.Figures["due"] == 2 }},
+		{"the list service is down, and nodes drain as it is back", `
+name: back-with-drains
+length: 13s
+balancers: {count: 6}
+nodes: {count: 8}
+load: {rate: 15}
+faults:
+  - {at: 100ms, for: 4s, kind: list-down}
+  - {at: 1s, kind: drain, of: [n-0]}
+  - {at: 4600ms, kind: drain, of: [n-1]}
+`, func(r *Result) bool { return r.Figures["served"] > 0.9 && r.Figures["due"] == 2 }},
 		{"clocks are wrong and jump", `
 name: wrong-clocks
 length: 4s
--- a/internal/ground/judge/judge.go
+++ b/internal/ground/judge/judge.go
@@ -47,6 +47,7 @@
 	Got                   // a request's last byte has come to a node [ID, Node, Balancer, SentBegin, SentEnd, OutUntil, Work]
 	TurnedOff             // [ID, Node]
 	Ran                   // [ID, Node, Stamp]
+	Due                   // all balancers count as told that a node leaves, since the list has had it for so long [Node, Had]
 	Told                  // a list that said so of a node was written to a balancer [Balancer, Node, Leaves]
 	Born                  // a process of a balancer was started: nothing counts that the one before was told [Balancer]
 	Died                  // and has ended [Balancer]
@@ -69,6 +70,7 @@
 	SentBegin int64 // when the balancer sent the first byte
 	SentEnd   int64 // and the last
 	OutUntil  int64 // when the balancer had the answer, or closed the connection; 0: never
+	Had       int64 // when the list service had what is due
 	Fresh     bool  // the connection had carried no request before
 	Leaves    bool  // it drains or is gone; else it is up
 }
@@ -122,6 +124,7 @@
 	Lost                           int // no answer, and an excuse
 	Crossed                        int // a connection that had been used closed as the request came, and no node got it
 	Executions                     int
+	Due                            int   // words that counted as told to all balancers
 	Twice                          int   // requests whose tries ran more than once together
 	Ends                           []End // of all requests
 	Breaches                       []Breach
@@ -157,6 +160,7 @@
 type balancer struct {
 	leaves map[int]int64 // node -> since when it is known to leave
 	diedAt int64         // 0: it lives
+	bornAt int64         // 0: before the load
 }
 
 type run struct {
@@ -285,8 +289,16 @@
 		} else if !already {
 			b.leaves[r.Node] = r.At
 		}
+	case Due: // to all but those that could not ask all that time
+		x.v.Due++
+		for i, b := range x.balancers {
+			held := slices.ContainsFunc(x.holds, func(w Window) bool { return w.Balancer == i && w.From <= r.At && w.To >= r.Had })
+			if _, already := b.leaves[r.Node]; !already && !held && b.bornAt <= r.Had {
+				b.leaves[r.Node] = r.At
+			}
+		}
 	case Born:
-		x.balancers[r.Balancer] = &balancer{leaves: map[int]int64{}}
+		x.balancers[r.Balancer] = &balancer{leaves: map[int]int64{}, bornAt: r.At}
 	case Died:
 		x.balancer(r.Balancer).diedAt = r.At
 	case Started:
--- a/internal/ground/judge/judge_test.go
+++ b/internal/ground/judge/judge_test.go
@@ -23,6 +23,8 @@
 	told := func(at int64, leaves bool) Record {
 		return Record{Kind: Told, At: at * msec, Balancer: 3, Node: 2, Leaves: leaves}
 	}
+	born := Record{Kind: Born, At: -7000 * msec, Balancer: 3}
+	due := Record{Kind: Due, At: -200 * msec, Had: -6200 * msec, Balancer: -1, Node: 2, Leaves: true}
 	for _, c := range []struct {
 		name    string
 		records []Record
@@ -50,6 +52,10 @@
 		{name: "told while it was cut off, and meanwhile that it is up", records: []Record{told(-200, true), told(500, false), asked, got, ran, answered(1100, 200, 9)}, hold: &Window{3, -300 * msec, 2000 * msec}},
 		{name: "told that it is up, and while it was cut off that it leaves", records: []Record{told(-500, false), told(-200, true), asked, got, ran, answered(1100, 200, 9)}, hold: &Window{3, -300 * msec, -100 * msec}, want: "after it was told"},
 		{name: "told its predecessor", records: []Record{told(-200, true), {Kind: Born, At: 100 * msec, Balancer: 3}, asked, got, ran, answered(1100, 200, 9)}},
+		{name: "due, and it had not come", records: []Record{born, due, asked, got, ran, answered(1100, 200, 9)}, want: "after it was told"},
+		{name: "due to one that was born meanwhile", records: []Record{{Kind: Born, At: -6000 * msec, Balancer: 3}, due, asked, got, ran, answered(1100, 200, 9)}},
+		{name: "due to one that was cut off for a part of it", records: []Record{born, due, asked, got, ran, answered(1100, 200, 9)}, hold: &Window{3, -6500 * msec, -6100 * msec}},
+		{name: "due to one that was cut off before", records: []Record{born, due, asked, got, ran, answered(1100, 200, 9)}, hold: &Window{3, -6500 * msec, -6300 * msec}, want: "after it was told"},
 		{name: "from the dead", records: []Record{{Kind: Died, At: 900 * msec, Balancer: 3}, asked, got, ran, answered(1100, 200, 9)}, want: "after its process had ended"},
 		{name: "sent before its death and late on its way", records: []Record{asked, {Kind: Died, At: 1009 * msec, Balancer: 3}, got, ran, answered(1100, 200, 9)}},
 		{name: "turned off and sent again", records: []Record{asked, got, {Kind: TurnedOff, At: 1011 * msec, ID: 1, Node: 2},
--- a/internal/ground/list.go
+++ b/internal/ground/list.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"clayladder/internal/ground/event"
 	"clayladder/internal/ground/relay"
 )
 
@@ -47,6 +48,7 @@
 	size     float64 // of every node
 	services []*relay.Service
 	told     func(caller, node int, leaves bool) // something else was written to a balancer
+	due      func(node int, had int64)           // all balancers count as told that a node leaves, which the list has had since
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -55,22 +57,29 @@
 	old           bool
 	revision      uint64
 	changed       chan struct{}        // closed at the next revision
+	silenced      chan struct{}        // closed once the watches that are open fall silent
+	broken        chan struct{}        // closed once they are reset
+	reached       int                  // goes up whenever calls begin or cease to fail
 	hidden        map[int]map[int]bool // caller -> nodes that it is told have gone
 	answers       float64              // share of calls that are answered
 	last          map[int]listing      // what was last written to a caller
 	calls, failed int
 }
 
-// wait bounds how long a watch may ask to wait.
-const wait = time.Minute
+const (
+	// wait bounds how long a watch may ask to wait.
+	wait = time.Minute
+	// dueAfter is how long after the list has had a change, and could be reached, it counts as told, whether or not it came.
+	dueAfter = 6 * time.Second
+)
 
-func newList(seed uint64, members []member, size float64, services []*relay.Service, told func(int, int, bool)) (*list, error) {
+func newList(seed uint64, members []member, size float64, services []*relay.Service, told func(int, int, bool), due func(int, int64)) (*list, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	x := &list{address: l.Addr().String(), size: size, services: services, told: told, rng: rand.New(rand.NewPCG(seed, 7)), members: members,
-		revision: 1, changed: make(chan struct{}), hidden: map[int]map[int]bool{}, answers: 1, last: map[int]listing{}}
+	x := &list{address: l.Addr().String(), size: size, services: services, told: told, due: due, rng: rand.New(rand.NewPCG(seed, 7)), members: members,
+		revision: 1, changed: make(chan struct{}), silenced: make(chan struct{}), broken: make(chan struct{}), hidden: map[int]map[int]bool{}, answers: 1, last: map[int]listing{}}
 	x.shown = append([]member(nil), members...)
 	x.server = &http.Server{Handler: http.HandlerFunc(x.serve)}
 	go x.server.Serve(l) // ends with close
@@ -91,12 +100,46 @@
 
 // publish tells what there is now. The caller holds the lock.
 func (x *list) publish() {
+	for i, m := range x.members {
+		if m.phase != "up" && x.shown[i].phase == "up" {
+			x.falls(i)
+		}
+	}
 	x.shown = append(x.shown[:0], x.members...)
 	x.revision++
 	close(x.changed)
 	x.changed = make(chan struct{})
 }
 
+// falls lets the word that a node leaves count as told in its time, unless it is back by then or calls have failed meanwhile. The
+// caller holds the lock.
+func (x *list) falls(node int) {
+	had, reached := event.Now(), x.reached
+	time.AfterFunc(dueAfter, func() {
+		x.mu.Lock()
+		holds := x.reached == reached && x.answers == 1 && x.shown[node].phase != "up"
+		x.mu.Unlock()
+		if holds {
+			x.due(node, had)
+		}
+	})
+}
+
+// silence lets the watches that are open say nothing more, and reset breaks them. Later calls are answered.
+func (x *list) silence() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	close(x.silenced)
+	x.silenced = make(chan struct{})
+}
+
+func (x *list) reset() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	close(x.broken)
+	x.broken = make(chan struct{})
+}
+
 // called counts the calls so far.
 func (x *list) called() int {
 	x.mu.Lock()
@@ -118,6 +161,12 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.answers = share
+	x.reached++
+	for i, m := range x.shown {
+		if m.phase != "up" {
+			x.falls(i)
+		}
+	}
 	if share == 0 { // watches end
 		close(x.changed)
 		x.changed = make(chan struct{})
@@ -224,11 +273,17 @@
 		x.mu.Unlock()
 		return listing{}, false
 	}
+	silenced, broken := x.silenced, x.broken
 	for watch && since >= x.revision && x.answers > 0 {
 		changed := x.changed
 		x.mu.Unlock()
 		select {
 		case <-changed:
+		case <-silenced:
+			<-r.Context().Done()
+			return listing{}, false
+		case <-broken:
+			panic(http.ErrAbortHandler)
 		case <-end:
 			x.mu.Lock()
 			defer x.mu.Unlock()
--- a/internal/ground/script/check.go
+++ b/internal/ground/script/check.go
@@ -226,7 +226,7 @@
 		}
 	}},
 	"slow-node": {of: []string{Node}, needs: func(k checker, at string, x *Fault) { k.Within(at+".factor", x.Factor, 1, 1e4) }},
-	"list-old":  {}, "list-down": {},
+	"list-old":  {}, "list-down": {}, "list-silent": {}, "list-reset": {},
 	"list-answers": {needs: share},
 	"list-split":   {of: []string{Node}},
 }
@@ -300,6 +300,7 @@
 	"relay_p99_ms": "the relay's own delay, there and back", "start_s": "until all processes were ready",
 	"recovered_s": "from the end of the last fault until nine in ten are in time again", "cpu_ms": "a second of each process, mean", "memory_mb": "resident, of the largest process",
 	"node_connections": "open at once at a node, the most of them, mean over nodes", "connects_s": "new connections to nodes a second",
+	"due":          "words that a node leaves that counted as told to all balancers, since the list service had had them for 6 s",
 	"list_calls_s": "calls for lists a second, over all balancers",
 	"promises":     "promises of the ledger's that were answered with yes", "promises_s": "these a second", "promises_lost": "subjects of one writer of which a promise is gone",
 	"history_wrong": "statements that the ledger's history could not have been", "history_open": "subjects whose history could not be checked in time",
--- a/internal/ground/script/types.go
+++ b/internal/ground/script/types.go
@@ -166,7 +166,7 @@
 	// To nodes [of]: word (staff take them out through the ledger: no balancer may send anything new there from a second after the yes on),
 	// crash (comes back cold), drain (comes back restarted), stall (takes requests and answers none), slow-node [factor].
 	// To the list service: list-old (tells nothing new), list-down, list-answers [share], list-split (half of the balancers, or those in
-	// from, are told that the nodes in of are gone).
+	// from, are told that the nodes in of are gone), list-silent (the watches that are open say nothing more), list-reset (they are reset).
 	Kind string `yaml:"kind"`
 	// Where a link begins: names (b-0, p-1), clients, balancers, peers, a part of them ("balancers 33%", drawn by the seed) or those of a
 	// zone ("balancers in a").
--- a/internal/ground/seen.go
+++ b/internal/ground/seen.go
@@ -98,6 +98,11 @@
 	w.record(judge.Record{Kind: judge.Told, At: event.Now(), Balancer: caller, Node: node, Leaves: leaves})
 }
 
+// due notes that all balancers count as told that a node leaves, which the list service has had for so long that they had to ask.
+func (w *world) due(node int, had int64) {
+	w.record(judge.Record{Kind: judge.Due, At: event.Now(), Had: had, Balancer: -1, Node: node, Leaves: true})
+}
+
 func (w *world) born(balancer int) {
 	w.record(judge.Record{Kind: judge.Born, At: event.Now(), Balancer: balancer})
 }
--- a/internal/ground/world.go
+++ b/internal/ground/world.go
@@ -143,7 +143,7 @@
 		}
 		w.services = append(w.services, s)
 	}
-	if w.list, err = newList(uint64(f.Seed), members, float64(f.Nodes.Cores), w.services, w.told); err != nil {
+	if w.list, err = newList(uint64(f.Seed), members, float64(f.Nodes.Cores), w.services, w.told, w.due); err != nil {
 		return err
 	}
 	w.atEnd(w.list.close)
