Clients: a connection that goes is let go by its reader, and no close resets an answer

Need (RFC 9112, sections 9.5 and 9.6): a close over unread bytes resets the connection and takes an answer under way with it; a request may come in the moment in which a resting connection is closed; one of which a part had come at SIGTERM was cut at 0.5 s without an answer (Front.Stop closed all that were 'silent', reading or not). Found by reading shutdown line by line.

The Front no longer closes others' sockets, but for room: it wakes the reader, which looks once more whether a request has come, serves that, or ends this side and reads what crosses. At the stop a request in parts has 150 ms for the rest and is then answered 408.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -24,6 +24,7 @@
 
 	mu    sync.Mutex
 	reads time.Time // limit of reading that stands; zero: none
+	ended bool      // what is not whole yet is waited for no longer
 }
 
 // Under is the connection itself.
@@ -33,10 +34,24 @@
 func (p *pacer) SetReadDeadline(at time.Time) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.ended {
+		at = past
+	}
 	p.reads = at
 	return p.Conn.SetReadDeadline(at)
 }
 
+// past is a limit of time that is over.
+var past = time.Unix(0, 1)
+
+// finish ends the wait for the rest of a request, also for what is still to be read of it.
+func (p *pacer) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended, p.reads = true, past
+	p.Conn.SetReadDeadline(past)
+}
+
 // SetWriteDeadline bounds what is written next. It is called by who writes.
 func (p *pacer) SetWriteDeadline(at time.Time) error {
 	p.writes = at
@@ -79,7 +94,7 @@
 	p.SetReadDeadline(limit)
 	n, err := p.Conn.Read(b)
 	if err != nil {
-		p.until = time.Unix(0, 1) // bufio asks again after an error behind half a line: that must not begin a new wait
+		p.until = past // bufio asks again after an error behind half a line: that must not begin a new wait
 	}
 	return n, err
 }
@@ -98,6 +113,8 @@
 	state   atomic.Int32
 	call    Call             // the reader's, and from waiting on the writer's
 	tunnel  *body.Tunnel     // that it has become; nil: none. Under the Front's lock
+	final   bool             // it goes behind the next answer. Under the Front's lock
+	whole   bool             // it ends between requests, or behind an answer: what crosses with that is read
 	last    bool             // the client wants the connection closed behind the answer
 	old     bool             // the request is of HTTP/1.0
 	answers chan pool.Answer // holds the one answer to the call, where the writer waits
@@ -141,20 +158,46 @@
 	}
 	present := true
 	err = fd.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := peek(fd)
 		present = n > 0 || (err != nil && !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE))
 	})
 	return err == nil && present // closed here, it has been given up
 }
 
+// pending tells whether bytes of the client wait to be read.
+func (c *client) pending() bool {
+	if c.Buffered() > 0 {
+		return true
+	}
+	raw, ok := c.pace.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	fd, err := raw.SyscallConn()
+	some := false
+	if err == nil {
+		fd.Control(func(fd uintptr) {
+			n, err := peek(fd)
+			some = err == nil && n > 0
+		})
+	}
+	return some
+}
+
+// peek looks at the next byte of a socket without taking it, and does not wait for one.
+func peek(fd uintptr) (int, error) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 func timedOut(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // wake ends the reader's wait for bytes.
-func (c *client) wake() { c.SetReadDeadline(time.Unix(0, 1)) }
+func (c *client) wake() { c.SetReadDeadline(past) }
 
 // converse serves a connection until one side ends it. Clients send one request at a time.
 func (f *Front) converse(c *client) {
@@ -183,7 +226,15 @@
 			}
 		}
 		if err != nil {
-			f.pass(c, err)
+			switch {
+			case f.pass(c, err), !timedOut(err): // it is another's now, or the client has left
+				return
+			case c.pending(): // a request has come in that moment
+				c.SetReadDeadline(time.Now().Add(SilentClient))
+				asked = false
+				continue
+			}
+			c.whole = true
 			return
 		}
 		var goOn bool
@@ -210,7 +261,7 @@
 	if !f.enter(c, busy) {
 		return false, false
 	}
-	c.last = http1.Closes(h) || (c.old && !h.Lists("Connection", "keep-alive"))
+	c.last = c.final || http1.Closes(h) || (c.old && !h.Lists("Connection", "keep-alive"))
 	if call == nil {
 		return false, f.answer(c, f.health(), c.last)
 	}
@@ -351,7 +402,12 @@
 // answer writes an answer, and tells whether the connection goes on.
 func (f *Front) answer(c *client, a pool.Answer, last bool) bool {
 	last = last || f.isLeaving()
-	return c.write(a, last) == nil && !last && f.enter(c, idle)
+	err := c.write(a, last)
+	if err == nil && !last && f.enter(c, idle) {
+		return true
+	}
+	c.whole = err == nil || errors.Is(err, errToClose) // else the client must see that it is not
+	return false
 }
 
 // health is the answer to a question after this balancer's health.
--- a/internal/edge/front.go
+++ b/internal/edge/front.go
@@ -24,6 +24,9 @@
 	// firstBytes is how long a new connection has for its request before it may have to give way: also the last
 	// one that is taken after SIGTERM.
 	firstBytes = 50 * time.Millisecond
+	// lastBytes is how long a request of which a part has come then has for the rest: what is whole later than 0.7 s after SIGTERM
+	// may find no time for its answer.
+	lastBytes = 150 * time.Millisecond
 	// Within 3 s of connecting a client is owed a word or a close. One that says nothing gets it after SilentClient,
 	// one that stops in the middle of a request after StalledClient. One that goes on, however slowly, may be a usual
 	// client on a bad line, and has until slowClient.
@@ -49,7 +52,8 @@
 type stage uint8
 
 const (
-	silent  stage = iota // no whole request has come yet, or it is being turned away
+	parting stage = iota // it is to go once nothing more has come, or this side has ended already
+	silent               // no whole request has come yet, or it is being turned away
 	idle                 // between requests
 	busy                 // a request is in it
 	evicted              // closed to make room
@@ -128,21 +132,23 @@
 		time.Sleep(firstBytes / 10)
 	}
 	pace := &pacer{Conn: raw}
-	c := &client{Stream: http1.NewStream(pace, readBuffer), pace: pace, since: time.Now()}
+	c := &client{Stream: http1.NewStream(pace, readBuffer), pace: pace, since: time.Now(), stage: silent}
 	c.SetReadDeadline(time.Now().Add(SilentClient))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed && f.heir == nil {
-		raw.Close()
-		return
-	}
-	if f.heir != nil {
-		c.wake()
-	}
 	f.clients[c] = struct{}{}
 	f.count[c.stage]++
+	switch {
+	case f.heir != nil:
+		c.wake()
+	case f.closed: // it was taken as the listener closed: a request that has come with it is served
+		f.retire(c)
+	}
 	f.gone.Go(func() {
 		f.converse(c)
+		if c.whole && f.enter(c, parting) {
+			c.farewell(farewellFor, farewellMost)
+		}
 		c.Close()
 		f.mu.Lock()
 		f.remove(c)
@@ -150,6 +156,14 @@
 	})
 }
 
+// retire lets a connection without a request go: its reader looks once more whether one has come, serves that, or else ends this
+// side and reads what crosses with that, for a while. Closed from here, with bytes that nobody has read, it would be reset. The caller
+// holds the lock.
+func (f *Front) retire(c *client) {
+	f.move(c, parting)
+	c.wake()
+}
+
 // move takes c to a stage, and remove takes it out. The caller holds the lock.
 func (f *Front) move(c *client, s stage) {
 	f.count[c.stage]--
@@ -173,13 +187,18 @@
 	if len(f.clients) < f.limits.Load().Connections {
 		return true
 	}
-	return f.drop(silent)
+	victim := f.longest(parting)
+	if victim != nil { // the descriptor is wanted now
+		f.move(victim, evicted)
+		victim.Close()
+		f.remove(victim)
+	}
+	return victim != nil
 }
 
-// drop closes the connection that has been longest at the first of the stages from the given one on that has any, but
-// none with a request in it. The caller holds the lock.
-func (f *Front) drop(from stage) bool {
-	var victim *client
+// longest is the connection that has been longest at the first of the stages from the given one on that has any, but none with a
+// request in it. The caller holds the lock.
+func (f *Front) longest(from stage) (victim *client) {
 	for c := range f.clients {
 		if c.stage < from || c.stage == busy || c.stage == evicted || (c.stage == silent && time.Since(c.since) < firstBytes) {
 			continue
@@ -188,19 +207,16 @@
 			victim = c
 		}
 	}
-	if victim != nil {
-		f.move(victim, evicted)
-		victim.Close()
-		f.remove(victim)
-	}
-	return victim != nil
+	return victim
 }
 
-// enter moves c to a stage. It fails if c has been closed meanwhile, or is to go.
+// enter moves c to a stage. It fails if c has been closed meanwhile, or is to go. One that was to go when a request came is served
+// once more.
 func (f *Front) enter(c *client, s stage) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.stage == evicted || (s == idle && f.closed && f.heir == nil) {
+	c.final = c.final || c.stage == parting
+	if c.stage == evicted || (s == idle && (c.final || (f.closed && f.heir == nil))) {
 		return false
 	}
 	f.move(c, s)
@@ -213,13 +229,15 @@
 		}
 	}
 	if s == idle && f.spare > 0 && f.count[idle]+f.count[busy] > f.spare {
-		f.drop(idle)
+		if victim := f.longest(idle); victim != nil {
+			f.retire(victim)
+		}
 	}
-	return c.stage != evicted
+	return true
 }
 
-// Stop ends service without losing a request: connections that are still on their way are taken, then the
-// listener and idle connections are closed, and what has been taken is answered.
+// Stop ends service without losing a request: connections that are still on their way are taken, then the listener is closed,
+// connections without a request go, and what has been taken is answered. A request that has come in part has a last time to be whole.
 func (f *Front) Stop() {
 	f.mu.Lock()
 	f.leaving = true
@@ -233,12 +251,21 @@
 			c.tunnel.EndSoon()
 		}
 	}
-	f.close(func(s stage) bool { return s == idle })
+	f.retireAll(func(c *client) bool { return c.stage == idle })
 	f.mu.Unlock()
 	time.Sleep(firstBytes)
 	f.mu.Lock()
-	f.close(func(s stage) bool { return s == silent })
+	f.retireAll(func(c *client) bool { return c.stage == silent && !c.reads })
 	f.mu.Unlock()
+	time.Sleep(lastBytes)
+	f.mu.Lock()
+	for c := range f.clients {
+		if c.stage == silent {
+			c.pace.finish()
+		}
+	}
+	f.mu.Unlock()
+	<-f.ended
 	f.settle()
 }
 
@@ -259,17 +286,18 @@
 }
 
 // pass hands a connection over whose wait for a request has ended with an error, if there is somebody to take it and
-// nothing of a request has been read from it.
-func (f *Front) pass(c *client, err error) {
+// nothing of a request has been read from it. It tells whether it was to be handed over.
+func (f *Front) pass(c *client, err error) bool {
 	f.mu.Lock()
 	heir := f.heir
 	f.mu.Unlock()
 	if heir == nil || !timedOut(err) || c.Buffered() > 0 {
-		return
+		return false
 	}
 	if err := heir.Send(handover.Message{Kind: handover.Client}, c.pace.Conn.(syscall.Conn)); err != nil {
 		slog.Warn("handing a client over", "err", err)
 	}
+	return true
 }
 
 // settle waits until all that was taken is answered.
@@ -295,12 +323,11 @@
 	return most
 }
 
-// close closes the connections at a stage. The caller holds the lock.
-func (f *Front) close(at func(stage) bool) {
+// retireAll lets some of the connections go. The caller holds the lock.
+func (f *Front) retireAll(of func(*client) bool) {
 	for c := range f.clients {
-		if at(c.stage) {
-			f.move(c, evicted)
-			c.Close()
+		if of(c) {
+			f.retire(c)
 		}
 	}
 }
@@ -331,7 +358,7 @@
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			if f.standby != nil {
-				f.close(func(s stage) bool { return s == idle })
+				f.retireAll(func(c *client) bool { return c.stage == idle })
 			}
 		})
 	case !on && f.standby != nil:
--- a/internal/edge/write.go
+++ b/internal/edge/write.go
@@ -41,7 +41,10 @@
 
 // farewell reads and drops what a client still sends, for a time and up to a number of bytes.
 func (c *client) farewell(within time.Duration, most int64) {
-	if half, ok := c.pace.Conn.(*net.TCPConn); ok {
+	if half, ok := c.pace.Conn.(interface {
+		net.Conn
+		CloseWrite() error
+	}); ok {
 		half.CloseWrite()
 		half.SetReadDeadline(time.Now().Add(within))
 		io.CopyN(io.Discard, half, most)
