--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"syscall"
 
 	"clayladder"
 	"clayladder/internal/config"
@@ -77,6 +78,7 @@
 			*to = v
 		}
 	}
+	f.Limits.Sockets = allowed(f.Limits.Sockets)
 	c, err := f.config()
 	if err != nil {
 		return Config{}, fmt.Errorf("%s: %w", path, err)
@@ -93,6 +95,16 @@
 	return c, nil
 }
 
+// allowed is how many descriptors the process may have: what it was told, or less where the system gives less. Divided up by more than
+// there are, clients would leave none for upstreams and discovery.
+func allowed(told int) int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur >= uint64(max(0, told)) {
+		return told
+	}
+	return int(limit.Cur)
+}
+
 // ReloadConfig reads the file again. RELAY_DISCOVERY still names the address of the start, so the file's goes before it. A
 // key that the file before had and this one lacks is an error: it would be taken for zero, which may be a legal value.
 func ReloadConfig(getenv func(string) string, before Config) (Config, error) {
