Attempts: one that is given up is over for its node before a further one may begin

Found by reading repeats line by line: a cancel or a time-out set a limit of reading, and the goroutine that carries the attempt closed the connection in its own turn; the module was told at once and may have sent the next attempt on another link, whose goroutine the scheduler runs first (a receiver goes before what is ready already). Two attempts were then out together.

--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -44,7 +44,12 @@
 func newConn(c net.Conn, address string) *conn {
 	u := &conn{Stream: http1.NewStream(c, 2<<10), address: address}
 	u.raw, u.err = c.(syscall.Conn).SyscallConn()
-	u.giveUp = func(at time.Time) { u.SetReadDeadline(at) }
+	u.giveUp = func(at time.Time) {
+		if half, ok := c.(interface{ CloseWrite() error }); ok && !at.After(time.Now()) {
+			half.CloseWrite() // at once: closed by its goroutine in its turn, it was still out as the next attempt was written
+		}
+		u.SetReadDeadline(at)
+	}
 	u.look = func(fd uintptr) bool {
 		var b [1]byte
 		u.n, u.err = syscall.Read(int(fd), b[:])
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -25,7 +25,8 @@
 //     beyond this answer never passes for the next one's: it sets Result.Stray, and the connection is closed.
 //  5. Attempt.Told hears Written and Began from Do, each at most once and in this order, before Do returns. Began is only for an
 //     answer that goes on as it comes; Do's own result is then of its end.
-//  6. After GiveUp(at) has returned true, Do returns soon after that time. Whatever it returns then is late news.
+//  6. After GiveUp(at) has returned true, Do returns soon after that time. Whatever it returns then is late news. Given up at once, the
+//     attempt is over for its node when GiveUp returns: a further one may be made then.
 //  7. Nothing is written, and the attempt ends as Moot, where Attempt.Gate is shut or Attempt.Until has passed by then. A request of
 //     which the last byte is not written by Until ends as one that was not written within Attempt.Wait.
 //  8. Do gives up on a request that it can't write within Attempt.Wait, and on an answer whose node falls silent in the middle.
