--- a/internal/ground/hard_test.go
+++ b/internal/ground/hard_test.go
@@ -59,6 +59,18 @@
 faults:
   - {at: 500ms, for: 2s, kind: list-split, of: [n-0, n-1]}
 `, func(r *Result) bool { return r.Figures["served"] > 0.8 }},
+		{"clients give up early and leave, all at once where a node stalls", `
+name: clients-leave
+length: 4s
+balancers: {count: 4}
+nodes: {count: 4}
+load: {rate: 40, retries: 0, work: 10ms, deadline: 300ms, aim: 200ms}
+faults:
+  - {at: 500ms, for: 1s, kind: stall, of: [n-0, n-1]}
+  - {at: 1s, kind: break, from: [clients], to: [balancers]}
+  - {at: 2s, kind: break, from: [clients], to: [balancers]}
+  - {at: 2500ms, for: 500ms, kind: cut, way: there, from: [b-0], to: [nodes]}
+`, func(r *Result) bool { return r.Figures["lost"] > 0 && r.Figures["served"] > 0.5 }},
 		{"balancers die between a request's last byte and its answer", `
 name: dies-in-flight
 length: 4s
@@ -116,6 +128,16 @@
   - {at: 1s, kind: drain, of: [n-0]}
   - {at: 4600ms, kind: drain, of: [n-1]}
 `, func(r *Result) bool { return r.Figures["served"] > 0.9 && r.Figures["due"] == 2 }},
+		{"thirty ramp one cold node, and a third of them are killed in the middle", `
+name: cold-thirty
+length: 6s
+balancers: {count: 30}
+nodes: {count: 6, cores: 1, cold_from: 0.15, ramp_time: 4s, tip_multiple: 2, tip_after: 1s}
+load: {rate: 5, retries: 2, work: 20ms}
+faults:
+  - {at: 500ms, for: 300ms, kind: crash, of: [n-0]}
+  - {at: 2s, for: 300ms, kind: kill, of: [balancers 33%]}
+`, func(r *Result) bool { return r.Figures["served"] > 0.9 && r.Figures["restarts"] == 10 }},
 		{"clocks are wrong and jump", `
 name: wrong-clocks
 length: 4s
