Ground: no attempt after a client has gone; a wake comes before the word of the last answer

The judge now holds balancers to 100 ms between the end of a client's connection and an attempt's begin. A reader that ends behind a last answer had its limit of reading set back by the writer's wake.

--- a/internal/edge/client.go
+++ b/internal/edge/client.go
@@ -370,10 +370,10 @@
 		if goOn {
 			c.state.Store(free)
 		}
-		c.done <- goOn
 		if !goOn {
-			c.wake()
+			c.wake() // before the word: what the reader does then has limits of its own
 		}
+		c.done <- goOn
 	}
 }
 
--- a/internal/ground/judge/judge.go
+++ b/internal/ground/judge/judge.go
@@ -81,6 +81,9 @@
 	From, To int64
 }
 
+// goneWithin is how long after a client's connection has ended an attempt may still begin.
+const goneWithin = 100 * time.Millisecond
+
 // Rules are the figures of the rules.
 type Rules struct {
 	Grace       time.Duration // after a drain was told
@@ -424,6 +427,9 @@
 		if over := a.SentBegin - q.answered - slack; q.answered > 0 && !q.lost && over > 0 {
 			x.breach(OneAnswer, a.SentBegin, a.Balancer, over, q.answered, "b-%d sent request %016x to n-%d %v after its final answer, which came %v after it was asked; it came there %v after it was sent", a.Balancer, q.ID, a.Node, ms(a.SentBegin-q.answered), ms(q.answered-q.At), ms(a.At-a.SentBegin))
 		}
+		if over := a.SentBegin - q.answered - int64(goneWithin) - slack; q.lost && over > 0 && !x.excused(q.Balancer, q.answered, q.answered) {
+			x.breach(OneAnswer, a.SentBegin, a.Balancer, over, q.answered, "b-%d sent request %016x to n-%d %v after its client had gone", a.Balancer, q.ID, a.Node, ms(a.SentBegin-q.answered))
+		}
 		for _, before := range q.got[:i] {
 			until := before.OutUntil
 			if until == 0 {
