--- a/internal/upstream/giveup_test.go
+++ b/internal/upstream/giveup_test.go
@@ -10,8 +10,23 @@
 	"time"
 
 	"clayladder/internal/http1"
+	"clayladder/internal/standin/scripted"
 )
 
+// One that is given up in the moment in which its answer has come does not leave its connection to the next attempt.
+func TestGivenUpConnectionIsNotUsedAgain(t *testing.T) {
+	s := scripted.Start(t, scripted.Done)
+	a := &Attempt{Message: &Message{Line: "GET /x", Host: "x", Header: http1.Fields{{Name: "X-Request-Id", Value: "1"}}}, Address: s.Addr, Wait: time.Minute}
+	r := HTTP1{Timeout: time.Minute}.Do(a)
+	if r.Conn == nil || !a.GiveUp(time.Unix(0, 1)) {
+		t.Fatalf("got %v", r)
+	}
+	defer r.Conn.Close()
+	if err := r.Conn.Reuse(); err == nil {
+		t.Error("a connection on which this side has ended serves again")
+	}
+}
+
 // An attempt that is given up at once is over for its node before the goroutine that carries it has had a turn: on one processor, which
 // the test does not leave, a further attempt would else go out while the first is still out.
 func TestGivenUpIsOverAtOnce(t *testing.T) {
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -36,6 +36,7 @@
 	look    func(fd uintptr) bool // reads a byte without waiting
 	giveUp  func(at time.Time)
 	limited atomic.Bool // a limit of reading stands
+	over    atomic.Bool // this side has ended
 	writes  time.Time   // limit of writing that stands
 	n       int
 	err     error // what look has seen
@@ -46,6 +47,7 @@
 	u.raw, u.err = c.(syscall.Conn).SyscallConn()
 	u.giveUp = func(at time.Time) {
 		if half, ok := c.(interface{ CloseWrite() error }); ok && !at.After(time.Now()) {
+			u.over.Store(true)
 			half.CloseWrite() // at once: closed by its goroutine in its turn, it was still out as the next attempt was written
 		}
 		u.SetReadDeadline(at)
@@ -60,8 +62,14 @@
 
 func (c *conn) Address() string { return c.address }
 
+// errOver says that an attempt was given up as its answer came.
+var errOver = errors.New("given up")
+
 // Reuse undoes a time-out that may have been set as the answer came.
 func (c *conn) Reuse() error {
+	if c.over.Load() {
+		return errOver
+	}
 	if !c.limited.Swap(false) {
 		return nil
 	}
