--- a/internal/ground/list.go
+++ b/internal/ground/list.go
@@ -59,6 +59,7 @@
 	changed       chan struct{}        // closed at the next revision
 	silenced      chan struct{}        // closed once the watches that are open fall silent
 	broken        chan struct{}        // closed once they are reset
+	left          map[int]int          // how often a node has left
 	reached       int                  // goes up whenever calls begin or cease to fail
 	hidden        map[int]map[int]bool // caller -> nodes that it is told have gone
 	answers       float64              // share of calls that are answered
@@ -79,7 +80,7 @@
 		return nil, err
 	}
 	x := &list{address: l.Addr().String(), size: size, services: services, told: told, due: due, rng: rand.New(rand.NewPCG(seed, 7)), members: members,
-		revision: 1, changed: make(chan struct{}), silenced: make(chan struct{}), broken: make(chan struct{}), hidden: map[int]map[int]bool{}, answers: 1, last: map[int]listing{}}
+		revision: 1, changed: make(chan struct{}), silenced: make(chan struct{}), broken: make(chan struct{}), left: map[int]int{}, hidden: map[int]map[int]bool{}, answers: 1, last: map[int]listing{}}
 	x.shown = append([]member(nil), members...)
 	x.server = &http.Server{Handler: http.HandlerFunc(x.serve)}
 	go x.server.Serve(l) // ends with close
@@ -111,13 +112,14 @@
 	x.changed = make(chan struct{})
 }
 
-// falls lets the word that a node leaves count as told in its time, unless it is back by then or calls have failed meanwhile. The
-// caller holds the lock.
+// falls lets the word that a node leaves count as told in its time, unless it is back by then, or was meanwhile, or calls have failed.
+// The caller holds the lock.
 func (x *list) falls(node int) {
-	had, reached := event.Now(), x.reached
+	x.left[node]++
+	had, reached, left := event.Now(), x.reached, x.left[node]
 	time.AfterFunc(dueAfter, func() {
 		x.mu.Lock()
-		holds := x.reached == reached && x.answers == 1 && x.shown[node].phase != "up"
+		holds := x.reached == reached && x.left[node] == left && x.answers == 1 && x.shown[node].phase != "up"
 		x.mu.Unlock()
 		if holds {
 			x.due(node, had)
