Requests: one whose attempts can't have run waits for an upstream as one that has just come

Between two words of staff no upstream is left; a request whose attempt had been dropped in that moment, before it was written, was refused at once, while one that came after it waited. Line: place (balancer.go), which looked whether there had been attempts and not whether one may have run. Ruled out: the look at the client and the window (no keyed class, ages under 50 ms).

The new test without the mend: 'given up at once'.

--- a/balancer.go
+++ b/balancer.go
@@ -132,8 +132,12 @@
 
 // mayRefuse alone decides whether the client may be told that a retry is harmless.
 func (b *Balancer) mayRefuse(r *request) bool {
-	return r.class.Repeat == Safe || (r.class.Repeat == Keyed && r.class.Group == GroupAll) ||
-		!slices.ContainsFunc(r.attempts, func(a *attempt) bool { return !a.neverRan })
+	return r.class.Repeat == Safe || (r.class.Repeat == Keyed && r.class.Group == GroupAll) || b.never(r)
+}
+
+// never reports whether no attempt of r can have run: it stands as if it had just come.
+func (b *Balancer) never(r *request) bool {
+	return !slices.ContainsFunc(r.attempts, func(a *attempt) bool { return !a.neverRan })
 }
 
 // Request takes a client's request.
@@ -176,7 +180,7 @@
 	switch u, legal := b.pick(r, now); {
 	case u != nil:
 		b.send(r, u, now)
-	case (legal || len(r.attempts) == 0) && now < r.sendBy:
+	case (legal || (b.never(r) && len(r.attempts) < b.s.Limits.MaxAttempts)) && now < r.sendBy:
 		if len(b.held) == 0 {
 			b.turnAt, b.short = now, false
 		} else {
--- a/service_test.go
+++ b/service_test.go
@@ -301,3 +301,25 @@
 		t.Error("not silent ten seconds after the last byte")
 	}
 }
+
+// The only upstream is taken out while a request's attempt still waits for a connection: that attempt never ran, and the request waits for
+// an upstream as one that has just come. It was refused though one came back well within its aim.
+func TestDroppedAttemptWaitsForAnUpstream(t *testing.T) {
+	list := fleet(1)
+	b, h := start(t, settings(), list)
+	b.Request(time.Hour, Request{ID: 1, Class: "write", Budget: time.Second})
+	if h.count("send id=1") != 1 {
+		t.Fatalf("not sent: %v", h.lines)
+	}
+	list[0].State = Draining
+	b.Members(time.Hour, ListDelta, list)
+	b.Outcome(time.Hour+ms, Outcome{ID: 1, Upstream: list[0].ID, Latency: ms, Status: Moot})
+	if n := h.count("refuse id=1") + h.count("fail id=1"); n != 0 {
+		t.Fatalf("given up at once: %v", h.lines)
+	}
+	list[0].State = Active
+	b.Members(time.Hour+2*ms, ListDelta, list)
+	if h.count("send id=1") != 2 {
+		t.Errorf("not sent again: %v", h.lines)
+	}
+}
