--- /dev/null
+++ b/size_test.go
@@ -0,0 +1,292 @@
+package clayladder
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+)
+
+// What docs/CAPACITY.md says of the module at 1,500 balancers, 18,000 upstreams, 490 services and 250,000 requests a second comes from the
+// benchmarks of this file: go test -run - -bench 'Users|Held|Thin|ColdAt' -benchtime 1x .
+
+const (
+	planBalancers = 1500
+	planRate      = 250_000.0 / 18_000 // requests a second of an upstream
+)
+
+// planned returns a Balancer of a service with n upstreams.
+func planned(b *testing.B, rank, n int, hook func(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64)) *Balancer {
+	s := settings()
+	s.Balancers, s.Rank, s.Tenants = planBalancers, rank, nil
+	s.Rules.ColdFrom = 0.33 // as serve has it
+	x, err := New(s, uint64(rank)+1, 0, quietHost{hook})
+	if err != nil {
+		b.Fatal(err)
+	}
+	x.Members(0, ListFull, fleet(n))
+	return x
+}
+
+// quietHost tells a hook and keeps nothing.
+type quietHost struct {
+	hook func(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64)
+}
+
+func (h quietHost) tell(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64) {
+	if h.hook != nil {
+		h.hook(kind, id, up, d, n)
+	}
+}
+
+func (h quietHost) Send(id RequestID, up UpstreamID, d time.Duration) { h.tell("send", id, up, d, 0) }
+func (h quietHost) Refuse(id RequestID, d time.Duration)              { h.tell("refuse", id, 0, d, 0) }
+func (h quietHost) Fail(id RequestID)                                 { h.tell("fail", id, 0, 0, 0) }
+func (h quietHost) Cancel(id RequestID, n int)                        {}
+func (h quietHost) Probe(up UpstreamID)                               {}
+func (h quietHost) Disconnect(up UpstreamID)                          {}
+func (h quietHost) Watch(on bool)                                     {}
+func (h quietHost) SetTimer(d time.Duration, n uint64)                { h.tell("timer", 0, 0, d, n) }
+func (h quietHost) Fetch()                                            {}
+func (h quietHost) Log(string)                                        {}
+
+// How many upstreams a balancer uses of services of all sizes, and how many balancers an upstream has.
+func BenchmarkUsers(b *testing.B) {
+	for _, n := range []int{2, 10, 37, 150, 300, 2000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			users, used := map[UpstreamID]int{}, 0
+			for b.Loop() {
+				clear(users)
+				used = 0
+				for rank := range planBalancers {
+					for _, u := range planned(b, rank, n, nil).near {
+						users[u.ID]++
+						used++
+					}
+				}
+			}
+			least, most := planBalancers, 0
+			for id := 1; id <= n; id++ {
+				least, most = min(least, users[UpstreamID(id)]), max(most, users[UpstreamID(id)])
+			}
+			b.ReportMetric(float64(used)/planBalancers, "upstreams/balancer")
+			b.ReportMetric(float64(least), "balancers/upstream-least")
+			b.ReportMetric(float64(most), "balancers/upstream-most")
+		})
+	}
+}
+
+// What a module holds, in bytes of heap: with its upstreams, with its tenants, and alone.
+func BenchmarkHeld(b *testing.B) {
+	for _, x := range []struct {
+		what             string
+		upstreams, users int
+	}{{"alone", 0, 0}, {"upstreams", 37, 0}, {"upstreams", 2000, 0}, {"tenants", 0, 10_000}} {
+		b.Run(fmt.Sprint(x.what, max(x.upstreams, x.users)), func(b *testing.B) {
+			const modules = 20
+			s := settings()
+			s.Balancers, s.Tenants = planBalancers, nil
+			for i := range x.users {
+				s.Tenants = append(s.Tenants, Tenant{Name: fmt.Sprintf("tenant-%06d", i), Quota: 10})
+			}
+			list := fleet(x.upstreams)
+			bytes := 0.0
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				all := make([]*Balancer, modules)
+				for i := range all {
+					all[i], _ = New(s, 1, 0, quietHost{})
+					if x.upstreams > 0 {
+						all[i].Members(0, ListFull, list)
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				bytes = float64(after.HeapAlloc-before.HeapAlloc) / modules
+				runtime.KeepAlive(all)
+			}
+			b.ReportMetric(bytes, "bytes/module")
+			b.ReportMetric(bytes/float64(max(x.upstreams+x.users, 1)), "bytes/entry")
+		})
+	}
+}
+
+// What a cold upstream gets from 1,500 balancers: each has its own even part of the service's requests, by chance in time, and a window of
+// readings when the upstream starts anew. Reported are the seconds until its first call, what it was sent in its ramp as a part of
+// what a warm one gets in that time, and the most in any window as a part of that window's budget; over several starts, the mean and the worst.
+func BenchmarkColdAt(b *testing.B) {
+	for _, n := range []int{2, 10, 37, 150, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var first, part, worst []float64
+			users, never := 0, 0
+			for b.Loop() {
+				first, part, worst, never = nil, nil, nil, 0
+				for seed := range 5 {
+					f, p, w, u := coldStart(b, n, uint64(seed))
+					users, part, worst = u, append(part, p), append(worst, w)
+					if math.IsInf(f, 1) {
+						never++
+					} else {
+						first = append(first, f)
+					}
+				}
+			}
+			sum := func(xs []float64) (s float64) {
+				for _, x := range xs {
+					s += x / float64(len(xs))
+				}
+				return s
+			}
+			b.ReportMetric(float64(users), "users")
+			b.ReportMetric(sum(first), "s-to-first")
+			b.ReportMetric(slices.Max(append(first, 0)), "s-to-first-worst")
+			b.ReportMetric(sum(part), "of-a-warm-one")
+			b.ReportMetric(slices.Max(worst), "of-window-worst")
+			b.ReportMetric(float64(never), "never-in-ramp")
+		})
+	}
+}
+
+// balancerAt is one of many balancers of a service, which do not talk: so one plays after the other.
+type balancerAt struct {
+	*Balancer
+	now, ticks, next time.Duration
+	owed             []answerAt
+	asked            RequestID
+	rate             float64 // requests a second
+	took             time.Duration
+	rng              *rand.Rand
+	sent             func(up UpstreamID)
+	refused          int
+	came             map[RequestID]time.Duration
+	waited           time.Duration // of those that were sent, together
+}
+
+type answerAt struct {
+	at time.Duration
+	id RequestID
+	up UpstreamID
+}
+
+func newBalancerAt(b *testing.B, rank, n int, rng *rand.Rand) *balancerAt {
+	x := &balancerAt{rate: planRate * float64(n) / planBalancers, took: 50 * ms, rng: rng, sent: func(UpstreamID) {}, came: map[RequestID]time.Duration{}}
+	x.Balancer = planned(b, rank, n, func(kind string, r RequestID, up UpstreamID, d time.Duration, n uint64) {
+		switch {
+		case kind == "send":
+			x.owed = append(x.owed, answerAt{x.now + x.took, r, up})
+			x.waited += x.now - x.came[r]
+			x.sent(up)
+		case kind == "refuse" || kind == "fail":
+			x.refused++
+		case kind == "timer" && n == tickToken:
+			x.ticks = x.now + d
+		}
+	})
+	x.ticks, x.next = x.tick, x.gap()
+	return x
+}
+
+func (x *balancerAt) gap() time.Duration {
+	return time.Duration(x.rng.ExpFloat64() / x.rate * float64(time.Second))
+}
+
+// play goes on to a moment. Answers report a use about a half.
+func (x *balancerAt) play(until time.Duration) {
+	for {
+		at := min(x.ticks, x.next)
+		if len(x.owed) > 0 {
+			at = min(at, x.owed[0].at)
+		}
+		if at >= until {
+			x.now = until
+			return
+		}
+		x.now = at
+		switch {
+		case len(x.owed) > 0 && x.owed[0].at == at:
+			a := x.owed[0]
+			x.owed = x.owed[1:]
+			x.Outcome(at, Outcome{ID: a.id, Upstream: a.up, Latency: x.took, Status: OK, Closed: true, Load: Load{Fields: HasUtil, Util: 0.5 + 0.05*x.rng.NormFloat64()}})
+		case x.ticks == at:
+			x.ticks = math.MaxInt64
+			x.Timer(at, tickToken)
+		default:
+			x.asked++
+			x.next = at + x.gap()
+			x.came[x.asked] = at
+			x.Request(at, Request{ID: x.asked, Class: "read", Budget: time.Second})
+		}
+	}
+}
+
+// What becomes of the requests of a service while nothing happens, where each balancer sees few of them: the part that is refused in the
+// first two minutes and in the ten after them, and how long one waits in the mean.
+func BenchmarkThin(b *testing.B) {
+	for _, n := range []int{2, 10, 37, 150, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var asked, refused [2]float64
+			waited := 0.0
+			for b.Loop() {
+				asked, refused, waited = [2]float64{}, [2]float64{}, 0
+				rng := rand.New(rand.NewPCG(uint64(n), 9))
+				for rank := 0; rank < planBalancers; rank += planBalancers / 50 {
+					x := newBalancerAt(b, rank, n, rng)
+					x.play(2 * time.Minute)
+					asked[0], refused[0] = asked[0]+float64(x.asked), refused[0]+float64(x.refused)
+					first, before := x.refused, x.asked
+					x.play(12 * time.Minute)
+					asked[1], refused[1] = asked[1]+float64(x.asked-before), refused[1]+float64(x.refused-first)
+					waited += x.waited.Seconds() * 1000
+				}
+			}
+			b.ReportMetric(refused[0]/asked[0], "refused-first-2min")
+			b.ReportMetric(refused[1]/asked[1], "refused-then")
+			b.ReportMetric(waited/(asked[0]+asked[1]), "ms-waited")
+			b.ReportMetric(asked[0]+asked[1], "requests")
+		})
+	}
+}
+
+// coldStart plays one start of an upstream of a service with n.
+func coldStart(b *testing.B, n int, seed uint64) (first, part, worst float64, users int) {
+	const born = 2 * time.Minute // readings come rarely at this size
+	id := UpstreamID(1 + seed%uint64(n))
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var sent []time.Duration
+	rules := settings().Rules
+	for rank := range planBalancers {
+		x := newBalancerAt(b, rank, n, rng)
+		if n > 10 && !slices.ContainsFunc(x.near, func(u *upstream) bool { return u.ID == id }) {
+			continue // its stretch lies elsewhere; among few each may come to use it
+		}
+		users++
+		x.sent = func(up UpstreamID) {
+			if up == id && x.now >= born {
+				sent = append(sent, x.now-born)
+			}
+		}
+		x.play(born)
+		list := fleet(n)[id-1 : id]
+		list[0].StartedAt = born
+		x.Members(born, ListDelta, list)
+		x.play(born + rules.RampTime)
+	}
+	slices.Sort(sent)
+	first = math.Inf(1)
+	if len(sent) > 0 {
+		first = sent[0].Seconds()
+	}
+	capacity := planRate / 0.5 // it stands at half of its use
+	ramp := func(at time.Duration) float64 { return 0.33 + (1-0.33)*at.Seconds()/rules.RampTime.Seconds() }
+	for i, j := 0, 0; i < len(sent); i++ {
+		for ; sent[j] <= sent[i]-rules.TipAfter; j++ {
+		}
+		worst = max(worst, float64(i-j+1)/(rules.TipMultiple*capacity*rules.TipAfter.Seconds()*ramp(sent[i])))
+	}
+	return first, float64(len(sent)) / (planRate * rules.RampTime.Seconds()), worst, users
+}
