--- a/internal/discovery/size_test.go
+++ b/internal/discovery/size_test.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -28,7 +30,10 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.Write(text) }))
+			s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.Write(text) }))
+			c := &counted{Listener: s.Listener}
+			s.Listener = c
+			s.Start()
 			defer s.Close()
 			d := New(b.Context(), s.Listener.Addr().String(), func(Heard) {})
 			defer d.End()
@@ -39,6 +44,7 @@
 				}
 			}
 			b.ReportMetric(float64(len(text)), "bytes/list")
+			b.ReportMetric(float64(c.bytes.Load())/float64(b.N), "bytes/call")
 			if n > 0 {
 				b.ReportMetric(float64(len(text))/float64(n), "bytes/entry")
 				b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/entry")
@@ -46,3 +52,31 @@
 		})
 	}
 }
+
+// counted is a listener that counts what passes its connections, both ways, without the system's own heads.
+type counted struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (c *counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	return &countedConn{conn, &c.bytes}, err
+}
+
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- a/size_test.go
+++ b/size_test.go
@@ -1,6 +1,7 @@
 package clayladder
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -11,7 +12,7 @@
 )
 
 // What docs/CAPACITY.md says of the module at 1,500 balancers, 18,000 upstreams, 490 services and 250,000 requests a second comes from the
-// benchmarks of this file: go test -run - -bench 'Users|Held|Thin|ColdAt' -benchtime 1x .
+// benchmarks of this file: go test -run - -bench 'Users|AllServices|Held|Thin|ColdAt|Parts|Silent' -benchtime 1x .
 
 const (
 	planBalancers = 1500
@@ -79,6 +80,56 @@
 	}
 }
 
+// sizes are those of 490 services with 18,000 upstreams, 2 to 2,000 each, by Zipf's law.
+func sizes() (all []int) {
+	const exponent = 0.90515 // at which they come to 18,000
+	for i := range 490 {
+		all = append(all, max(2, int(math.Round(2000*math.Pow(float64(i+1), -exponent)))))
+	}
+	return all
+}
+
+// What one balancer uses of all services, every upstream having the same requests: upstreams, connections that stand open and that are
+// opened anew where one is closed after 55 s without use, and for how much of its requests the upstream has filled a window
+// of readings within so many seconds.
+func BenchmarkAllServices(b *testing.B) {
+	const idle, ranks = 55.0, 10
+	windows := []float64{8, 30, 60, 300}
+	var nodes, used, open, opened, within []float64
+	for b.Loop() {
+		nodes, used, open, opened, within = []float64{0}, []float64{0}, []float64{0}, []float64{0}, make([]float64, len(windows))
+		all := sizes()
+		for i, n := range all {
+			nodes[0] += float64(n)
+			for rank := range ranks {
+				x := planned(b, (rank*planBalancers/ranks+i)%planBalancers, n, nil)
+				slices := 0.0
+				for _, u := range x.near {
+					slices += u.slice
+				}
+				used[0] += float64(len(x.near)) / ranks
+				for _, u := range x.near {
+					rate := planRate * float64(n) / planBalancers * u.slice / slices
+					open[0] += (1 - math.Exp(-rate*idle)) / ranks
+					opened[0] += rate * math.Exp(-rate*idle) / ranks
+					for k, w := range windows {
+						if bandWindow/rate <= w {
+							within[k] += rate / ranks / (planRate * 18_000 / planBalancers)
+						}
+					}
+				}
+			}
+		}
+	}
+	b.ReportMetric(nodes[0], "upstreams")
+	b.ReportMetric(used[0], "used")
+	b.ReportMetric(open[0], "open")
+	b.ReportMetric(opened[0], "opened/s")
+	for k, w := range windows {
+		b.ReportMetric(within[k], fmt.Sprintf("window-in-%vs", w))
+	}
+}
+
 // What a module holds, in bytes of heap: with its upstreams, with its tenants, and alone.
 func BenchmarkHeld(b *testing.B) {
 	for _, x := range []struct {
@@ -162,8 +213,10 @@
 	took             time.Duration
 	rng              *rand.Rand
 	sent             func(up UpstreamID)
-	refused          int
+	refused, tries   int // tries: sent to one that is dead
+	dead             func(up UpstreamID) bool
 	came             map[RequestID]time.Duration
+	attempts         map[RequestID]int
 	waited           time.Duration // of those that were sent, together
 }
 
@@ -171,14 +224,23 @@
 	at time.Duration
 	id RequestID
 	up UpstreamID
+	n  int // of the request's attempts
+	ok bool
 }
 
 func newBalancerAt(b *testing.B, rank, n int, rng *rand.Rand) *balancerAt {
-	x := &balancerAt{rate: planRate * float64(n) / planBalancers, took: 50 * ms, rng: rng, sent: func(UpstreamID) {}, came: map[RequestID]time.Duration{}}
+	x := &balancerAt{rate: planRate * float64(n) / planBalancers, took: 50 * ms, rng: rng, sent: func(UpstreamID) {}, came: map[RequestID]time.Duration{},
+		attempts: map[RequestID]int{}, dead: func(UpstreamID) bool { return false }}
 	x.Balancer = planned(b, rank, n, func(kind string, r RequestID, up UpstreamID, d time.Duration, n uint64) {
 		switch {
 		case kind == "send":
-			x.owed = append(x.owed, answerAt{x.now + x.took, r, up})
+			a := answerAt{x.now + x.took, r, up, x.attempts[r], true}
+			if x.attempts[r]++; x.dead(up) {
+				a.at, a.ok = x.now+500*ms, false
+				x.tries++
+			}
+			at, _ := slices.BinarySearchFunc(x.owed, a, func(p, q answerAt) int { return cmp.Compare(p.at, q.at) })
+			x.owed = slices.Insert(x.owed, at, a)
 			x.waited += x.now - x.came[r]
 			x.sent(up)
 		case kind == "refuse" || kind == "fail":
@@ -211,7 +273,11 @@
 		case len(x.owed) > 0 && x.owed[0].at == at:
 			a := x.owed[0]
 			x.owed = x.owed[1:]
-			x.Outcome(at, Outcome{ID: a.id, Upstream: a.up, Latency: x.took, Status: OK, Closed: true, Load: Load{Fields: HasUtil, Util: 0.5 + 0.05*x.rng.NormFloat64()}})
+			o := Outcome{ID: a.id, Upstream: a.up, Attempt: a.n, Latency: x.took, Status: OK, Closed: true, Load: Load{Fields: HasUtil, Util: 0.5 + 0.05*x.rng.NormFloat64()}}
+			if !a.ok {
+				o = Outcome{ID: a.id, Upstream: a.up, Attempt: a.n, Latency: 500 * ms, Status: ConnectFailed}
+			}
+			x.Outcome(at, o)
 		case x.ticks == at:
 			x.ticks = math.MaxInt64
 			x.Timer(at, tickToken)
@@ -290,3 +356,64 @@
 	}
 	return first, float64(len(sent)) / (planRate * rules.RampTime.Seconds()), worst, users
 }
+
+// How much of what a tenant sends within its quota counts as over it, where each of 1,500 balancers has an even part of the quota: by the
+// quota, the part of it that is sent, and over how many balancers that comes.
+func BenchmarkParts(b *testing.B) {
+	for _, x := range []struct {
+		quota, part float64
+		over        int
+	}{{2, 0.5, 1500}, {10, 0.5, 1500}, {10, 0.5, 4}, {100, 0.5, 1500}, {100, 0.5, 40}, {1500, 0.5, 1500}, {1500, 0.5, 150}, {15000, 0.5, 1500}, {15000, 0.9, 1500}} {
+		b.Run(fmt.Sprintf("quota %v of it %v over %v", x.quota, x.part, x.over), func(b *testing.B) {
+			asked, flagged := 0.0, 0.0
+			for b.Loop() {
+				asked, flagged = 0, 0
+				rng := rand.New(rand.NewPCG(1, 2))
+				for range 20 { // balancers
+					t, now := tenant{rate: x.quota / planBalancers}, 0.0
+					for range 5000 {
+						now += rng.ExpFloat64() / (x.quota * x.part / float64(x.over))
+						asked++
+						if t.over(time.Duration(now * float64(time.Second))) {
+							flagged++
+						}
+					}
+				}
+			}
+			b.ReportMetric(flagged/asked, "counted-over")
+		})
+	}
+}
+
+// What becomes of a service's requests when a part of its upstreams falls silent and nobody tells: new connections do not come up
+// within the 500 ms that serve gives them. Reported are the part of requests that is sent first to a silent one, and that has no answer
+// in time, in the first 6 s and in the minute after them.
+func BenchmarkSilent(b *testing.B) {
+	for _, n := range []int{10, 37, 300} {
+		for _, lost := range []float64{1.0 / 19, 5.0 / 6} {
+			b.Run(fmt.Sprintf("%d lost %.2f", n, lost), func(b *testing.B) {
+				var asked, tried, late [2]float64
+				for b.Loop() {
+					asked, tried, late = [2]float64{}, [2]float64{}, [2]float64{}
+					rng := rand.New(rand.NewPCG(uint64(n), 11))
+					for rank := 0; rank < planBalancers; rank += planBalancers / 100 {
+						x := newBalancerAt(b, rank, n, rng)
+						x.play(2 * time.Minute)
+						x.dead = func(up UpstreamID) bool { return float64(up-1) < math.Round(lost*float64(n)) }
+						for part, until := range []time.Duration{126 * time.Second, 186 * time.Second} {
+							before, tries, lates := x.asked, x.tries, x.refused
+							x.play(until)
+							asked[part] += float64(x.asked - before)
+							tried[part] += float64(x.tries - tries)
+							late[part] += float64(x.refused - lates)
+						}
+					}
+				}
+				for part, name := range []string{"first-6s", "then"} {
+					b.ReportMetric(tried[part]/asked[part], "sent-to-silent-"+name)
+					b.ReportMetric(late[part]/asked[part], "not-served-"+name)
+				}
+			})
+		}
+	}
+}
