Cold budgets hold for 1,500 balancers; how soon a slow upstream loses share

Benchmark: how soon a slow upstream loses share at 1,500 balancers; test: cold budgets hold for 1,500.

--- a/size_test.go
+++ b/size_test.go
@@ -12,7 +12,7 @@
 )
 
 // What docs/CAPACITY.md says of the module at 1,500 balancers, 18,000 upstreams, 490 services and 250,000 requests a second comes from the
-// benchmarks of this file: go test -run - -bench 'Users|AllServices|Held|Thin|ColdAt|Silent' -benchtime 1x .
+// benchmarks of this file: go test -run - -bench 'Users|AllServices|Held|Thin|ColdAt|Silent|Slow' -benchtime 1x .
 
 const (
 	planBalancers = 1500
@@ -243,6 +243,7 @@
 	sent             func(up UpstreamID)
 	refused, tries   int // tries: sent to one that is dead
 	dead             func(up UpstreamID) bool
+	slow             UpstreamID // it takes three times as long, and says that it is full
 	came             map[RequestID]time.Duration
 	attempts         map[RequestID]int
 	waited           time.Duration // of those that were sent, together
@@ -263,6 +264,9 @@
 		switch {
 		case kind == "send":
 			a := answerAt{x.now + x.took, r, up, x.attempts[r], true}
+			if up == x.slow {
+				a.at += 2 * x.took
+			}
 			if x.attempts[r]++; x.dead(up) {
 				a.at, a.ok = x.now+500*ms, false
 				x.tries++
@@ -285,7 +289,16 @@
 	return time.Duration(x.rng.ExpFloat64() / x.rate * float64(time.Second))
 }
 
-// play goes on to a moment. Answers report a use about a half.
+// load is what an upstream reports: a use about a half, or about all.
+func (x *balancerAt) load(up UpstreamID) Load {
+	use := 0.5
+	if up == x.slow {
+		use = 0.95
+	}
+	return Load{Fields: HasUtil, Util: min(1, use+0.03*x.rng.NormFloat64())}
+}
+
+// play goes on to a moment.
 func (x *balancerAt) play(until time.Duration) {
 	for {
 		at := min(x.ticks, x.next)
@@ -301,7 +314,10 @@
 		case len(x.owed) > 0 && x.owed[0].at == at:
 			a := x.owed[0]
 			x.owed = x.owed[1:]
-			o := Outcome{ID: a.id, Upstream: a.up, Attempt: a.n, Latency: x.took, Status: OK, Closed: true, Load: Load{Fields: HasUtil, Util: 0.5 + 0.05*x.rng.NormFloat64()}}
+			o := Outcome{ID: a.id, Upstream: a.up, Attempt: a.n, Latency: x.took, Status: OK, Closed: true, Load: x.load(a.up)}
+			if a.up == x.slow {
+				o.Latency = 3 * x.took
+			}
 			if !a.ok {
 				o = Outcome{ID: a.id, Upstream: a.up, Attempt: a.n, Latency: 500 * ms, Status: ConnectFailed}
 			}
@@ -417,3 +433,80 @@
 		}
 	}
 }
+
+// How soon the share of an upstream falls that becomes three times slower and reports that it is full: what is sent to it of what was sent
+// before, in the spans that end after so many seconds. Either each balancer reads what its own answers say, or all are told a reading
+// of each upstream that they use once a second, as balancers of a region could tell each other.
+func BenchmarkSlow(b *testing.B) {
+	for _, n := range []int{10, 37, 300} {
+		for _, shared := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d %s", n, map[bool]string{false: "own", true: "shared"}[shared]), func(b *testing.B) {
+				ends := []int{10, 30, 60, 300}
+				var sent [5]float64
+				for b.Loop() {
+					sent = [5]float64{}
+					rng := rand.New(rand.NewPCG(uint64(n), 13))
+					for rank := range planBalancers {
+						x := newBalancerAt(b, rank, n, rng)
+						if !slices.ContainsFunc(x.near, func(u *upstream) bool { return u.ID == 1 }) {
+							continue
+						}
+						span := 0
+						x.sent = func(up UpstreamID) {
+							if up == 1 {
+								sent[span]++
+							}
+						}
+						told := 0
+						to := func(end int) {
+							for ; told < end; told++ {
+								x.play(time.Duration(told+1) * time.Second)
+								for _, u := range x.near {
+									if shared && u.member {
+										x.Probed(x.now, ProbeResult{Upstream: u.ID, Status: OK, Load: x.load(u.ID)})
+									}
+								}
+							}
+						}
+						before := sent[0]
+						to(60)
+						sent[0] = before // the first minute is no measure
+						to(120)
+						x.slow = 1
+						for i, end := range ends {
+							span = i + 1
+							to(120 + end)
+						}
+					}
+				}
+				from := 0
+				for i, end := range ends {
+					b.ReportMetric(sent[i+1]/float64(end-from)/(sent[0]/60), fmt.Sprintf("left-to-%ds", end))
+					from = end
+				}
+			})
+		}
+	}
+}
+
+// The budget of a cold upstream holds for 1,500 balancers that all have requests for it at the same moments, as it does for 300
+// (TestColdBudgetHoldsForTheFleet, which plays them more often). The first call comes at once.
+func TestColdBudgetHoldsFor1500(t *testing.T) {
+	for _, capacity := range []float64{3, 40} { // requests a second of the upstream when it is warm
+		for _, fault := range []string{"", "restart", "late", "all cold"} {
+			t.Run(fmt.Sprint(capacity, fault), func(t *testing.T) {
+				t.Parallel()
+				f := newColdFleet(t, planBalancers, capacity, fault == "all cold")
+				f.play(250*ms, fault)
+				most, breach := f.worst(capacity)
+				switch {
+				case breach != "":
+					t.Error(breach)
+				case len(f.sent) == 0 || f.sent[0] > f.born+time.Second:
+					t.Errorf("%d sent, none in the first second", len(f.sent))
+				}
+				t.Logf("%d sent, %.2f of the budget at most", len(f.sent), most)
+			})
+		}
+	}
+}
