--- a/internal/pool/directory.go
+++ b/internal/pool/directory.go
@@ -50,15 +50,12 @@
 // NewDirectory starts a directory, for so many connections to one node over all pools.
 func NewDirectory(ctx context.Context, connections int) *Directory {
 	d := &Directory{ctx: ctx, ready: make(chan struct{}, 1)}
+	state := newDirectory(connections)
 	go func() {
-		state := &directory{nodeshare.New(connections), map[*nodeshare.Pool]*tie{}, map[*nodeshare.Pool]struct{}{}, connections, false}
 		for {
 			select {
 			case <-d.ready:
-				for _, ask := range d.take() {
-					ask(state)
-				}
-				state.tell()
+				state.turn(d.take())
 			case <-ctx.Done():
 				return
 			}
@@ -67,6 +64,18 @@
 	return d
 }
 
+func newDirectory(connections int) *directory {
+	return &directory{ledger: nodeshare.New(connections), ties: map[*nodeshare.Pool]*tie{}, claimed: map[*nodeshare.Pool]struct{}{}, limit: connections}
+}
+
+// turn answers what was asked.
+func (d *directory) turn(asks []func(*directory)) {
+	for _, ask := range asks {
+		ask(d)
+	}
+	d.tell()
+}
+
 // tell sends pools what they have not been told: first to all what cuts their use of a node, then the rest, with the word
 // that their claims are in. So a pool that is given something comes after those that it is taken from.
 func (d *directory) tell() {
