Test of the directory: an old word counts for no later claim

Test of the directory: an old word that a claim is in counts for no later one (fails without the serial).

Need: a word of the directory on its way while a pool claims again. Without the serial the test fails.

--- a/internal/pool/directory_test.go
+++ b/internal/pool/directory_test.go
@@ -132,6 +132,11 @@
 	d := newDesk(t, 40)
 	a, b := d.pool(t, "a", 1, false), d.pool(t, "b", 3, false)
 	a.lists("up")
+	d.turn() // a is told that its claim is in, and does not look
+	a.lists()
+	a.lists("up")
+	a.rush()
+	want(t, "a, by the word that its first claim is in", a.node(0).state, clayladder.Draining)
 	b.lists("up")
 	d.turn()
 	a.rush()
@@ -145,7 +150,7 @@
 	b.shares.leave()
 	d.turn()
 	a.rush()
-	want(t, "a, by the answer to its third", a.node(0).state, clayladder.Active)
+	want(t, "a, by the answer to its last", a.node(0).state, clayladder.Active)
 	want(t, "a", a.node(0).share, nodeshare.Share{Part: 1, Connections: 40})
 	want(t, "what a keeps beside its claim", len(a.shares.shared)+len(a.shares.waiting), 0)
 }
