Tenants: one immutable table for all pools, and state only for those that have sent

Each pool's module held all tenants and summed over them each second: with 140,000 tenants and 100 pools 2.7 GB and 1.1 cores. Settings.Tenants is now a table made and checked once, copied by shards on a change (24 bytes an entry and its name), and a Balancer keeps a level only for tenants that have sent and whose level has not run dry: it looks at two of them for each request, without a timer. The sum of even parts is taken once per table. Settings.Equal compares what tables do not share. The classes of a pool's routes are gathered in one pass, not one for each pool.

A changed quota now counts from the change on: before, the new rate counted for the time before it too, since the tenant's last request.

Tests that changed entries of the slice now make a table; what is refused and its words are the same.

--- a/api.go
+++ b/api.go
@@ -115,7 +115,7 @@
 	Balancers      int // instances in this tier
 	Rank           int // of this instance among them, from 0
 	Classes        []Class
-	Tenants        []Tenant
+	Tenants        *Tenants
 	OverShareWorth float64 // worth of traffic over a tenant's quota
 	WorthByWork    bool    // worth counts per unit of work, not per request
 	WarmKeys       bool    // an upstream serves keys it met lately with less work
--- a/balancer.go
+++ b/balancer.go
@@ -69,8 +69,8 @@
 		return nil, err
 	}
 	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 0)), requests: map[RequestID]*request{},
-		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now,
-		bornAt: now}
+		byID: map[UpstreamID]*upstream{}, senders: map[string]*sender{}, logged: map[string]time.Duration{},
+		stepAt: now, tightAt: now, bornAt: now}
 	shortest := b.adopt(s, now)
 	b.gather(now)
 	b.lat = float64(shortest) / 4 // until answers tell
@@ -156,7 +156,7 @@
 	if !b.s.WorthByWork {
 		r.worth /= r.units
 	}
-	if t := b.tenants[q.Tenant]; t != nil && t.over(now) {
+	if b.overQuota(q.Tenant, now) {
 		r.worth *= b.s.OverShareWorth
 	}
 	// A later try shows its age by a short budget. Past the aim such once took the turns of those in time.
@@ -724,16 +724,12 @@
 // turns as k/6: the sum is least at √(6 rate), hardly more with fewer connections.
 func (b *Balancer) width(n float64) float64 {
 	of := func(sharers float64) float64 { return n * sharers / max(sharers, float64(b.s.Balancers)-sharers) }
-	fair := 0.0 // its even part of what tenants have bought
-	for _, t := range b.tenants {
-		fair += t.rate
-	}
 	few := min(n, max(subsetLeast, of(sharers)))
-	want := min(n, max(few, min(of(sharersMost), math.Sqrt(evenTurns*cmp.Or(fair, b.rate)))))
+	want := min(n, max(few, min(of(sharersMost), math.Sqrt(evenTurns*cmp.Or(b.fair, b.rate)))))
 	b.pace = few / max(want, 1) // more that share an upstream cut it by less each: they grow by less too
 	// One with several times the traffic of the others filled its few while theirs stood idle: it uses as many
 	// times more, with as many turns at first over all of them.
-	over := max(1, b.rate/cmp.Or(fair, math.Inf(1)))
+	over := max(1, b.rate/cmp.Or(b.fair, math.Inf(1)))
 	if over > max(1, b.wide)*rateNoise || over < b.wide/rateNoise {
 		b.wide = over
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -314,7 +314,7 @@
 		"Memory":                                func(s *Settings) { s.Classes[1].Memory = 0 },
 		"\"read\" is set twice":                 func(s *Settings) { s.Classes = append(s.Classes, s.Classes[0]) },
 		"Worth":                                 func(s *Settings) { s.Classes[2].Worth = -1 },
-		"Quota":                                 func(s *Settings) { s.Tenants[1].Quota = -1 },
+		"Quota":                                 func(s *Settings) { s.Tenants = s.Tenants.With([]Tenant{{"small", -1}}, nil) },
 		"Rank":                                  func(s *Settings) { s.Rank = s.Balancers },
 		"OverShareWorth":                        func(s *Settings) { s.OverShareWorth = math.NaN() },
 		"Granularity":                           func(s *Settings) { s.Granularity = -1 },
@@ -323,8 +323,8 @@
 		"Repeat":                                func(s *Settings) { s.Classes[0].Repeat = 9 },
 		"Group":                                 func(s *Settings) { s.Classes[1].Group = 9 },
 		"LateWorth":                             func(s *Settings) { s.Classes[0].LateWorth = math.Inf(1) },
-		"\"small\" is set twice or has a Quota": func(s *Settings) { s.Tenants[1].Quota = math.NaN() },
-		"\"big\" is set twice":                  func(s *Settings) { s.Tenants = append(s.Tenants, s.Tenants[0]) },
+		"\"small\" is set twice or has a Quota": func(s *Settings) { s.Tenants = NewTenants([]Tenant{{"big", 200}, {"small", math.NaN()}}) },
+		"\"big\" is set twice":                  func(s *Settings) { s.Tenants = NewTenants([]Tenant{{"big", 200}, {"small", 20}, {"big", 200}}) },
 	} {
 		s := settings()
 		spoil(&s)
@@ -722,7 +722,7 @@
 // All begin at once. By chance the busiest of 200 upstreams had three times the mean of 300 balancers' first requests.
 func TestFirstTurnsOfAllGoRoundTheRing(t *testing.T) {
 	s := settings()
-	s.Balancers, s.Tenants = 300, []Tenant{{Name: "all", Quota: 5000}}
+	s.Balancers, s.Tenants = 300, NewTenants([]Tenant{{Name: "all", Quota: 5000}})
 	got := map[UpstreamID]int{}
 	for s.Rank = range s.Balancers {
 		b, h := start(t, s, fleet(200))
@@ -752,7 +752,7 @@
 		"210 of 300 are away":               func(i int) (int, int) { return i * 3 / 10, 300 },
 	} {
 		s, used := settings(), map[UpstreamID]float64{}
-		s.Tenants = []Tenant{{Name: "all", Quota: 5000}}
+		s.Tenants = NewTenants([]Tenant{{Name: "all", Quota: 5000}})
 		for i := range 300 {
 			s.Rank, s.Balancers = rank(i)
 			b, _ := start(t, s, fleet(200))
@@ -772,7 +772,7 @@
 // more of their traffic each, so that all together send it the same.
 func TestColdUpstreamIsLearntByFew(t *testing.T) {
 	s := settings()
-	s.Balancers, s.Tenants = 300, []Tenant{{Name: "all", Quota: 5000}}
+	s.Balancers, s.Tenants = 300, NewTenants([]Tenant{{Name: "all", Quota: 5000}})
 	users, sum := [2]float64{}, [2]float64{}
 	for i, cold := range []bool{false, true} {
 		list := fleet(200)
@@ -1013,7 +1013,7 @@
 func TestHeavyBalancerUsesMoreUpstreams(t *testing.T) {
 	ask := func(rate int, quota float64, periods int) (near int, turns float64) {
 		s := settings()
-		s.Balancers, s.Tenants = 100, []Tenant{{Name: "all", Quota: quota}}
+		s.Balancers, s.Tenants = 100, NewTenants([]Tenant{{Name: "all", Quota: quota}})
 		b, _ := start(t, s, fleet(60))
 		now := time.Hour
 		for range periods {
--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -137,7 +137,7 @@
 		fmt.Fprintf(out, "%s %d of %d nodes", []string{"", ",", ","}[i], n, nodes)
 	}
 	fmt.Fprintln(out)
-	if len(c.Tenants) == 0 {
+	if c.Tenants.Len() == 0 {
 		fmt.Fprintf(out, "  pool %s: no tenant has bought anything, so a balancer with more than its part of the traffic is not known to have it\n", pool)
 	}
 	return nil
--- a/host_test.go
+++ b/host_test.go
@@ -52,7 +52,7 @@
 			{Name: "keyed", Aim: 300 * ms, Deadline: time.Second, Repeat: Keyed, Group: GroupZone, Memory: 400 * ms, Worth: 3},
 			{Name: "write", Aim: 300 * ms, Deadline: time.Second, Repeat: Unsafe, Worth: 2},
 		},
-		Tenants:     []Tenant{{Name: "big", Quota: 200}, {Name: "small", Quota: 20}},
+		Tenants:     NewTenants([]Tenant{{Name: "big", Quota: 200}, {Name: "small", Quota: 20}}),
 		Limits:      Limits{Cancel: true, Probes: true, MaxAttempts: 4},
 		Rules:       Rules{AskWithin: 10 * time.Second, ColdFrom: 0.3, RampTime: 9 * time.Second, TipMultiple: 3, TipAfter: 1500 * ms, DrainGrace: time.Second, AnswerWithin: 20 * ms},
 		Weights:     WeightNominal,
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"clayladder"
 	"clayladder/internal/nodelist"
 	"clayladder/internal/route"
 	"clayladder/internal/strictyaml"
@@ -33,6 +34,10 @@
 	Table *route.Table
 	// Routing has what the table does not: the rest of each route, by name.
 	Routing map[string]Route
+	// Tenants is shared by the settings of all pools.
+	Tenants *clayladder.Tenants
+
+	used map[string][]string // by pool: the classes of its routes
 }
 
 // Load reads and checks a file. The error joins one strictyaml.Error for each thing wrong.
@@ -67,6 +72,12 @@
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
+	c.uses()
+	tenants := make([]clayladder.Tenant, 0, len(c.File.Tenants))
+	for name, t := range c.File.Tenants {
+		tenants = append(tenants, clayladder.Tenant{Name: name, Quota: t.Quota})
+	}
+	c.Tenants, c.File.Tenants = clayladder.NewTenants(tenants), nil
 	return c, nil
 }
 
@@ -181,7 +192,7 @@
 		}
 		k.Classes[name] = c
 	}
-	for name, t := range k.Tenants {
+	for name, t := range k.Loaded.File.Tenants {
 		if !(t.Quota >= 0 && t.Quota < 1e9) {
 			k.Fail("tenants."+name+".quota", "the quota is a rate of requests a second, 0 or more")
 		}
--- a/internal/pool/configure.go
+++ b/internal/pool/configure.go
@@ -1,9 +1,6 @@
 package pool
 
-import (
-	"fmt"
-	"reflect"
-)
+import "fmt"
 
 // configured is a new Spec, all of which holds from now on.
 type configured struct {
@@ -51,7 +48,7 @@
 }
 
 func (e reloaded) apply(l *loop) {
-	if !reflect.DeepEqual(e.Settings, l.settings) {
+	if !e.Settings.Equal(l.settings) {
 		if err := l.adopt(e.Spec); err != nil {
 			l.Log(fmt.Sprintf("configuration: the old settings stay: %v", err))
 			return
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -126,8 +126,10 @@
 		}
 		s.Classes = append(s.Classes, class)
 	}
+	tenants := make([]clayladder.Tenant, 0, len(p.Tenants))
 	for _, t := range p.Tenants {
-		s.Tenants = append(s.Tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
+		tenants = append(tenants, clayladder.Tenant{Name: t.Name, Quota: t.Quota})
 	}
+	s.Tenants = clayladder.NewTenants(tenants)
 	return s, links, nil
 }
--- a/rules_test.go
+++ b/rules_test.go
@@ -1,6 +1,7 @@
 package clayladder
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -14,6 +15,7 @@
 type checker struct {
 	t        *testing.T
 	s        Settings
+	tenants  []string // most quota first
 	now      time.Duration
 	requests map[RequestID]*seen
 	open     []*try // attempts out, in order of sending
@@ -160,6 +162,9 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 1))
 	c := &checker{t: t, s: s, now: origin, requests: map[RequestID]*seen{}, list: map[UpstreamID]Upstream{}, goneAt: map[UpstreamID]time.Duration{}, sent: map[UpstreamID][]time.Duration{}}
+	for _, x := range slices.SortedFunc(s.Tenants.All(), func(x, y Tenant) int { return cmp.Compare(y.Quota, x.Quota) }) {
+		c.tenants = append(c.tenants, x.Name)
+	}
 	h := &recorder{hook: c.action}
 	b, err := New(s, seed, c.now, h)
 	if err != nil {
@@ -195,7 +200,7 @@
 	r := &seen{id: id, class: cl, deadline: c.now + budget}
 	c.requests[id] = r
 	q := Request{ID: id, Class: cl.Name, Budget: budget, Cost: time.Duration(rng.IntN(90)) * ms,
-		Tenant: c.s.Tenants[rng.IntN(len(c.s.Tenants))].Name}
+		Tenant: c.tenants[rng.IntN(len(c.tenants))]}
 	if rng.IntN(2) == 0 {
 		q.Key, q.HasKey = uint64(rng.IntN(20)), true
 	}
@@ -326,7 +331,7 @@
 	for i, name := range []string{"x", "y", "z"} {
 		renamed.Classes[i].Name = name
 	}
-	renamed.Tenants[0].Name, renamed.Tenants[1].Name, renamed.Zone = "one", "two", "elsewhere"
+	renamed.Tenants, renamed.Zone = NewTenants([]Tenant{{"one", 200}, {"two", 20}}), "elsewhere"
 	_, want := drive(t, settings(), 7, 10*time.Hour)
 	for _, c := range []struct {
 		name   string
--- a/service_test.go
+++ b/service_test.go
@@ -97,9 +97,9 @@
 			t.Errorf("%s: %d, want 4", what, n)
 		}
 	}
-	if len(b.requests) > 0 || len(b.held) > 0 || len(b.tenants) != 2 || len(b.logged) > 5 {
+	if len(b.requests) > 0 || len(b.held) > 0 || len(b.senders) != 0 || len(b.ring) != 0 || len(b.logged) > 5 {
 		t.Errorf("left: %d requests, %d held, %d tenants, %d kinds of log line",
-			len(b.requests), len(b.held), len(b.tenants), len(b.logged))
+			len(b.requests), len(b.held), len(b.senders), len(b.logged))
 	}
 }
 
--- a/settings.go
+++ b/settings.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"reflect"
 )
 
 // ErrSettings is wrapped by every error that New returns for its settings.
@@ -66,12 +67,8 @@
 		}
 		names[c.Name] = true
 	}
-	names = map[string]bool{}
-	for _, t := range s.Tenants {
-		if names[t.Name] || !amount(t.Quota) {
-			return bad("tenant %q is set twice or has a Quota that is negative or not finite", t.Name)
-		}
-		names[t.Name] = true
+	if s.Tenants != nil {
+		return s.Tenants.err
 	}
 	return nil
 }
@@ -101,3 +98,12 @@
 	}
 	return u
 }
+
+// Equal reports whether two settings say the same. Tables of tenants are compared by what they do not share.
+func (s Settings) Equal(o Settings) bool {
+	if !s.Tenants.Equal(o.Tenants) {
+		return false
+	}
+	s.Tenants, o.Tenants = nil, nil
+	return reflect.DeepEqual(s, o)
+}
--- a/state.go
+++ b/state.go
@@ -9,15 +9,6 @@
 
 // The types that the decisions in balancer.go keep. Nothing is decided here.
 
-// tenant counts one customer's requests against this balancer's part of its quota.
-type tenant struct{ rate, level, at float64 }
-
-// over counts a request and reports whether its tenant is over its quota.
-func (t *tenant) over(now time.Duration) bool {
-	t.level, t.at = max(0, t.level-t.rate*(now.Seconds()-t.at))+1, now.Seconds()
-	return t.level > max(t.rate, 1)
-}
-
 // class is one kind of request, its usual latency, ns, and the longest budget of a try.
 type class struct {
 	Class
@@ -80,7 +71,10 @@
 	host                    Host
 	rng                     *rand.Rand
 	classes                 map[string]*class
-	tenants                 map[string]*tenant
+	senders                 map[string]*sender // tenants whose level has not run dry, as far as was looked
+	ring                    []*sender          // the same
+	hand                    int                // where the sweep goes on in it
+	fair                    float64            // its even part of what tenants have bought, requests a second
 	safest                  Repeat
 	requests                map[RequestID]*request
 	byID                    map[UpstreamID]*upstream
@@ -112,7 +106,7 @@
 
 // adopt takes settings and returns the shortest aim. What is counted of classes and tenants that stay goes on.
 func (b *Balancer) adopt(s Settings, now time.Duration) (shortest time.Duration) {
-	classes, tenants := make(map[string]*class, len(s.Classes)), make(map[string]*tenant, len(s.Tenants))
+	classes := make(map[string]*class, len(s.Classes))
 	b.safest, shortest = Unsafe, s.Classes[0].Aim
 	for _, c := range s.Classes {
 		n := &class{Class: c}
@@ -122,15 +116,8 @@
 		classes[c.Name] = n
 		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
 	}
-	for _, t := range s.Tenants {
-		n := &tenant{at: now.Seconds()}
-		if old := b.tenants[t.Name]; old != nil {
-			*n = *old
-		}
-		n.rate = t.Quota / float64(s.Balancers)
-		tenants[t.Name] = n
-	}
-	b.s, b.classes, b.tenants = s, classes, tenants
+	b.requote(s, now)
+	b.s, b.classes = s, classes
 	b.tick = max(s.Granularity, shortest/ticksPerAim, time.Millisecond)
 	return shortest
 }
