--- a/internal/pool/configure.go
+++ b/internal/pool/configure.go
@@ -1,9 +1,6 @@
 package pool
 
-import (
-	"fmt"
-	"reflect"
-)
+import "fmt"
 
 // configured is a new Spec, all of which holds from now on.
 type configured struct {
@@ -20,9 +17,10 @@
 		l.follow(e.Discovery)
 		l.Watch(true)
 	}
-	if s := l.shares; s.weight != e.Share || s.own != e.OwnDrains {
-		s.weight, s.own, s.claimed = e.Share, e.OwnDrains, nil
-		l.claim()
+	l.shares.reweigh(e.Share)
+	if l.shares.own != e.OwnDrains {
+		l.shares.own = e.OwnDrains
+		l.reshare(nil)
 	}
 	l.settle()
 	e.done <- nil
@@ -51,7 +49,7 @@
 }
 
 func (e reloaded) apply(l *loop) {
-	if !reflect.DeepEqual(e.Settings, l.settings) {
+	if !e.Settings.Equal(l.settings) {
 		if err := l.adopt(e.Spec); err != nil {
 			l.Log(fmt.Sprintf("configuration: the old settings stay: %v", err))
 			return
