--- a/size_test.go
+++ b/size_test.go
@@ -7,12 +7,13 @@
 	"math/rand/v2"
 	"runtime"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
 
 // What docs/CAPACITY.md says of the module at 1,500 balancers, 18,000 upstreams, 490 services and 250,000 requests a second comes from the
-// benchmarks of this file: go test -run - -bench 'Users|AllServices|Held|Thin|ColdAt|Silent|Slow' -benchtime 1x .
+// benchmarks of this file: go test -run - -bench 'Users|AllServices|Held|Thin|ColdAt|Silent|Slow|Parts' -benchtime 1x .
 
 const (
 	planBalancers = 1500
@@ -20,9 +21,9 @@
 )
 
 // planned returns a Balancer of a service with n upstreams.
-func planned(b *testing.B, rank, n int, hook func(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64)) *Balancer {
+func planned(b *testing.B, balancers, rank, n int, hook func(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64)) *Balancer {
 	s := settings()
-	s.Balancers, s.Rank, s.Tenants = planBalancers, rank, nil
+	s.Balancers, s.Rank, s.Tenants = balancers, rank, nil
 	s.Rules.ColdFrom = 0.33 // as serve has it
 	x, err := New(s, uint64(rank)+1, 0, quietHost{hook})
 	if err != nil {
@@ -63,7 +64,7 @@
 				clear(users)
 				used = 0
 				for rank := range planBalancers {
-					for _, u := range planned(b, rank, n, nil).near {
+					for _, u := range planned(b, planBalancers, rank, n, nil).near {
 						users[u.ID]++
 						used++
 					}
@@ -106,13 +107,17 @@
 
 // What one balancer uses of all services: upstreams, connections that stand open and that are opened anew a second where one is closed
 // after 55 s without use, and for how much of its requests the upstream has filled a window of readings within so many seconds. Requests are
-// even by upstream, or by Zipf's law over services of any size, a tenth of which has none.
+// even by upstream, or by Zipf's law over services of any size, a tenth of which has none. A sixth: each balancer has every sixth service.
 func BenchmarkAllServices(b *testing.B) {
 	const idle, ranks = 55.0, 10
 	windows := []float64{8, 30, 60, 300}
-	for _, skewed := range []bool{false, true} {
-		b.Run(map[bool]string{false: "even", true: "skewed"}[skewed], func(b *testing.B) {
-			all := sizes()
+	for _, how := range []string{"even", "skewed", "a sixth, even", "a sixth, skewed"} {
+		b.Run(how, func(b *testing.B) {
+			skewed, groups := strings.HasSuffix(how, "skewed"), 1
+			if strings.HasPrefix(how, "a sixth") {
+				groups = 6
+			}
+			balancers, all := planBalancers/groups, sizes()
 			parts, sum, least := make([]float64, len(all)), 0.0, all[0]
 			places := rand.New(rand.NewPCG(1, 1)).Perm(len(all))
 			for i, n := range all {
@@ -130,8 +135,8 @@
 				used, open, opened, within = 0, 0, 0, make([]float64, len(windows))
 				for i, n := range all {
 					for rank := range ranks {
-						x, slices := planned(b, (rank*planBalancers/ranks+i)%planBalancers, n, nil), 0.0
-						x.rate = planRate * 18_000 / planBalancers * parts[i] / sum
+						x, slices := planned(b, balancers, (rank*balancers/ranks+i)%balancers, n, nil), 0.0
+						x.rate = planRate * 18_000 / float64(balancers) * parts[i] / sum
 						x.gather(0)
 						for _, u := range x.near {
 							slices += u.slice
@@ -139,14 +144,14 @@
 						if parts[i] == 0 {
 							continue
 						}
-						used += float64(len(x.near)) / ranks
+						used += float64(len(x.near)) / ranks / float64(groups)
 						for _, u := range x.near {
 							rate := x.rate * u.slice / slices
-							open += (1 - math.Exp(-rate*idle)) / ranks
-							opened += rate * math.Exp(-rate*idle) / ranks
+							open += (1 - math.Exp(-rate*idle)) / ranks / float64(groups)
+							opened += rate * math.Exp(-rate*idle) / ranks / float64(groups)
 							for k, w := range windows {
 								if bandWindow/rate <= w {
-									within[k] += rate / ranks / (planRate * 18_000 / planBalancers)
+									within[k] += rate / ranks / float64(groups) / (planRate * 18_000 / planBalancers)
 								}
 							}
 						}
@@ -257,10 +262,10 @@
 	ok bool
 }
 
-func newBalancerAt(b *testing.B, rank, n int, rng *rand.Rand) *balancerAt {
-	x := &balancerAt{rate: planRate * float64(n) / planBalancers, took: 50 * ms, rng: rng, sent: func(UpstreamID) {}, came: map[RequestID]time.Duration{},
+func newBalancerAt(b *testing.B, balancers, rank, n int, rng *rand.Rand) *balancerAt {
+	x := &balancerAt{rate: planRate * float64(n) / float64(balancers), took: 50 * ms, rng: rng, sent: func(UpstreamID) {}, came: map[RequestID]time.Duration{},
 		attempts: map[RequestID]int{}, dead: func(UpstreamID) bool { return false }}
-	x.Balancer = planned(b, rank, n, func(kind string, r RequestID, up UpstreamID, d time.Duration, n uint64) {
+	x.Balancer = planned(b, balancers, rank, n, func(kind string, r RequestID, up UpstreamID, d time.Duration, n uint64) {
 		switch {
 		case kind == "send":
 			a := answerAt{x.now + x.took, r, up, x.attempts[r], true}
@@ -345,7 +350,7 @@
 				asked, refused, waited = [2]float64{}, [2]float64{}, 0
 				rng := rand.New(rand.NewPCG(uint64(n), 9))
 				for rank := 0; rank < planBalancers; rank += planBalancers / 50 {
-					x := newBalancerAt(b, rank, n, rng)
+					x := newBalancerAt(b, planBalancers, rank, n, rng)
 					x.play(2 * time.Minute)
 					asked[0], refused[0] = asked[0]+float64(x.asked), refused[0]+float64(x.refused)
 					first, before := x.refused, x.asked
@@ -370,7 +375,7 @@
 	var sent []time.Duration
 	rules := settings().Rules
 	for rank := range planBalancers {
-		x := newBalancerAt(b, rank, n, rng)
+		x := newBalancerAt(b, planBalancers, rank, n, rng)
 		if n > 10 && !slices.ContainsFunc(x.near, func(u *upstream) bool { return u.ID == id }) {
 			continue // its stretch lies elsewhere; among few each may come to use it
 		}
@@ -401,6 +406,40 @@
 	return first, float64(len(sent)) / (planRate * rules.RampTime.Seconds()), worst, users
 }
 
+// How much of what a tenant sends within its quota counts as over it, where each of 1,500 balancers has an even part of the quota: by the
+// quota, the part of it that is sent, and over how many balancers that comes.
+func BenchmarkParts(b *testing.B) {
+	for _, x := range []struct {
+		quota, part float64
+		over        int
+	}{{10, 0.5, 1500}, {10, 0.5, 4}, {1500, 0.5, 1500}, {1500, 0.5, 150}, {15000, 0.5, 1500}, {15000, 0.9, 1500}} {
+		b.Run(fmt.Sprintf("quota %v of it %v over %v", x.quota, x.part, x.over), func(b *testing.B) {
+			asked, flagged := 0.0, 0.0
+			for b.Loop() {
+				asked, flagged = 0, 0
+				rng := rand.New(rand.NewPCG(1, 2))
+				for range 20 { // balancers
+					s := settings()
+					s.Balancers, s.Tenants = planBalancers, NewTenants([]Tenant{{Name: "one", Quota: x.quota}})
+					balancer, err := New(s, 1, 0, quietHost{})
+					if err != nil {
+						b.Fatal(err)
+					}
+					now := 0.0
+					for range 5000 {
+						now += rng.ExpFloat64() / (x.quota * x.part / float64(x.over))
+						asked++
+						if balancer.overQuota("one", time.Duration(now*float64(time.Second))) {
+							flagged++
+						}
+					}
+				}
+			}
+			b.ReportMetric(flagged/asked, "counted-over")
+		})
+	}
+}
+
 // What becomes of a service's requests when a part of its upstreams falls silent and nobody tells: new connections do not come up
 // within the 500 ms that serve gives them. Reported are the part of requests that is sent first to a silent one, and that has no answer
 // in time, in the first 6 s and in the minute after them.
@@ -413,7 +452,7 @@
 					asked, tried, late = [2]float64{}, [2]float64{}, [2]float64{}
 					rng := rand.New(rand.NewPCG(uint64(n), 11))
 					for rank := 0; rank < planBalancers; rank += planBalancers / 300 {
-						x := newBalancerAt(b, rank, n, rng)
+						x := newBalancerAt(b, planBalancers, rank, n, rng)
 						x.play(2 * time.Minute)
 						x.dead = func(up UpstreamID) bool { return float64(up-1) < math.Round(lost*float64(n)) }
 						for part, until := range []time.Duration{126 * time.Second, 186 * time.Second} {
@@ -436,18 +475,23 @@
 
 // How soon the share of an upstream falls that becomes three times slower and reports that it is full: what is sent to it of what was sent
 // before, in the spans that end after so many seconds. Either each balancer reads what its own answers say, or all are told a reading
-// of each upstream that they use once a second, as balancers of a region could tell each other.
+// of each upstream that they use once a second, as balancers of a region could tell each other. And the same where only one in six balancers has the
+// service.
 func BenchmarkSlow(b *testing.B) {
 	for _, n := range []int{10, 37, 300} {
-		for _, shared := range []bool{false, true} {
-			b.Run(fmt.Sprintf("%d %s", n, map[bool]string{false: "own", true: "shared"}[shared]), func(b *testing.B) {
+		for _, how := range []string{"own", "shared", "a sixth, own", "a sixth, shared"} {
+			b.Run(fmt.Sprintf("%d %s", n, how), func(b *testing.B) {
+				balancers, shared := planBalancers, strings.HasSuffix(how, "shared")
+				if strings.HasPrefix(how, "a sixth") {
+					balancers /= 6
+				}
 				ends := []int{10, 30, 60, 300}
 				var sent [5]float64
 				for b.Loop() {
 					sent = [5]float64{}
 					rng := rand.New(rand.NewPCG(uint64(n), 13))
-					for rank := range planBalancers {
-						x := newBalancerAt(b, rank, n, rng)
+					for rank := range balancers {
+						x := newBalancerAt(b, balancers, rank, n, rng)
 						if !slices.ContainsFunc(x.near, func(u *upstream) bool { return u.ID == 1 }) {
 							continue
 						}
