--- a/size_test.go
+++ b/size_test.go
@@ -13,7 +13,7 @@
 )
 
 // What docs/CAPACITY.md says of the module at 1,500 balancers, 18,000 upstreams, 490 services and 250,000 requests a second comes from the
-// benchmarks of this file: go test -run - -bench 'Users|AllServices|Held|Thin|ColdAt|Silent|Slow|Parts' -benchtime 1x .
+// benchmarks of this file: go test -run - -bench 'Users|AllServices|Held|Thin|ColdAt|Silent|Slow|Parts|Told' -benchtime 1x .
 
 const (
 	planBalancers = 1500
@@ -440,6 +440,33 @@
 	}
 }
 
+// What a module takes to hear of one upstream that drains or is back, of a whole list, and to take one request and its answer, by its upstreams.
+func BenchmarkTold(b *testing.B) {
+	for _, n := range []int{2, 37, 300, 2000, 18_000} {
+		x := planned(b, planBalancers, 0, n, nil)
+		list, now := fleet(n), time.Duration(0)
+		b.Run(fmt.Sprint(n, " one"), func(b *testing.B) {
+			for b.Loop() {
+				now += ms
+				list[0].State ^= Draining
+				x.Members(now, ListDelta, list[:1])
+			}
+		})
+		b.Run(fmt.Sprint(n, " all"), func(b *testing.B) {
+			for b.Loop() {
+				now += ms
+				x.Members(now, ListFull, list)
+			}
+		})
+		b.Run(fmt.Sprint(n, " step"), func(b *testing.B) { // what a pool's module does each second, whether or not it is used
+			for b.Loop() {
+				now += time.Second
+				x.step(now)
+			}
+		})
+	}
+}
+
 // What becomes of a service's requests when a part of its upstreams falls silent and nobody tells: new connections do not come up
 // within the 500 ms that serve gives them. Reported are the part of requests that is sent first to a silent one, and that has no answer
 // in time, in the first 6 s and in the minute after them.
