--- a/size_test.go
+++ b/size_test.go
@@ -469,20 +469,24 @@
 
 // What becomes of a service's requests when a part of its upstreams falls silent and nobody tells: new connections do not come up
 // within the 500 ms that serve gives them. Reported are the part of requests that is sent first to a silent one, and that has no answer
-// in time, in the first 6 s and in the minute after them.
+// in time, in the first 6 s, in the minute after them, in the first 10 s after all are back, and in the 20 s after
+// these.
 func BenchmarkSilent(b *testing.B) {
 	for _, n := range []int{10, 37, 300} {
 		for _, lost := range []float64{1.0 / 19, 5.0 / 6} {
 			b.Run(fmt.Sprintf("%d lost %.2f", n, lost), func(b *testing.B) {
-				var asked, tried, late [2]float64
+				var asked, tried, late [4]float64
 				for b.Loop() {
-					asked, tried, late = [2]float64{}, [2]float64{}, [2]float64{}
+					asked, tried, late = [4]float64{}, [4]float64{}, [4]float64{}
 					rng := rand.New(rand.NewPCG(uint64(n), 11))
 					for rank := 0; rank < planBalancers; rank += planBalancers / 300 {
 						x := newBalancerAt(b, planBalancers, rank, n, rng)
 						x.play(2 * time.Minute)
 						x.dead = func(up UpstreamID) bool { return float64(up-1) < math.Round(lost*float64(n)) }
-						for part, until := range []time.Duration{126 * time.Second, 186 * time.Second} {
+						for part, until := range []time.Duration{126 * time.Second, 186 * time.Second, 196 * time.Second, 216 * time.Second} {
+							if part == 2 {
+								x.dead = func(UpstreamID) bool { return false }
+							}
 							before, tries, lates := x.asked, x.tries, x.refused
 							x.play(until)
 							asked[part] += float64(x.asked - before)
@@ -491,7 +495,7 @@
 						}
 					}
 				}
-				for part, name := range []string{"first-6s", "then"} {
+				for part, name := range []string{"first-6s", "then", "back", "later"} {
 					b.ReportMetric(tried[part]/asked[part], "sent-to-silent-"+name)
 					b.ReportMetric(late[part]/asked[part], "not-served-"+name)
 				}
