--- a/size_test.go
+++ b/size_test.go
@@ -349,7 +349,7 @@
 			for b.Loop() {
 				asked, refused, waited = [2]float64{}, [2]float64{}, 0
 				rng := rand.New(rand.NewPCG(uint64(n), 9))
-				for rank := 0; rank < planBalancers; rank += planBalancers / 50 {
+				for rank := 0; rank < planBalancers; rank += max(1, n/10) {
 					x := newBalancerAt(b, planBalancers, rank, n, rng)
 					x.play(2 * time.Minute)
 					asked[0], refused[0] = asked[0]+float64(x.asked), refused[0]+float64(x.refused)
