Generator of large sites, and slopes of a real process by the size of its fleet

Need: no test starts a configuration of the planned size, so nothing shows what a balancer costs by pools, nodes, routes and tenants.

internal/capacity draws a site by seed (Zipf's law for nodes of services, traffic and tenants), writes its configuration and lists, and fits lines; internal/standin/loopnodes is 18,000 nodes on one socket; rigs/capacity measures a process of serve: ready, CPU, memory, changes, requests.

--- /dev/null
+++ b/rigs/capacity/main.go
@@ -0,0 +1,151 @@
+// Command capacity measures what "olivearch serve" costs by the size of the fleet: pools, nodes, routes and tenants, one at a time and
+// all together, with real processes; and a fleet of hollow balancers, many in one process. Progress goes to stderr, one JSON object
+// with the figures to stdout; it exits with 1 if a bound is broken.
+//
+//	go run ./rigs/capacity                          a smaller size, under 60 s
+//	go run ./rigs/capacity -full                    the planned size
+//	go run ./rigs/capacity -full -out docs/experiments   and the figures and plots beside the page
+//	go run ./rigs/capacity -only slopes             or another part: hollow, discovery; several with commas
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"clayladder/internal/capacity"
+	"clayladder/internal/ground/proc"
+	"clayladder/internal/standin/loopnodes"
+)
+
+// Figures is what is printed.
+type Figures struct {
+	Cores   int                     `json:"cores"`
+	Load    float64                 `json:"load_of_the_machine"` // before the run, over a minute: what else ran beside it
+	Full    bool                    `json:"full"`
+	Rows    []*Row                  `json:"rows,omitempty"`
+	Fits    map[string]capacity.Fit `json:"fits,omitempty"` // by factor and figure
+	Bounds  []capacity.Bound        `json:"bounds,omitempty"`
+	Broken  []string                `json:"broken,omitempty"`
+	Seconds float64                 `json:"seconds"`
+}
+
+type options struct {
+	full    bool
+	largest int // pools at most; 0: as planned
+	seed    uint64
+	only    []string
+	out     string
+	name    string
+	program string
+	folder  string
+}
+
+// part tells whether a part of the rig is to be run.
+func (o *options) part(name string) bool { return len(o.only) == 0 || slices.Contains(o.only, name) }
+
+// rig is what all parts need.
+type rig struct {
+	*Figures
+	options
+	group *proc.Group
+	nodes *loopnodes.Nodes
+}
+
+func main() {
+	var o options
+	only := ""
+	flag.BoolVar(&o.full, "full", false, "the planned size")
+	flag.Uint64Var(&o.seed, "seed", 1, "of the site and the requests")
+	flag.StringVar(&only, "only", "", "parts, with commas: slopes")
+	flag.StringVar(&o.out, "out", "", "folder for figures and plots")
+	flag.StringVar(&o.name, "name", "capacity", "what their files' names begin with")
+	flag.IntVar(&o.largest, "pools", 0, "leave out what has more pools; 0: nothing")
+	flag.Parse()
+	if only != "" {
+		o.only = strings.Split(only, ",")
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	began := time.Now()
+	r := &rig{Figures: &Figures{Cores: runtime.NumCPU(), Load: load(), Full: o.full, Fits: map[string]capacity.Fit{}}, options: o, group: proc.NewGroup()}
+	defer r.group.Close()
+	var err error
+	if r.folder, err = os.MkdirTemp("", "capacity-rig-"); err != nil {
+		return err
+	}
+	defer os.RemoveAll(r.folder)
+	r.program = filepath.Join(r.folder, "olivearch")
+	if text, err := exec.CommandContext(ctx, "go", "build", "-o", r.program, "clayladder/cmd/olivearch").CombinedOutput(); err != nil {
+		return fmt.Errorf("building olivearch: %w\n%s", err, text)
+	}
+	if r.nodes, err = loopnodes.Start(); err != nil {
+		return err
+	}
+	defer r.nodes.Close()
+	for _, p := range []struct {
+		name string
+		run  func(context.Context) error
+	}{{"slopes", r.slopes}} {
+		if r.part(p.name) {
+			if err := p.run(ctx); err != nil {
+				return fmt.Errorf("%s: %w", p.name, err)
+			}
+		}
+	}
+	r.Seconds = time.Since(began).Seconds()
+	return r.end()
+}
+
+// end writes what was measured, and fails if a bound is broken.
+func (r *rig) end() error {
+	for _, b := range r.Bounds {
+		if !b.Holds {
+			r.Broken = append(r.Broken, fmt.Sprintf("%s is %.4g, at most %.4g is wanted", b.What, b.Value, b.Most))
+		}
+	}
+	text, err := json.Marshal(r.Figures)
+	if err != nil {
+		return err
+	}
+	if r.out != "" {
+		if err := r.write(); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%s\n", text)
+	if len(r.Broken) > 0 {
+		return fmt.Errorf("broken: %s", strings.Join(r.Broken, "; "))
+	}
+	return nil
+}
+
+// load is the machine's load average over a minute.
+func load() (x float64) {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err == nil {
+		fmt.Sscan(string(text), &x)
+	}
+	return x
+}
+
+// say tells of progress.
+func say(form string, args ...any) { fmt.Fprintf(os.Stderr, form+"\n", args...) }
--- /dev/null
+++ b/rigs/capacity/traffic.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"clayladder/internal/capacity"
+)
+
+// Traffic is what requests saw, without changes and while one came every second.
+type Traffic struct {
+	Rate    float64 `json:"requests_a_second"`
+	Without Seen    `json:"without_changes"`
+	With    Seen    `json:"with_changes"`
+	Changes int     `json:"changes"`
+	WaitP99 float64 `json:"wait_p99_ms"` // what changes add at p99
+}
+
+// Seen are latencies in ms. Added is what the balancer adds: the requests' quantile less that of as many sent to a node straight, at
+// the same time.
+type Seen struct {
+	Asked    int     `json:"asked"`
+	Wrong    int     `json:"wrong"` // not answered 200
+	P50      float64 `json:"p50_ms"`
+	P99      float64 `json:"p99_ms"`
+	Most     float64 `json:"most_ms"`
+	Direct99 float64 `json:"direct_p99_ms"`
+	AddedP50 float64 `json:"added_p50_ms"`
+	AddedP99 float64 `json:"added_p99_ms"`
+	Resident float64 `json:"resident_mb"` // at the end
+	CPU      float64 `json:"cpu"`         // part of a core
+}
+
+// The traffic of one of 1,500 balancers of a fleet with 250,000 requests a second.
+const rate = 167
+
+func (r *rig) trafficFor() time.Duration {
+	if r.full {
+		return 12 * time.Second
+	}
+	return 5 * time.Second
+}
+
+// traffic sends requests over all services, first without and then with changes.
+func (r *rig) traffic(ctx context.Context, b *balancer) (*Traffic, error) {
+	t := &Traffic{Rate: rate}
+	if _, err := r.seen(ctx, b, 1, time.Second); err != nil { // the client's own first connections
+		return nil, err
+	}
+	var err error
+	if t.Without, err = r.seen(ctx, b, 2, r.trafficFor()); err != nil {
+		return nil, err
+	}
+	changing, end := context.WithCancel(ctx)
+	var failed error
+	var changer sync.WaitGroup
+	changer.Go(func() {
+		tick := time.NewTicker(time.Second)
+		defer tick.Stop()
+		for i := 0; ; i++ {
+			kind := kinds[i%len(kinds)]
+			if kind == quota && b.site.Tenants == 0 {
+				kind = comment
+			}
+			if _, err := b.change(changing, kind); err != nil {
+				if changing.Err() == nil {
+					failed = fmt.Errorf("%s: %w", kind, err)
+				}
+				return
+			}
+			t.Changes++
+			select {
+			case <-tick.C:
+			case <-changing.Done():
+				return
+			}
+		}
+	})
+	t.With, err = r.seen(ctx, b, 3, r.trafficFor())
+	end()
+	changer.Wait()
+	if err == nil {
+		err = failed
+	}
+	t.WaitP99 = t.With.AddedP99 - t.Without.AddedP99
+	say("  traffic without changes: p50 %.2f, p99 %.2f (added %.2f) ms; with %d changes: p50 %.2f, p99 %.2f (added %.2f) ms; %d and %d wrong", t.Without.P50,
+		t.Without.P99, t.Without.AddedP99, t.Changes, t.With.P50, t.With.P99, t.With.AddedP99, t.Without.Wrong, t.With.Wrong)
+	return t, err
+}
+
+// seen sends requests for a time, at drawn moments whether or not others are answered, and as many to a node straight.
+func (r *rig) seen(ctx context.Context, b *balancer, seed uint64, length time.Duration) (s Seen, err error) {
+	arrivals := b.site.Arrivals(int(rate*length.Seconds()), seed)
+	rng := rand.New(rand.NewPCG(seed, 5))
+	var mu sync.Mutex
+	var through, direct []float64
+	var senders sync.WaitGroup
+	began, used := time.Now(), b.cpu()
+	at := time.Duration(0)
+	straight := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	defer straight.CloseIdleConnections()
+	for _, a := range arrivals {
+		at += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if err := rest(ctx, time.Until(began.Add(at))); err != nil {
+			return s, err
+		}
+		tenant := ""
+		if a.Tenant >= 0 {
+			tenant = capacity.Tenant(a.Tenant)
+		}
+		senders.Go(func() {
+			sent := time.Now()
+			status, _, err := b.ask(capacity.Host(a.Service), tenant, 5*time.Second)
+			took := ms(time.Since(sent))
+			sent = time.Now()
+			resp, straightErr := straight.Get("http://" + r.nodes.At(0) + "/")
+			tookDirect := ms(time.Since(sent))
+			mu.Lock()
+			defer mu.Unlock()
+			through = append(through, took)
+			if err != nil || status != http.StatusOK {
+				s.Wrong++
+			}
+			if straightErr == nil {
+				resp.Body.Close()
+				direct = append(direct, tookDirect)
+			}
+		})
+	}
+	senders.Wait()
+	s.Asked = len(through)
+	s.P50, s.P99, s.Most = capacity.Quantile(through, 0.5), capacity.Quantile(through, 0.99), capacity.Quantile(through, 1)
+	s.Direct99 = capacity.Quantile(direct, 0.99)
+	s.AddedP50, s.AddedP99 = s.P50-capacity.Quantile(direct, 0.5), s.P99-s.Direct99
+	s.Resident, s.CPU = usage(b).ResidentMB, (b.cpu()-used).Seconds()/time.Since(began).Seconds()
+	return s, nil
+}
