Capacity rig: hollow balancers, calibrated against real ones, and a fleet of them

Need: the cost of 1,500 balancers has to be measured as far as one machine allows.

internal/capacity/hollow runs service.Start and Apply for many balancers in one process; a configuration needs a listener, so each has one at a port of the system's, called only to see when a change is in force.

--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 
+	"gonum.org/v1/plot/plotter"
+
 	"clayladder/internal/emulator"
 	"clayladder/internal/figures"
 	"clayladder/internal/scenario"
@@ -105,3 +107,22 @@
 		t.Errorf("%d plots without olivearch: %v", len(all), err)
 	}
 }
+
+// TestCurvesShowTheBound draws lines under their bound, and far over it on a logarithmic axis.
+func TestCurvesShowTheBound(t *testing.T) {
+	for _, high := range []float64{4, 400} {
+		path := filepath.Join(t.TempDir(), "x.svg")
+		if err := Curves(path, "title", "x", "y", []Curve{{"one", plotter.XYs{{X: 0, Y: 1}, {X: 1, Y: high}}}, {"two", plotter.XYs{{X: 0, Y: 2}}}}, 5); err != nil {
+			t.Fatal(err)
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, want := range []string{"bound: 5", "one", "two", "</svg>"} {
+			if !strings.Contains(string(text), want) {
+				t.Errorf("%q is not in the plot up to %g", want, high)
+			}
+		}
+	}
+}
--- a/rigs/capacity/main.go
+++ b/rigs/capacity/main.go
@@ -5,7 +5,7 @@
 //	go run ./rigs/capacity                          a smaller size, under 60 s
 //	go run ./rigs/capacity -full                    the planned size
 //	go run ./rigs/capacity -full -out docs/experiments   and the figures and plots beside the page
-//	go run ./rigs/capacity -only slopes             or another part: hollow, discovery; several with commas
+//	go run ./rigs/capacity -only slopes             or another part: discovery, calibrate, fleet; several with commas
 package main
 
 import (
@@ -24,22 +24,25 @@
 	"time"
 
 	"clayladder/internal/capacity"
+	"clayladder/internal/capacity/hollow"
 	"clayladder/internal/ground/proc"
 	"clayladder/internal/standin/loopnodes"
 )
 
 // Figures is what is printed.
 type Figures struct {
-	Cores     int                     `json:"cores"`
-	Load      float64                 `json:"load_of_the_machine"` // before the run, over a minute: what else ran beside it
-	Full      bool                    `json:"full"`
-	Rows      []*Row                  `json:"rows,omitempty"`
-	Fits      map[string]capacity.Fit `json:"fits,omitempty"` // by factor and figure
-	Discovery *Discovery              `json:"discovery,omitempty"`
-	Bounds    []capacity.Bound        `json:"bounds,omitempty"`
-	Plan      []capacity.Bound        `json:"plan,omitempty"` // against the plan's budget, where no mechanism is built yet
-	Broken    []string                `json:"broken,omitempty"`
-	Seconds   float64                 `json:"seconds"`
+	Cores       int                     `json:"cores"`
+	Load        float64                 `json:"load_of_the_machine"` // before the run, over a minute: what else ran beside it
+	Full        bool                    `json:"full"`
+	Rows        []*Row                  `json:"rows,omitempty"`
+	Fits        map[string]capacity.Fit `json:"fits,omitempty"` // by factor and figure
+	Discovery   *Discovery              `json:"discovery,omitempty"`
+	Calibration *Calibration            `json:"calibration,omitempty"`
+	Fleet       *Fleet                  `json:"fleet,omitempty"`
+	Bounds      []capacity.Bound        `json:"bounds,omitempty"`
+	Plan        []capacity.Bound        `json:"plan,omitempty"` // against the plan's budget, where no mechanism is built yet
+	Broken      []string                `json:"broken,omitempty"`
+	Seconds     float64                 `json:"seconds"`
 }
 
 type options struct {
@@ -65,14 +68,22 @@
 }
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == role {
+		if err := hollow.Serve(); err != nil {
+			fmt.Fprintln(os.Stderr, "capacity:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	var o options
 	only := ""
 	flag.BoolVar(&o.full, "full", false, "the planned size")
 	flag.Uint64Var(&o.seed, "seed", 1, "of the site and the requests")
-	flag.StringVar(&only, "only", "", "parts, with commas: slopes")
+	flag.StringVar(&only, "only", "", "parts, with commas: slopes, discovery, calibrate, fleet")
 	flag.StringVar(&o.out, "out", "", "folder for figures and plots")
 	flag.StringVar(&o.name, "name", "capacity", "what their files' names begin with")
 	flag.IntVar(&o.largest, "pools", 0, "leave out what has more pools; 0: nothing")
+	flag.StringVar(&o.folder, "folder", memory(), "where sites are written; on a disk a rename waits for it")
 	flag.Parse()
 	if only != "" {
 		o.only = strings.Split(only, ",")
@@ -91,7 +102,7 @@
 	r := &rig{Figures: &Figures{Cores: runtime.NumCPU(), Load: load(), Full: o.full, Fits: map[string]capacity.Fit{}}, options: o, group: proc.NewGroup()}
 	defer r.group.Close()
 	var err error
-	if r.folder, err = os.MkdirTemp("", "capacity-rig-"); err != nil {
+	if r.folder, err = os.MkdirTemp(r.folder, "capacity-rig-"); err != nil {
 		return err
 	}
 	defer os.RemoveAll(r.folder)
@@ -106,7 +117,7 @@
 	for _, p := range []struct {
 		name string
 		run  func(context.Context) error
-	}{{"slopes", r.slopes}, {"discovery", r.discovery}} {
+	}{{"slopes", r.slopes}, {"discovery", r.discovery}, {"calibrate", r.calibrate}, {"fleet", r.fleet}} {
 		if r.part(p.name) {
 			if err := p.run(ctx); err != nil {
 				return fmt.Errorf("%s: %w", p.name, err)
@@ -140,6 +151,16 @@
 	return nil
 }
 
+// memory is a folder in memory, where the system has one: a file that is replaced by a rename is written through to a disk first, and
+// what is measured is the balancer.
+func memory() string {
+	const folder = "/dev/shm"
+	if info, err := os.Stat(folder); err == nil && info.IsDir() {
+		return folder
+	}
+	return os.TempDir()
+}
+
 // load is the machine's load average over a minute.
 func load() (x float64) {
 	text, err := os.ReadFile("/proc/loadavg")
--- a/rigs/capacity/slopes.go
+++ b/rigs/capacity/slopes.go
@@ -67,9 +67,11 @@
 // smallest is what others are compared with.
 var smallest = capacity.Size{Pools: 2, Nodes: 40, Routes: 10}
 
+// planned is the size that the operators plan for.
+var planned = capacity.Size{Pools: 490, Nodes: 18_000, Routes: 15_000, Tenants: 140_000}
+
 // factors are the sizes of a run.
 func (r *rig) factors() []factor {
-	planned := capacity.Size{Pools: 490, Nodes: 18_000, Routes: 15_000, Tenants: 140_000}
 	f := []factor{
 		{"pools", pools, []capacity.Size{{Pools: 2, Nodes: 980, Routes: 490}, {Pools: 50, Nodes: 980, Routes: 490}, {Pools: 100, Nodes: 980, Routes: 490}, {Pools: 245, Nodes: 980, Routes: 490}, {Pools: 490, Nodes: 980, Routes: 490}}},
 		{"nodes", nodes, []capacity.Size{{Pools: 20, Nodes: 40, Routes: 20}, {Pools: 20, Nodes: 1800, Routes: 20}, {Pools: 20, Nodes: 4500, Routes: 20}, {Pools: 20, Nodes: 9000, Routes: 20}, {Pools: 20, Nodes: 18_000, Routes: 20}}},
