Capacity rig: pages of tables and plots, and a change's cost until its work is done

Need: figures of a run should not be copied by hand, and a fixed wait after a change left part of its CPU uncounted on a busy machine (a change of the largest list showed -6.5 ms). The rig now waits until a process is idle again, and writes tables, plots and JSON into -out.

--- a/internal/capacity/site.go
+++ b/internal/capacity/site.go
@@ -43,7 +43,7 @@
 	Services []Service // the first is the smallest, and has no traffic; the last is the largest
 	Quotas   []float64 // of tenants, in requests a second
 	routes   []route
-	busy     map[int]bool // services with the most traffic, which have more room
+	ranks    []int // of services by their traffic, from 0; those without any come last
 }
 
 // Service is a pool with its nodes.
@@ -66,7 +66,7 @@
 		return nil, fmt.Errorf("%v: a service has from %d to %d nodes", size, LeastNodes, MostNodes)
 	}
 	rng := rand.New(rand.NewPCG(seed, 0xca9ac17))
-	s := &Site{Size: size, Seed: seed, busy: map[int]bool{}}
+	s := &Site{Size: size, Seed: seed, ranks: make([]int, size.Pools)}
 	sizes := spread(size.Nodes, size.Pools, LeastNodes, MostNodes)
 	first := 0
 	for i := range size.Pools {
@@ -96,6 +96,9 @@
 // draw gives services their traffic: the first has none, nor have those without a route, nor a tenth of the rest.
 func (s *Site) draw(rng *rand.Rand) {
 	could := min(s.Pools, s.Size.Routes) - 1
+	for i := range s.ranks {
+		s.ranks[i] = s.Pools
+	}
 	ranks := rng.Perm(could)
 	sum, with := 0.0, max(1, could-int(quiet*float64(could)))
 	for i, rank := range ranks {
@@ -103,9 +106,7 @@
 			s.Services[i+1].Traffic = math.Pow(float64(rank+1), -trafficSkew)
 			sum += s.Services[i+1].Traffic
 		}
-		if rank < 8 {
-			s.busy[i+1] = true
-		}
+		s.ranks[i+1] = rank
 	}
 	for i := range s.Services {
 		s.Services[i].Traffic /= sum
--- a/internal/capacity/text.go
+++ b/internal/capacity/text.go
@@ -9,9 +9,9 @@
 
 // The limits that a configuration states, the same for every size: room for 490 pools, and within what a process may use.
 const (
-	Memory      = 256 << 20
+	Memory      = 288 << 20
 	Descriptors = 4096
-	clients     = 1200
+	clients     = 1500
 	bodies      = 16 << 20
 )
 
@@ -70,8 +70,11 @@
 	fmt.Fprint(&b, "pools:\n")
 	for i, x := range s.Services {
 		connections, queue := 4, 2
-		if s.busy[i] {
+		switch rank := s.ranks[i]; {
+		case rank < 8:
 			connections, queue = 64, 16
+		case rank < 64:
+			queue = 8
 		}
 		fmt.Fprintf(&b, "  %s: {nodes: {file: '%s'}, connections: %d, queue: %d}\n", x.Name, p.list(i), connections, queue)
 	}
--- a/rigs/capacity/change.go
+++ b/rigs/capacity/change.go
@@ -15,8 +15,30 @@
 // inForceWithin is how long a change may take before it counts as never in force.
 const inForceWithin = 15 * time.Second
 
-// settled is how long after a change its work is taken to be done. It is also the time over which idle work is taken off.
-const settled = 400 * time.Millisecond
+// A change's work is taken to be done once a process has used no more than idle in two looks, and after calmMost in any case.
+const (
+	calmLook = 100 * time.Millisecond
+	calmMost = 4 * time.Second
+)
+
+// calm waits until a change's work is done, for a part of a core that is used idle.
+func calm(ctx context.Context, cpu func() time.Duration, idle float64) error {
+	used, quiet := cpu(), 0
+	for end := time.Now().Add(calmMost); quiet < 3 && time.Now().Before(end); { // the first may lie before the lists are read
+		began := time.Now()
+		if err := rest(ctx, calmLook); err != nil {
+			return err
+		}
+		now := cpu()
+		if (now - used).Seconds() <= 2*idle*time.Since(began).Seconds()+0.002 {
+			quiet++
+		} else {
+			quiet = 0
+		}
+		used = now
+	}
+	return nil
+}
 
 // changes makes some changes of a kind, one after the other, and takes what a process costs without them off.
 func (r *rig) changes(ctx context.Context, b *balancer, row *Row, kind string) (c Change, err error) {
@@ -32,7 +54,7 @@
 			return c, err
 		}
 		took = append(took, ms(d))
-		if err := rest(ctx, settled); err != nil {
+		if err := calm(ctx, b.cpu, row.IdleCPU); err != nil {
 			return c, err
 		}
 	}
--- a/rigs/capacity/fleet.go
+++ b/rigs/capacity/fleet.go
@@ -193,7 +193,7 @@
 		if err := do(); err != nil {
 			return 0, 0, err
 		}
-		if err := rest(ctx, 2*settled); err != nil {
+		if err := calm(ctx, f.cpu, idle.IdleCPU*n); err != nil {
 			return 0, 0, err
 		}
 	}
@@ -439,7 +439,10 @@
 			return err
 		}
 	}
-	if err := rest(ctx, max(2*settled, time.Until(began.Add(length)))); err != nil {
+	if err := rest(ctx, time.Until(began.Add(length))); err != nil {
+		return err
+	}
+	if err := calm(ctx, f.cpu, idle.IdleCPU*n); err != nil {
 		return err
 	}
 	d.Seconds = time.Since(began).Seconds()
@@ -528,10 +531,11 @@
 	if err != nil {
 		return err
 	}
-	if err := rest(ctx, settled); err != nil {
+	n := float64(len(f.files))
+	if err := calm(ctx, f.cpu, idle.IdleCPU*n); err != nil {
 		return err
 	}
-	passed, n := time.Since(began).Seconds(), float64(len(f.files))
+	passed := time.Since(began).Seconds()
 	e.CPUMS = (ms(f.cpu()-used) - 1000*idle.IdleCPU*passed*n) / float64(len(behind))
 	e.Read = (float64(f.usage().Read-u.Read) - idle.IdleRead*passed*n) / float64(len(behind))
 	e.P50MS, e.P99MS, e.WriteMS = capacity.Quantile(took, 0.5), capacity.Quantile(took, 0.99), ms(wrote)
--- a/rigs/capacity/hollow.go
+++ b/rigs/capacity/hollow.go
@@ -373,7 +373,7 @@
 			if err := f(); err != nil {
 				return 0, 0, err
 			}
-			if err := rest(ctx, 2*settled); err != nil {
+			if err := calm(ctx, s.cpu, p.IdleCPU*n); err != nil {
 				return 0, 0, err
 			}
 		}
--- a/rigs/capacity/main.go
+++ b/rigs/capacity/main.go
@@ -31,6 +31,8 @@
 
 // Figures is what is printed.
 type Figures struct {
+	Command     string                  `json:"command"`
+	Commit      string                  `json:"commit"`
 	Cores       int                     `json:"cores"`
 	Load        float64                 `json:"load_of_the_machine"` // before the run, over a minute: what else ran beside it
 	Full        bool                    `json:"full"`
@@ -99,7 +101,7 @@
 
 func run(ctx context.Context, o options) error {
 	began := time.Now()
-	r := &rig{Figures: &Figures{Cores: runtime.NumCPU(), Load: load(), Full: o.full, Fits: map[string]capacity.Fit{}}, options: o, group: proc.NewGroup()}
+	r := &rig{Figures: &Figures{Command: strings.Join(append([]string{"go run ./rigs/capacity"}, os.Args[1:]...), " "), Commit: commit(ctx), Cores: runtime.NumCPU(), Load: load(), Full: o.full, Fits: map[string]capacity.Fit{}}, options: o, group: proc.NewGroup()}
 	defer r.group.Close()
 	var err error
 	if r.folder, err = os.MkdirTemp(r.folder, "capacity-rig-"); err != nil {
@@ -151,6 +153,15 @@
 	return nil
 }
 
+// commit names the code, with a plus if the working tree has other.
+func commit(ctx context.Context) string {
+	text, err := exec.CommandContext(ctx, "git", "describe", "--always", "--dirty=+", "--exclude=*").Output()
+	if err != nil {
+		return "unknown"
+	}
+	return strings.TrimSpace(string(text))
+}
+
 // memory is a folder in memory, where the system has one: a file that is replaced by a rename is written through to a disk first, and
 // what is measured is the balancer.
 func memory() string {
--- a/rigs/capacity/slopes.go
+++ b/rigs/capacity/slopes.go
@@ -115,7 +115,7 @@
 		for i, size := range f.sizes {
 			row := known[size]
 			if row == nil {
-				traffic := f.name == all && (i == 0 || i == len(f.sizes)-1)
+				traffic := size == smallest || f.name == all && i == len(f.sizes)-1
 				if row = r.row(ctx, size, 1, traffic); ctx.Err() != nil {
 					return ctx.Err()
 				}
--- a/rigs/capacity/write.go
+++ b/rigs/capacity/write.go
@@ -21,6 +21,9 @@
 	if err := os.WriteFile(filepath.Join(r.out, r.name+".json"), append(text, '\n'), 0o644); err != nil {
 		return err
 	}
+	if err := r.tables(); err != nil {
+		return err
+	}
 	first := map[string]float64{}
 	for _, row := range r.Rows {
 		if row.Factor == all && row.Size == smallest {
