One watch for all lists, which looks at stamps and parses only texts that differ

Each pool opened an inotify instance of its own, of which the system gives 128, and read and parsed its list every 5 s whether it had changed or not. Now one goroutine and one inotify instance watch all folders; an event makes only the lists be looked at that it may be about; a look is a stat; a file is read if its stamp is another, and once more when its stamp can't hide a change any more (two writes in one tick of the file system's clock), and parsed only if its text is another. Where the system refuses (instances, watches, descriptors) the lists are looked at every 500 ms; that is said once, tried again after pauses of 1 s to 1 min, and its end is said once. A folder that is removed and made again, or whose link is swung, is found within 500 ms. An error is told once until it is another.

plan() reads the lists on all processors, tells errors in the order of the pools' names, and the watch goes on from that reading. A look that finds nothing new counts as a good word of the list's source without waking its pool.

--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -35,7 +35,8 @@
 	maxConns  int
 	trust     bool          // connections rest only where strays were seen
 	hold      time.Duration // how long a list holds with no word from its source; 0: for ever
-	heardAt   time.Duration // last good word from it
+	heardAt   time.Duration // last good word from it that came by the mailbox
+	confirmed atomic.Int64  // a time.Duration: when it last said that the list stays as it was
 	trouble   string        // why there is none since, if that is known
 	keeper    Keeper        // nil: lists are not kept
 	shares    *sharing      // nil: no other pool of the process may use the same upstreams
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -88,7 +88,12 @@
 }
 
 // expired tells whether the list has been without a word from its source for longer than it holds.
-func (l *loop) expired(now time.Duration) bool { return l.hold > 0 && now-l.heardAt > l.hold }
+func (l *loop) expired(now time.Duration) bool { return l.hold > 0 && l.listAge(now) > l.hold }
+
+// listAge is the time since the last good word from the list's source.
+func (l *loop) listAge(now time.Duration) time.Duration {
+	return now - max(l.heardAt, time.Duration(l.confirmed.Load()))
+}
 
 // members applies a list: first to the peers, so that nothing goes to one that drains, then to the module, which
 // may send at once.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -190,6 +190,9 @@
 // Silent tells the pool why there is no good word from its list's source. The last list holds.
 func (p *Pool) Silent(why error) { p.loop.hand(listed{Err: why}) }
 
+// Confirm notes that the list's source was asked, and says that the list stays as it was. It wakes nobody.
+func (p *Pool) Confirm() { p.loop.confirmed.Store(int64(p.loop.now())) }
+
 // Configure changes the pool while it serves. What its module has learnt stays. An error changes nothing.
 func (p *Pool) Configure(spec Spec) error {
 	done := make(chan error, 1)
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -29,7 +29,7 @@
 	now := l.now()
 	views, held := l.balancer.View(now)
 	v := live.Pool{Open: len(l.requests), Held: held, Connections: l.conns, Limit: l.maxConns, Tunnels: len(l.tunnels), Served: l.served, Refused: l.refused, Failed: l.failed,
-		ListAgeMS: (now - l.heardAt).Milliseconds(), HoldMS: l.hold.Milliseconds(), Expired: l.expired(now), Trouble: l.trouble,
+		ListAgeMS: l.listAge(now).Milliseconds(), HoldMS: l.hold.Milliseconds(), Expired: l.expired(now), Trouble: l.trouble,
 		Nodes: []live.Node{}}
 	for _, u := range views {
 		p := l.peers[u.ID]
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -38,6 +38,7 @@
 	ctx       context.Context
 	end       context.CancelFunc
 	directory *pool.Directory
+	lists     *nodelist.Watcher
 	desk      *proxy.Desk
 	state     atomic.Pointer[state]
 	promises  *governing
@@ -73,6 +74,7 @@
 	s := &Service{version: version, started: time.Now(), failed: make(chan error, 1)}
 	s.ctx, s.end = context.WithCancel(context.Background())
 	s.directory = pool.NewDirectory(s.ctx, c.Limits.NodeConnections)
+	s.lists = nodelist.NewWatcher(s.ctx, readEvery, reportWatch)
 	s.state.Store(&state{fronts: map[string]*front{}, pools: map[string]*member{}, reloads: -1})
 	s.promises = &governing{pools: func() map[string]*member { return s.state.Load().pools }}
 	if err := s.Apply(c); err != nil {
@@ -89,7 +91,7 @@
 type plan struct {
 	next      *state
 	listeners map[string]net.Listener
-	lists     map[string][]nodelist.Node // first lists of pools whose source is new
+	lists     map[string]firstList // of pools whose source is new, or stands in the configuration
 	specs     map[string]pool.Spec
 }
 
@@ -147,21 +149,25 @@
 // plan checks and opens what a configuration needs.
 func (s *Service) plan(now *state, c *config.Loaded) (*plan, error) {
 	p := &plan{next: &state{config: c, fronts: map[string]*front{}, pools: map[string]*member{}, reloads: now.reloads + 1},
-		listeners: map[string]net.Listener{}, lists: map[string][]nodelist.Node{}, specs: map[string]pool.Spec{}}
+		listeners: map[string]net.Listener{}, specs: map[string]pool.Spec{}}
 	var errs []error
+	var files []string
 	for name, x := range c.Pools {
+		if old := now.pools[name]; x.Nodes.File != "" && (old == nil || old.source.File != x.Nodes.File) {
+			files = append(files, name)
+		}
+	}
+	p.lists = readLists(c, files)
+	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
 		p.specs[name] = spec(c, name)
 		if err := p.specs[name].Settings.Validate(); err != nil {
 			errs = append(errs, fmt.Errorf("pool %s: %w", name, err))
 		}
-		if old := now.pools[name]; x.Nodes.File != "" && (old == nil || old.source.File != x.Nodes.File) {
-			list, err := nodelist.Load(x.Nodes.File)
-			if err != nil {
-				errs = append(errs, fmt.Errorf("pool %s: nodes: %w", name, err))
-			}
-			p.lists[name] = list.Nodes
-		} else {
-			p.lists[name] = x.Nodes.Static
+		if err := p.lists[name].err; err != nil {
+			errs = append(errs, err)
+		}
+		if x := c.Pools[name].Nodes; x.File == "" {
+			p.lists[name] = firstList{nodes: x.Static}
 		}
 	}
 	for _, l := range c.Listeners {
@@ -223,9 +229,9 @@
 		return fmt.Errorf("pool %s: %w", name, err)
 	}
 	if source.Discovery == "" {
-		x.Tell(p.lists[name])
+		x.Tell(p.lists[name].nodes)
 	}
-	next := &member{Pool: x, spec: spec, source: source, stop: s.follow(name, x, source)}
+	next := &member{Pool: x, spec: spec, source: source, stop: s.follow(name, x, source, p.lists[name].read)}
 	p.next.pools[name] = next
 	s.promises.begin(name, next)
 	return nil
@@ -244,40 +250,13 @@
 		slog.Error("pool keeps its configuration", "pool", name, "err", err)
 	}
 	if source.Discovery == "" && (moved || source.File == "") {
-		old.Tell(p.lists[name])
+		old.Tell(p.lists[name].nodes)
 	}
 	if moved {
-		next.stop = s.follow(name, old.Pool, source)
+		next.stop = s.follow(name, old.Pool, source, p.lists[name].read)
 	}
 }
 
-// follow begins to follow a list's file, if there is one.
-func (s *Service) follow(name string, x *pool.Pool, source config.NodeSource) (stop func()) {
-	if source.File == "" {
-		return func() {}
-	}
-	ctx, cancel := context.WithCancel(s.ctx)
-	ended := make(chan struct{})
-	failed := func(err error) {
-		slog.Warn("the last list holds", "pool", name, "err", err)
-		x.Silent(err)
-	}
-	go func() {
-		defer close(ended)
-		told := func(l nodelist.List) { x.Tell(l.Nodes) }
-		for ctx.Err() == nil { // the folder may be gone for a while
-			if err := nodelist.Watch(ctx, source.File, readEvery, told, failed); err != nil {
-				failed(err)
-				select {
-				case <-time.After(readEvery):
-				case <-ctx.Done():
-				}
-			}
-		}
-	}()
-	return func() { cancel(); <-ended }
-}
-
 // route makes the routes of a state those that hold.
 func (s *Service) route(next *state) {
 	r := &proxy.Routing{Table: next.config.Table, Routes: map[string]proxy.Destination{}, Pools: map[string]*pool.Pool{}}
@@ -394,19 +373,6 @@
 	return v
 }
 
-// CheckLists reads the lists that a configuration names, as a start would.
-func CheckLists(c *config.Loaded) error {
-	var errs []error
-	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
-		if file := c.Pools[name].Nodes.File; file != "" {
-			if _, err := nodelist.Load(file); err != nil {
-				errs = append(errs, fmt.Errorf("pool %s: nodes: %w", name, err))
-			}
-		}
-	}
-	return errors.Join(errs...)
-}
-
 // LimitMemory tells the collector how much memory the configuration gives. Collecting later costs memory, which the soft
 // limit bounds. It is for a process that runs one service and nothing else.
 func LimitMemory(c *config.Loaded) {
