Lists in simple forms are read by hand, at a fraction of what YAML in general costs

What is taken by hand is a part of YAML that means the same; any other text and any with a mistake goes to strictyaml, so errors and their places are the same. FuzzPlain holds the two against each other.

--- a/internal/nodelist/list.go
+++ b/internal/nodelist/list.go
@@ -48,19 +48,28 @@
 
 // Check notes what is wrong with nodes that stand at a path of a document, and fills in what may be left out.
 func Check(d *strictyaml.Doc, path string, nodes []Node) {
-	ids, addresses := map[string]bool{}, map[netip.AddrPort]string{}
+	check(nodes, func(i int, field, format string, args ...any) {
+		d.Fail(fmt.Sprintf("%s[%d]%s", path, i, field), format, args...)
+	})
+}
+
+// check is Check with a function that notes what is wrong with the node of a number, or a field of it: ".address".
+func check(nodes []Node, fail func(i int, field, format string, args ...any)) {
+	ids, addresses := make(map[string]struct{}, len(nodes)), make(map[netip.AddrPort]int, len(nodes))
 	for i := range nodes {
-		n, at := &nodes[i], fmt.Sprintf("%s[%d]", path, i)
+		n := &nodes[i]
 		address, err := netip.ParseAddrPort(n.Address)
 		switch {
 		case n.Address == "":
-			d.Fail(at, "the node has no address")
+			fail(i, "", "the node has no address")
 			continue
 		case err != nil || address.Port() == 0:
-			d.Fail(at+".address", "%q is not an IP address and a port, such as 10.0.0.7:8080", n.Address)
+			fail(i, ".address", "%q is not an IP address and a port, such as 10.0.0.7:8080", n.Address)
 			continue
 		}
-		n.Address = address.String() // two spellings of one address are one node
+		if text := address.String(); text != n.Address { // two spellings of one address are one node
+			n.Address = text
+		}
 		if n.ID == "" {
 			n.ID = n.Address
 		}
@@ -70,25 +79,34 @@
 		if n.Phase == "" {
 			n.Phase = Up
 		}
+		_, named := ids[n.ID]
 		other, taken := addresses[address]
 		switch {
-		case ids[n.ID]:
-			d.Fail(at, "two nodes have the id %q", n.ID)
+		case named:
+			fail(i, "", "two nodes have the id %q", n.ID)
 		case taken:
-			d.Fail(at+".address", "nodes %q and %q have the same address", other, n.ID)
+			fail(i, ".address", "nodes %q and %q have the same address", nodes[other].ID, n.ID)
 		case !(n.Weight >= 0 && n.Weight <= 1e6):
-			d.Fail(at+".weight", "the weight is over 0 and at most 1,000,000")
+			fail(i, ".weight", "the weight is over 0 and at most 1,000,000")
 		case n.Phase != Up && n.Phase != Draining:
-			d.Fail(at+".phase", "%q is neither up nor draining", n.Phase)
+			fail(i, ".phase", "%q is neither up nor draining", n.Phase)
 		case strings.ContainsFunc(n.ID, func(r rune) bool { return r < ' ' }):
-			d.Fail(at, "the id has a control character")
+			fail(i, "", "the id has a control character")
 		}
-		ids[n.ID], addresses[address] = true, n.ID
+		ids[n.ID], addresses[address] = struct{}{}, i
 	}
 }
 
 // Parse reads a list from the text of a file.
 func Parse(file string, text []byte) (List, error) {
+	if l, ok := plain(text); ok {
+		return l, nil
+	}
+	return parse(file, text)
+}
+
+// parse reads a list of any form.
+func parse(file string, text []byte) (List, error) {
 	var l List
 	d := strictyaml.Decode(file, text, &l)
 	if d.Err() == nil && l.Nodes == nil { // a file cut behind its first key must not remove every node
