Module: with Settings.Rest nothing ticks while nothing is open, with the same decisions

Cause: each Balancer set a timer for ever (a sixteenth of the shortest aim), though with nothing held, out or open a tick only closes a period a second.

With Rest such a Balancer sets no timer; at its next event it closes the periods that it left out, on the grid of the ticks that would have been. Where the first of these moved no upstream and no width the others are closed together: work and the rate fade, shares come back, and the random source goes on by as many draws (a jump of its recurrence). A gather that would choose as the last did is left out too, its draws made. Off on the platform and on the wire; serve sets it.

--- a/api.go
+++ b/api.go
@@ -125,6 +125,7 @@
 	Weights        WeightKind
 	Reports        ReportVia
 	Granularity    time.Duration // least spacing of event batches
+	Rest           bool          // no timer is set while there is nothing to do; decisions stay the same
 }
 
 // State is what discovery says of an upstream.
--- a/balancer.go
+++ b/balancer.go
@@ -68,13 +68,14 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{host: host, rng: rand.New(rand.NewPCG(seed, 0)), requests: map[RequestID]*request{},
+	source := rand.NewPCG(seed, 0)
+	b := &Balancer{host: host, source: source, rng: rand.New(source), requests: map[RequestID]*request{},
 		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now,
 		bornAt: now}
 	shortest := b.adopt(s, now)
 	b.gather(now)
 	b.lat = float64(shortest) / 4 // until answers tell
-	host.SetTimer(b.tick, tickToken)
+	b.nextTick(now)
 	if s.OnRequest {
 		host.Watch(true)
 	}
@@ -87,6 +88,7 @@
 	if err := s.Validate(); err != nil {
 		return err
 	}
+	b.catchUp(now)
 	follows := b.s.OnRequest
 	b.adopt(s, now)
 	if s.OnRequest != follows {
@@ -94,6 +96,7 @@
 	}
 	b.gather(now)
 	b.dispatch(now)
+	b.rouse(now)
 	return nil
 }
 
@@ -142,6 +145,7 @@
 
 // Request takes a client's request.
 func (b *Balancer) Request(now time.Duration, q Request) {
+	b.catchUp(now)
 	c := b.classes[q.Class]
 	if c == nil { // a class that the settings lack; never sent, so a retry is harmless
 		b.host.Refuse(q.ID, 0) // and it helps as little later
@@ -173,6 +177,7 @@
 	} else {
 		b.place(r, now)
 	}
+	b.rouse(now)
 }
 
 // place sends r if a turn allows it, holds it if one may come free in time, and otherwise ends it.
@@ -281,6 +286,9 @@
 	}
 	a := r.attempts[o.Attempt]
 	a.ended, a.neverRan = true, o.Status == Full || o.Status == ConnectFailed || o.Status == Moot
+	if r.class.Repeat == Keyed && !a.neverRan {
+		r.class.ranAt = now
+	}
 	r.out, b.out = r.out-1, b.out-1
 	a.up.outs = slices.DeleteFunc(a.up.outs, func(x *attempt) bool { return x == a })
 	b.learn(a, o.clean(), now)
@@ -489,21 +497,15 @@
 	var work, size float64
 	for _, u := range b.near {
 		b.integrate(u, now)
-		u.work, u.carried = u.work+smoothing*(u.carried-u.work), 0
-		if u.member && !u.cold && !u.silent && u.work > 0 {
-			work, size = work+u.work/min(max(cmp.Or(u.mean, 1), levelFloor), 1), size+u.weight*u.slice
+		u.work, u.carried = carrying(u.work, u.carried), 0
+		if u.carries() {
+			work, size = work+u.work/u.use(), size+u.weight*u.slice
 		}
 	}
 	b.carry = cmp.Or(work/max(size, math.SmallestNonzeroFloat32), b.carry) // with nobody to judge by, as before
-	area := func(u *upstream) float64 { return u.area }
-	middle := b.rank(2, area)
-	threshold := max(areaFloor, areaRatio*middle, middle+areaSpread*(middle-b.rank(4, area)))
+	threshold := b.threshold()
 	for _, u := range b.near {
-		if u.readings >= bandWindow/2 && u.area > threshold {
-			u.factor = max(shareFloor, u.factor*max(cutMost, threshold/u.area))
-		} else {
-			u.factor = min(1, u.factor*restoreStep)
-		}
+		u.factor = u.cut(u.factor, threshold)
 		u.area, u.most = 0, max(2*u.bound, boundStart) // or it grew tenfold before a reading told of full use
 	}
 	follow(&b.rate, b.asked/max(now-b.stepAt, bandPeriod).Seconds(), rateWeight)
@@ -666,6 +668,7 @@
 
 // Members takes what discovery says of the upstreams.
 func (b *Balancer) Members(now time.Duration, mode ListMode, list []Upstream) {
+	b.catchUp(now)
 	if mode == ListFailed { // ask again, later each time and never all instances at once
 		b.watchWait = min(max(b.watchWait*waitGrowth, b.s.Rules.AskWithin/32), b.s.Rules.AskWithin/2, watchWaitMost)
 		wait := b.watchWait/2 + time.Duration(b.rng.Int64N(int64(b.watchWait)+1))
@@ -690,6 +693,7 @@
 
 // Room sets anew how many attempts may be out at an upstream at once; 0: any number.
 func (b *Balancer) Room(now time.Duration, id UpstreamID, most int) {
+	b.catchUp(now)
 	if u := b.byID[id]; u != nil && u.Most != most {
 		u.Most = most
 		b.dispatch(now)
@@ -724,16 +728,12 @@
 // turns as k/6: the sum is least at √(6 rate), hardly more with fewer connections.
 func (b *Balancer) width(n float64) float64 {
 	of := func(sharers float64) float64 { return n * sharers / max(sharers, float64(b.s.Balancers)-sharers) }
-	fair := 0.0 // its even part of what tenants have bought
-	for _, t := range b.tenants {
-		fair += t.rate
-	}
 	few := min(n, max(subsetLeast, of(sharers)))
-	want := min(n, max(few, min(of(sharersMost), math.Sqrt(evenTurns*cmp.Or(fair, b.rate)))))
+	want := min(n, max(few, min(of(sharersMost), math.Sqrt(evenTurns*cmp.Or(b.fair, b.rate)))))
 	b.pace = few / max(want, 1) // more that share an upstream cut it by less each: they grow by less too
 	// One with several times the traffic of the others filled its few while theirs stood idle: it uses as many
 	// times more, with as many turns at first over all of them.
-	over := max(1, b.rate/cmp.Or(fair, math.Inf(1)))
+	over := max(1, b.rate/cmp.Or(b.fair, math.Inf(1)))
 	if over > max(1, b.wide)*rateNoise || over < b.wide/rateNoise {
 		b.wide = over
 	}
@@ -744,13 +744,17 @@
 // stretch from a place of its own, its ends in part: what all use adds up to the same everywhere. Cold and
 // silent ones stay in the stretch, which goes on until as many are warm as few sharers have.
 func (b *Balancer) gather(now time.Duration) {
-	ring := slices.DeleteFunc(slices.Clone(b.ups), func(u *upstream) bool { return u.State != Active })
-	slices.SortFunc(ring, func(x, y *upstream) int { return cmp.Compare(x.place, y.place) })
+	if b.gathered = b.unmoved(); b.gathered { // it would come to the same
+		b.skip(b.chosen)
+		return
+	}
+	ring := b.active
 	n, total := float64(len(ring)), 0.0
 	for _, u := range ring {
 		total += b.arc(u)
 	}
 	want := b.width(n)
+	b.went = ringed{len(ring), want, b.pace, b.s.Rank, b.s.Balancers}
 	b.start = boundStart * max(n, 1) / want / float64(b.s.Balancers)
 	first, at := 0, lattice(b.s.Rank, b.s.Balancers)*total
 	for ; first < len(ring)-1 && at >= b.arc(ring[first]); first++ {
@@ -778,7 +782,7 @@
 		}
 		chosen[u] = (float64(i) + b.rng.Float64()) / want
 	}
-	b.near = b.near[:0]
+	b.near, b.chosen = b.near[:0], len(chosen)
 	for _, u := range b.ups {
 		first, chosen := chosen[u]
 		if chosen && !u.member { // first turns go round the stretch, so those of all balancers round the ring
@@ -805,6 +809,7 @@
 
 // Probed takes a probe's result: a reading only, since a shallow probe proves no more than a process.
 func (b *Balancer) Probed(now time.Duration, p ProbeResult) {
+	b.catchUp(now)
 	if u := b.byID[p.Upstream]; u != nil && p.Status == OK {
 		b.read(u, p.Load.clean(), false, 0, now)
 	}
@@ -818,7 +823,10 @@
 		b.host.Watch(true)
 		return
 	}
-	b.host.SetTimer(b.tick, tickToken)
+	if b.resting { // no tick is owed
+		return
+	}
+	b.nextTick(now)
 	if now-b.stepAt >= bandPeriod {
 		b.step(now)
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -39,7 +39,7 @@
 		}
 	}
 	s := clayladder.Settings{Zone: c.Instances.Zone, Balancers: c.Instances.Count, Rank: c.Instances.Rank,
-		OverShareWorth: *c.OverQuotaWorth, Granularity: time.Millisecond, Weights: clayladder.WeightNominal, Reports: reports[p.Reports],
+		OverShareWorth: *c.OverQuotaWorth, Granularity: time.Millisecond, Rest: true, Weights: clayladder.WeightNominal, Reports: reports[p.Reports],
 		Limits: clayladder.Limits{Cancel: true, Probes: p.Reports == "probes", RetryAfter: true, MaxRetry: time.Duration(p.MaxRetryAfter),
 			MaxAttempts: p.MaxAttempts, Out: p.Connections},
 		Rules: clayladder.Rules{AskWithin: 20 * time.Second, ColdFrom: r.ColdFrom, RampTime: time.Duration(r.RampTime),
--- a/memory.go
+++ b/memory.go
@@ -75,6 +75,7 @@
 // Recall takes what another Balancer has learnt in the place of what this one has, upstream by upstream. Of a process that
 // has been started since nothing counts, so a cold start stays one.
 func (b *Balancer) Recall(now time.Duration, m Memory) {
+	b.catchUp(now)
 	adoptFigures(b.figures(), m.Figures)
 	for name, lat := range m.Classes {
 		if c := b.classes[name]; c != nil && lat > least && lat < most {
--- /dev/null
+++ b/rest_test.go
@@ -0,0 +1,418 @@
+package clayladder
+
+import (
+	"bytes"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// timerSet is a timer that a Balancer has asked for.
+type timerSet struct {
+	at    time.Duration
+	token uint64
+}
+
+type timerHeap []timerSet
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)        { *h = append(*h, x.(timerSet)) }
+func (h *timerHeap) Pop() any {
+	x := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return x
+}
+
+// twin is one of two Balancers that have the same events, with its timers and what it has done.
+type twin struct {
+	*Balancer
+	recorder
+	timers timerHeap
+	now    time.Duration
+	ticks  int
+	acts   []string
+	sent   []sentTo
+}
+
+type sentTo struct {
+	id RequestID
+	up UpstreamID
+}
+
+func newTwin(t testing.TB, s Settings, seed uint64, now time.Duration) *twin {
+	t.Helper()
+	w := &twin{now: now}
+	w.hook = func(kind string, id RequestID, up UpstreamID, d time.Duration, n uint64) {
+		switch {
+		case kind == "timer":
+			heap.Push(&w.timers, timerSet{w.now + d, n})
+			if n == tickToken {
+				return
+			}
+		case kind == "send":
+			w.sent = append(w.sent, sentTo{id, up})
+		}
+		w.acts = append(w.acts, fmt.Sprint(w.now, " ", w.lines[len(w.lines)-1]))
+		w.lines = w.lines[:0]
+	}
+	var err error
+	if w.Balancer, err = New(s, seed, now, w); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+// turn lets the timers go off that are due.
+func (w *twin) turn(now time.Duration) {
+	for len(w.timers) > 0 && w.timers[0].at <= now {
+		x := heap.Pop(&w.timers).(timerSet)
+		w.now = x.at
+		if x.token == tickToken {
+			w.ticks++
+		}
+		w.Timer(w.now, x.token)
+	}
+	w.now = now
+}
+
+// state is all that a Balancer goes by, but for whether it ticks.
+func (w *twin) state() string {
+	b := w.Balancer
+	b.catchUp(w.now) // after what is not for a rest, such as the end of an attempt that is not known
+	rng, _ := b.source.MarshalBinary()
+	var s strings.Builder
+	fmt.Fprintf(&s, "%x %v %v %v %v %v %v %v %v %v\n", rng, b.out, len(b.held), len(b.requests), b.short, b.spell, b.gap, b.turnAt, b.turn, b.lat)
+	fmt.Fprintf(&s, "%v %v %v %v %v %v %v %v %v %v %v %v %v %v\n", b.cost, b.pace, b.start, b.asked, b.rate, b.warm, b.wide, b.ceiling, b.carry, b.failing, b.least, b.calm, b.stepAt, b.tightAt)
+	for _, list := range [][]*upstream{b.near, b.ups} {
+		for _, u := range list {
+			x := *u
+			x.outs = nil
+			fmt.Fprintf(&s, "%v %+v\n", len(u.outs), x)
+		}
+	}
+	for _, c := range b.s.Classes {
+		fmt.Fprintf(&s, "%+v\n", *b.classes[c.Name])
+	}
+	return s.String()
+}
+
+// The oracle of a module that rests: with the same events at the same times it does what one does that ticks, to the bit, and comes
+// to the same state, its draws included. Pauses go from a millisecond to minutes.
+func TestRestingDecidesAsTicking(t *testing.T) {
+	rested, ticked := 0, 0
+	for seed := range uint64(16) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		s := settings()
+		s.Balancers = []int{1, 2, 12, 300}[rng.IntN(4)]
+		s.Rank = rng.IntN(s.Balancers)
+		s.Reports = []ReportVia{ReportAnswers, ReportAnswers, ReportNone, ReportAnswers, ReportProbes}[rng.IntN(5)]
+		s.Weights = []WeightKind{WeightNominal, WeightLive, WeightNone}[rng.IntN(3)]
+		if rng.IntN(3) == 0 {
+			s.Tenants = nil
+		}
+		s.Granularity = time.Duration(40+rng.IntN(100)) * ms
+		now := time.Hour
+		plain := newTwin(t, s, seed, now)
+		s.Rest = true
+		rest := newTwin(t, s, seed, now)
+		compare(t, rng, s, now, plain, rest)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+		rested, ticked = rested+rest.ticks, ticked+plain.ticks
+	}
+	if rested*3 > ticked {
+		t.Errorf("%d ticks at rest, %d without: it hardly rests", rested, ticked)
+	}
+	t.Logf("%d ticks instead of %d", rested, ticked)
+}
+
+// outcomeDue is the end of an attempt that a test has decided on.
+type outcomeDue struct {
+	at time.Duration
+	o  Outcome
+}
+
+func compare(t *testing.T, rng *rand.Rand, s Settings, now time.Duration, plain, rest *twin) {
+	t.Helper()
+	twins := []*twin{plain, rest}
+	both := func(do func(w *twin)) {
+		for _, w := range twins {
+			w.turn(now)
+			do(w)
+		}
+	}
+	list := fleet(1 + rng.IntN(40))
+	for i := range list {
+		list[i].Weight = 1 + float64(rng.IntN(3))
+	}
+	var ends []outcomeDue
+	var open []RequestID
+	var attempts = map[RequestID]int{}
+	id := RequestID(0)
+	both(func(w *twin) { w.Members(now, ListFull, list) })
+	busy := 0 // events left of a busy spell
+	for range 200 {
+		// Outcomes that are due come first, in order.
+		wait := time.Duration(rng.IntN(20)) * ms
+		if busy--; busy < 0 {
+			wait = []time.Duration{ms, 40 * ms, time.Second, 3 * time.Second, 3 * time.Second, 20 * time.Second, 20 * time.Second, time.Minute}[rng.IntN(8)]
+			wait += time.Duration(rng.IntN(1000)) * time.Millisecond / 3
+			if rng.IntN(2) == 0 {
+				busy = rng.IntN(60)
+			}
+		}
+		until := now + wait
+		slices.SortStableFunc(ends, func(x, y outcomeDue) int { return int(x.at - y.at) })
+		for len(ends) > 0 && ends[0].at <= until {
+			now = ends[0].at
+			o := ends[0].o
+			ends = ends[1:]
+			both(func(w *twin) { w.Outcome(now, o) })
+			ends = sends(t, rng, now, plain, rest, attempts, ends)
+		}
+		now = until
+		switch n := rng.IntN(20); {
+		case n < 12:
+			id++
+			q := Request{ID: id, Class: []string{"read", "keyed", "write"}[rng.IntN(3)], Budget: time.Duration(100+rng.IntN(900)) * ms,
+				Tenant: []string{"", "big", "small"}[rng.IntN(3)], Cost: time.Duration(rng.IntN(3)) * 10 * ms}
+			open = append(open, id)
+			both(func(w *twin) { w.Request(now, q) })
+		case n < 13 && len(open) > 0:
+			x := open[rng.IntN(len(open))]
+			both(func(w *twin) { w.Gone(now, x) })
+		case n < 14: // one entry changes
+			i := rng.IntN(len(list))
+			switch rng.IntN(4) {
+			case 0:
+				list[i].State = Draining
+			case 1:
+				list[i].State = Active
+			case 2:
+				list[i].StartedAt = now - time.Duration(rng.IntN(10))*time.Second
+				list[i].State = Active
+			default:
+				list[i].Weight = 1 + float64(rng.IntN(4))
+			}
+			both(func(w *twin) { w.Members(now, ListDelta, list[i:i+1]) })
+		case n < 15: // the whole list, without one
+			i := rng.IntN(len(list))
+			both(func(w *twin) { w.Members(now, ListFull, slices.Delete(slices.Clone(list), i, i+1)) })
+		case n < 16:
+			x, most := list[rng.IntN(len(list))].ID, rng.IntN(4)
+			both(func(w *twin) { w.Room(now, x, most) })
+		case n < 17:
+			s.Balancers = 1 + rng.IntN(20)
+			s.Rank = 0
+			s.Classes = slices.Clone(s.Classes)
+			s.Classes[0].Aim = time.Duration(100+rng.IntN(300)) * ms
+			both(func(w *twin) {
+				s.Rest = w == rest
+				if err := w.Configure(now, s); err != nil {
+					t.Fatal(err)
+				}
+			})
+		case n < 18:
+			m := plain.Memory()
+			both(func(w *twin) { w.Recall(now, m) })
+		case n < 19:
+			x := list[rng.IntN(len(list))].ID
+			both(func(w *twin) {
+				w.Probed(now, ProbeResult{Upstream: x, Status: OK, Load: Load{Fields: HasUtil, Util: float64(id%10) / 10}})
+			})
+		default:
+			var views [2]string
+			for i, w := range twins {
+				w.turn(now)
+				v, held := w.View(now)
+				views[i] = fmt.Sprintf("%+v %d", v, held)
+			}
+			if views[0] != views[1] {
+				t.Fatalf("at %v: view\n%s\nticking\n%s", now, views[1], views[0])
+			}
+		}
+		ends = sends(t, rng, now, plain, rest, attempts, ends)
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// sends compares what the two have done, and decides how what they have sent ends.
+func sends(t *testing.T, rng *rand.Rand, now time.Duration, plain, rest *twin, attempts map[RequestID]int, ends []outcomeDue) []outcomeDue {
+	t.Helper()
+	if !slices.Equal(plain.acts, rest.acts) {
+		t.Fatalf("at %v: did\n%s\nticking\n%s", now, strings.Join(rest.acts, "\n"), strings.Join(plain.acts, "\n"))
+	}
+	if rng.IntN(8) > 0 { // to write it down takes long
+	} else if x, y := plain.state(), rest.state(); x != y {
+		a, b := strings.Split(x, "\n"), strings.Split(y, "\n")
+		for i := range min(len(a), len(b)) {
+			if a[i] != b[i] {
+				t.Fatalf("at %v: state, line %d of %d:\n%s\nticking, of %d\n%s", now, i, len(b), b[i], len(a), a[i])
+			}
+		}
+		t.Fatalf("at %v: state of %d lines, ticking of %d", now, len(b), len(a))
+	}
+	for _, x := range plain.sent {
+		n := attempts[x.id]
+		attempts[x.id]++
+		o := Outcome{ID: x.id, Upstream: x.up, Attempt: n, Latency: time.Duration(1+rng.IntN(200)) * ms}
+		o.Status = []Status{OK, OK, OK, OK, OK, OK, Error, Full, Timeout, ConnectFailed, Reset}[rng.IntN(11)]
+		if rng.IntN(2) == 0 {
+			o.Load = Load{Fields: HasUtil, Util: rng.Float64()}
+		}
+		ends = append(ends, outcomeDue{now + o.Latency, o})
+	}
+	plain.sent, rest.sent = nil, nil
+	plain.acts, rest.acts = nil, nil
+	return ends
+}
+
+// The source goes on by any number of draws as if each had been made.
+func TestSkip(t *testing.T) {
+	b, _ := start(t, settings(), fleet(3))
+	c, _ := start(t, settings(), fleet(3))
+	for _, n := range []int{0, 1, 15, 16, 17, 1000, 77777} {
+		b.skip(n)
+		for range n {
+			c.rng.Float64()
+		}
+		x, _ := b.source.MarshalBinary()
+		y, _ := c.source.MarshalBinary()
+		if !bytes.Equal(x, y) {
+			t.Fatalf("after %d draws: %x, want %x", n, x, y)
+		}
+	}
+}
+
+// A gather that is left out because nothing has moved would have come to the same: what was chosen, and the draws.
+func TestGatherLeftOut(t *testing.T) {
+	s := settings()
+	s.Balancers, s.Rank = 12, 5
+	list := fleet(60)
+	b, _ := start(t, s, list)
+	c, _ := start(t, s, list)
+	rng := rand.New(rand.NewPCG(1, 1))
+	left := 0
+	for i := range 2000 {
+		now := time.Hour + time.Duration(i)*100*ms
+		for _, w := range []*Balancer{b, c} {
+			u := w.ups[i%len(w.ups)]
+			switch i % 37 {
+			case 5:
+				u.State = Draining
+			case 9:
+				u.silent = !u.silent
+			case 14:
+				w.chill(u, now)
+			case 21:
+				u.State = Active
+			case 30:
+				w.rate = float64(i % 400)
+			case 33:
+				u.weight = float64(1 + i%3)
+			}
+		}
+		if rng.IntN(2) == 0 {
+			continue
+		}
+		b.gather(now)
+		c.went = ringed{} // it always looks
+		c.gather(now)
+		if b.gathered {
+			left++
+		}
+		x, _ := b.source.MarshalBinary()
+		y, _ := c.source.MarshalBinary()
+		if !bytes.Equal(x, y) || b.start != c.start || b.warm != c.warm || len(b.near) != len(c.near) {
+			t.Fatalf("turn %d: not the same", i)
+		}
+		for j, u := range b.near {
+			if v := c.near[j]; u.ID != v.ID || u.slice != v.slice || u.due != v.due || u.freeAt != v.freeAt || u.member != v.member {
+				t.Fatalf("turn %d: upstream %d is not the same", i, u.ID)
+			}
+		}
+	}
+	if left < 100 {
+		t.Errorf("left out %d times", left)
+	}
+}
+
+// Two hours and a half go by at once: longer than the work of before fades in, down to the least figure there is.
+func TestLongRest(t *testing.T) {
+	s := settings()
+	s.Granularity, s.Tenants = 250*ms, nil
+	now := time.Hour
+	plain := newTwin(t, s, 3, now)
+	s.Rest = true
+	rest := newTwin(t, s, 3, now)
+	list := fleet(30)
+	for i := range list {
+		list[i].Weight = 1000 // what is carried for it comes to 0 sooner than the work
+	}
+	for _, w := range []*twin{plain, rest} {
+		w.Members(now, ListFull, list)
+		for i := range 40 {
+			id := RequestID(i + 1)
+			w.Request(now, Request{ID: id, Class: "read", Budget: time.Second})
+			for _, x := range w.sent {
+				w.Outcome(now, Outcome{ID: x.id, Upstream: x.up, Latency: 20 * ms, Status: OK, Load: Load{Fields: HasUtil, Util: float64(i%7) / 7}})
+			}
+			w.sent = nil
+		}
+	}
+	for _, pause := range []time.Duration{time.Second, time.Minute, time.Hour, 90 * time.Minute, time.Minute} {
+		now += pause
+		for _, w := range []*twin{plain, rest} {
+			w.turn(now)
+		}
+		if x, y := plain.state(), rest.state(); x != y {
+			t.Fatalf("after %v: state\n%s\nticking\n%s", pause, y, x)
+		}
+	}
+	if rest.ticks > 10 {
+		t.Errorf("%d ticks", rest.ticks)
+	}
+}
+
+// BenchmarkCatchUp is the cost of the first event after a rest.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, n := range []int{10, 100, 2000} {
+		for _, pause := range []time.Duration{time.Minute, time.Hour} {
+			b.Run(fmt.Sprintf("%d/%v", n, pause), func(b *testing.B) {
+				s := settings()
+				s.Rest, s.Balancers = true, 1
+				now := time.Hour
+				w := newTwin(b, s, 1, now)
+				w.Members(now, ListFull, fleet(n))
+				id := RequestID(0)
+				for b.Loop() {
+					b.StopTimer()
+					for range 2 * n { // all have work that fades
+						id++
+						w.Request(now, Request{ID: id, Class: "read", Budget: time.Second})
+						for _, x := range w.sent {
+							w.Outcome(now, Outcome{ID: x.id, Upstream: x.up, Latency: 20 * ms, Status: OK})
+						}
+						w.sent, w.acts = nil, nil
+						now += ms
+						w.turn(now)
+					}
+					now += 200 * ms
+					w.turn(now)
+					now += pause
+					b.StartTimer()
+					w.catchUp(now)
+				}
+			})
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -23,6 +23,7 @@
 	Class
 	lat    float64
 	budget time.Duration
+	ranAt  time.Duration // keyed: when one that may have run last ended
 }
 
 // attempt is one send of a request.
@@ -51,6 +52,7 @@
 	cold, silent                bool
 	member                      bool   // in the subset
 	place                       uint64 // on the ring of all upstreams
+	met                         met    // by the last gather
 	coldAt, trialAt             time.Duration
 	answeredAt, cutAt, probedAt time.Duration
 	freeAt                      time.Duration // its turns are skipped until then
@@ -78,6 +80,7 @@
 type Balancer struct {
 	s                       Settings
 	host                    Host
+	source                  *rand.PCG // of rng
 	rng                     *rand.Rand
 	classes                 map[string]*class
 	tenants                 map[string]*tenant
@@ -108,6 +111,13 @@
 	tick, stepAt, watchWait time.Duration
 	tightAt                 time.Duration // last time that no upstream could take a request
 	logged                  map[string]time.Duration
+	fair                    float64       // its even part of what tenants have bought, requests a second
+	active                  []*upstream   // the ring, by place
+	went                    ringed        // what the last gather went by
+	chosen                  int           // and how many it chose
+	gathered                bool          // it found nothing moved
+	resting                 bool          // no tick is set
+	restAt                  time.Duration // the next tick that is left out
 }
 
 // adopt takes settings and returns the shortest aim. What is counted of classes and tenants that stay goes on.
@@ -117,17 +127,19 @@
 	for _, c := range s.Classes {
 		n := &class{Class: c}
 		if old := b.classes[c.Name]; old != nil {
-			n.lat = old.lat // its budget may have shrunk with its deadline: that is learnt anew
+			n.lat, n.ranAt = old.lat, old.ranAt // its budget may have shrunk with its deadline: that is learnt anew
 		}
 		classes[c.Name] = n
 		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
 	}
+	b.fair = 0
 	for _, t := range s.Tenants {
 		n := &tenant{at: now.Seconds()}
 		if old := b.tenants[t.Name]; old != nil {
 			*n = *old
 		}
 		n.rate = t.Quota / float64(s.Balancers)
+		b.fair += n.rate
 		tenants[t.Name] = n
 	}
 	b.s, b.classes, b.tenants = s, classes, tenants
--- a/view.go
+++ b/view.go
@@ -22,6 +22,7 @@
 
 // View returns the upstreams in order of arrival, and how many requests are held for a turn.
 func (b *Balancer) View(now time.Duration) (views []UpstreamView, held int) {
+	b.catchUp(now)
 	var total float64
 	for _, u := range b.near {
 		if u.member && u.State == Active {
