--- a/balancer.go
+++ b/balancer.go
@@ -70,8 +70,8 @@
 	}
 	source := rand.NewPCG(seed, 0)
 	b := &Balancer{host: host, source: source, rng: rand.New(source), requests: map[RequestID]*request{},
-		byID: map[UpstreamID]*upstream{}, logged: map[string]time.Duration{}, stepAt: now, tightAt: now,
-		bornAt: now}
+		byID: map[UpstreamID]*upstream{}, senders: map[string]*sender{}, logged: map[string]time.Duration{},
+		stepAt: now, tightAt: now, bornAt: now}
 	shortest := b.adopt(s, now)
 	b.gather(now)
 	b.lat = float64(shortest) / 4 // until answers tell
@@ -160,7 +160,7 @@
 	if !b.s.WorthByWork {
 		r.worth /= r.units
 	}
-	if t := b.tenants[q.Tenant]; t != nil && t.over(now) {
+	if b.overQuota(q.Tenant, now) {
 		r.worth *= b.s.OverShareWorth
 	}
 	// A later try shows its age by a short budget. Past the aim such once took the turns of those in time.
