--- a/state.go
+++ b/state.go
@@ -14,6 +14,7 @@
 	Class
 	lat    float64
 	budget time.Duration
+	ranAt  time.Duration // keyed: when one that may have run last ended
 }
 
 // attempt is one send of a request.
@@ -42,6 +43,7 @@
 	cold, silent                bool
 	member                      bool   // in the subset
 	place                       uint64 // on the ring of all upstreams
+	met                         met    // by the last gather
 	coldAt, trialAt             time.Duration
 	answeredAt, cutAt, probedAt time.Duration
 	freeAt                      time.Duration // its turns are skipped until then
@@ -69,6 +71,7 @@
 type Balancer struct {
 	s                       Settings
 	host                    Host
+	source                  *rand.PCG // of rng
 	rng                     *rand.Rand
 	classes                 map[string]*class
 	senders                 map[string]*sender // tenants whose level has not run dry, as far as was looked
@@ -102,6 +105,12 @@
 	tick, stepAt, watchWait time.Duration
 	tightAt                 time.Duration // last time that no upstream could take a request
 	logged                  map[string]time.Duration
+	active                  []*upstream   // the ring, by place
+	went                    ringed        // what the last gather went by
+	chosen                  int           // and how many it chose
+	gathered                bool          // it found nothing moved
+	resting                 bool          // no tick is set
+	restAt                  time.Duration // the next tick that is left out
 }
 
 // adopt takes settings and returns the shortest aim. What is counted of classes and tenants that stay goes on.
@@ -111,7 +120,7 @@
 	for _, c := range s.Classes {
 		n := &class{Class: c}
 		if old := b.classes[c.Name]; old != nil {
-			n.lat = old.lat // its budget may have shrunk with its deadline: that is learnt anew
+			n.lat, n.ranAt = old.lat, old.ranAt // its budget may have shrunk with its deadline: that is learnt anew
 		}
 		classes[c.Name] = n
 		b.safest, shortest = min(b.safest, c.Repeat), min(shortest, c.Aim)
