--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -18,6 +18,7 @@
 
 	"clayladder/internal/config"
 	"clayladder/internal/live"
+	"clayladder/internal/route"
 	"clayladder/internal/service"
 )
 
@@ -44,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	slog.Info("serving", "config", path, "pools", len(c.Pools), "routes", len(c.Routes))
+	slog.Info("serving", "config", path, "pools", len(c.Pools), "routes", c.Table.Len())
 	for {
 		select {
 		case err := <-s.Failed():
@@ -64,7 +65,7 @@
 				continue
 			}
 			service.LimitMemory(c)
-			slog.Info("configuration read again", "pools", len(c.Pools), "routes", len(c.Routes))
+			slog.Info("configuration read again", "pools", len(c.Pools), "routes", c.Table.Len())
 		}
 	}
 }
@@ -104,7 +105,7 @@
 			errs = append(errs, err)
 			continue
 		}
-		fmt.Fprintf(out, "%s: well: %d listeners, %d routes, %d pools\n", path, len(c.Listeners), len(c.Routes), len(c.Pools))
+		fmt.Fprintf(out, "%s: well: %d listeners, %d routes, %d pools\n", path, len(c.Listeners), c.Table.Len(), len(c.Pools))
 		for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
 			fmt.Fprintf(out, "  pool %s: %s\n", name, loadFrom[c.Pools[name].Reports])
 			if c.Instances.Count > 1 {
@@ -116,10 +117,9 @@
 		if c.Promises != nil {
 			checkPromises(c.Promises, out)
 		}
-		for _, r := range c.Routes {
-			if len(r.Upgrades) > 0 {
-				caps := c.Pools[r.Pools[0].Pool].Tunnels
-				fmt.Fprintf(out, "  route %s: clients may change to %s, %d at once, %d to a node\n", r.Name, strings.Join(r.Upgrades, ", "), caps.Most, caps.PerNode)
+		for _, r := range slices.SortedFunc(c.Table.Rules(), func(x, y *route.Rule) int { return strings.Compare(x.Name, y.Name) }) {
+			if to := c.Targets[r.To]; len(to.Upgrades) > 0 {
+				fmt.Fprintf(out, "  route %s: clients may change to %s, %d at once, %d to a node\n", r.Name, strings.Join(to.Upgrades, ", "), to.Tunnels.Most, to.Tunnels.PerNode)
 			}
 		}
 	}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -28,16 +29,38 @@
 	baseMemory = 24 << 20
 )
 
-// Loaded is a configuration that has been checked, with what was left out filled in.
+// Loaded is a configuration that has been checked, with what was left out filled in. It never changes. Routes and tenants
+// are not in the File but in tables, which have what did not change in common with those of the configuration before.
 type Loaded struct {
 	File
 	Table *route.Table
-	// Routing has what the table does not: the rest of each route, by name.
-	Routing map[string]Route
+	// Targets are what the table's rules lead to, by their numbers, beside pools.
+	Targets []Target
 	// Tenants is shared by the settings of all pools.
 	Tenants *clayladder.Tenants
 
-	used map[string][]string // by pool: the classes of its routes
+	targets map[targetKey]int
+	used    map[string][]string // by pool: the classes of its routes
+}
+
+// Target is what requests of a route meet beside its pools. Most routes have one in common with others.
+type Target struct {
+	Class     string
+	Deadline  Duration
+	KeyCookie string
+	Body      Body
+	Answer    Answer
+	Upgrades  []string
+	Tunnels   Tunnels // of its first pool
+}
+
+// targetKey is a Target that can be compared.
+type targetKey struct {
+	class, cookie, upgrades string
+	deadline                Duration
+	body                    Body
+	answer                  Answer
+	tunnels                 Tunnels
 }
 
 // Load reads and checks a file. The error joins one strictyaml.Error for each thing wrong.
@@ -51,28 +74,16 @@
 
 // Parse checks the text of a file. Relative paths in it start at the file's folder.
 func Parse(path string, text []byte) (*Loaded, error) {
-	c := &Loaded{Routing: map[string]Route{}}
+	c := &Loaded{targets: map[targetKey]int{}}
 	d := strictyaml.Decode(path, text, &c.File)
 	if err := d.Err(); err != nil { // what could not be read would only bring errors that follow from it
 		return nil, err
 	}
 	k := checker{Doc: d, Loaded: c}
-	k.listeners()
-	k.limits()
-	k.classes()
-	k.rules()
-	k.pools(filepath.Dir(path))
-	k.routes()
-	if k.Promises != nil {
-		k.Promises.check(d, "promises", filepath.Dir(path))
-	}
-	if d.Err() == nil {
-		k.bulkheads()
-	}
+	k.all(filepath.Dir(path))
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
-	c.uses()
 	tenants := make([]clayladder.Tenant, 0, len(c.File.Tenants))
 	for name, t := range c.File.Tenants {
 		tenants = append(tenants, clayladder.Tenant{Name: name, Quota: t.Quota})
@@ -81,6 +92,25 @@
 	return c, nil
 }
 
+// all checks everything and builds the table of routes.
+func (k *checker) all(folder string) {
+	k.listeners()
+	k.limits()
+	k.classes()
+	k.rules()
+	k.pools(folder)
+	k.routes()
+	if k.Promises != nil {
+		k.Promises.check(k.Doc, "promises", folder)
+	}
+	if k.Failed() {
+		return
+	}
+	k.bulkheads()
+	k.Routes = nil
+	k.uses()
+}
+
 // checker goes over a configuration, notes what is wrong and fills in what was left out.
 type checker struct {
 	*strictyaml.Doc
@@ -193,7 +223,7 @@
 		k.Classes[name] = c
 	}
 	for name, t := range k.Loaded.File.Tenants {
-		if !(t.Quota >= 0 && t.Quota < 1e9) {
+		if !fair(t.Quota) {
 			k.Fail("tenants."+name+".quota", "the quota is a rate of requests a second, 0 or more")
 		}
 	}
@@ -205,6 +235,9 @@
 	}
 }
 
+// fair tells whether a quota is one.
+func fair(quota float64) bool { return quota >= 0 && quota < 1e9 }
+
 func (k *checker) rules() {
 	r := &k.Rules
 	strictyaml.Fill(&r.DrainGrace, Duration(time.Second))
@@ -307,98 +340,116 @@
 	if len(k.Routes) == 0 {
 		k.Fail("routes", "at least one route is wanted")
 	}
-	rules := make([]route.Rule, 0, len(k.Routes))
-	places := map[string]string{}
+	rules, places := make([]route.Rule, 0, len(k.Routes)), make(map[string]int, len(k.Routes))
 	for i := range k.Routes {
-		r, at := &k.Routes[i], fmt.Sprintf("routes[%d]", i)
-		if _, twice := k.Routing[r.Name]; r.Name == "" || twice {
-			k.Fail(at, "a route needs a name of its own; %q is not", r.Name)
-			continue
-		}
-		class, ok := k.Classes[r.Class]
-		if !ok {
-			k.Fail(at+".class", "%s", unknown("class", r.Class, slices.Collect(maps.Keys(k.Classes))))
-		}
-		strictyaml.Fill(&r.Deadline, class.Deadline)
-		r.Deadline = min(r.Deadline, class.Deadline)
-		if r.RequestClass != "" && r.RequestClass != r.Class {
-			k.Fail(at+".request_class", "clients that name %q would get the class %q: the two are the same", r.RequestClass, r.Class)
-		}
-		if (r.Pool == "") == (len(r.Pools) == 0) {
-			k.Fail(at, "exactly one of pool and pools is wanted")
+		r := &k.Routes[i]
+		if _, twice := places[r.Name]; r.Name == "" || twice {
+			k.Fail(routeAt(i), "a route needs a name of its own; %q is not", r.Name)
 			continue
 		}
-		if r.Pool != "" {
-			r.Pools = []WeightedPool{{r.Pool, 1}}
+		if rule, ok := k.route(routeAt(i), r); ok {
+			places[r.Name] = i
+			rules = append(rules, rule)
 		}
-		strictyaml.Fill(&r.KeyCookie, "obj")
-		strictyaml.Fill(&r.Body.Max, 1<<30)
-		strictyaml.Fill(&r.Body.Buffer, 1<<20)
-		strictyaml.Fill(&r.Body.Within, Duration(time.Hour))
-		strictyaml.Fill(&r.Answer.Max, 1<<40)
-		strictyaml.Fill(&r.Answer.Idle, Duration(30*time.Second))
-		if r.Body.Buffer > k.Limits.Bodies {
-			k.Fail(at+".body.buffer", "%d MiB for one request, and limits.bodies is %d MiB for all", r.Body.Buffer>>20, k.Limits.Bodies>>20)
-		}
-		if r.Answer.Total != 0 && r.Answer.Total < r.Answer.Idle {
-			k.Fail(at+".answer.total", "it is shorter than idle")
-		}
-		for j, name := range r.Upgrades {
-			if r.Upgrades[j] = strings.ToLower(name); name == "" || strings.ContainsAny(name, " ,\t") || strings.HasPrefix(r.Upgrades[j], "h2") {
-				k.Fail(at+".upgrades", "%q is not a protocol that a connection may change to, such as websocket", name)
-			}
-		}
-		rule := route.Rule{Name: r.Name, Hosts: r.Hosts, Methods: r.Methods, Class: r.RequestClass}
-		for j, p := range r.Pools {
-			if _, ok := k.Pools[p.Pool]; !ok {
-				where := at + ".pool"
-				if r.Pool == "" {
-					where = fmt.Sprintf("%s.pools[%d].pool", at, j)
-				}
-				k.Fail(where, "%s", unknown("pool", p.Pool, slices.Collect(maps.Keys(k.Pools))))
-			}
-			rule.Pools = append(rule.Pools, route.WeightedPool(p))
-		}
-		for _, m := range r.Methods {
-			if m == "" || strings.ContainsFunc(m, func(c rune) bool { return c < 'A' || c > 'Z' }) || m == "CONNECT" {
-				k.Fail(at+".methods", "%q is not a method that is served, in capitals", m)
-			}
-		}
-		for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
-			rule.Headers = append(rule.Headers, route.Header{Name: name, Value: r.Headers[name]})
-		}
-		set := 0
-		for kind, text := range map[route.PathKind]string{route.Exact: r.Path.Exact, route.Pattern: r.Path.Pattern, route.Prefix: r.Path.Prefix} {
-			if text != "" {
-				set++
-				rule.Kind, rule.Path = kind, text
-			}
-		}
-		if set == 0 {
-			rule.Kind, rule.Path = route.Prefix, "/"
-		} else if set > 1 {
-			k.Fail(at+".path", "at most one of exact, pattern and prefix is wanted")
-		}
-		k.Routing[r.Name], places[r.Name] = *r, at
-		rules = append(rules, rule)
 	}
 	table, errs := route.Build(rules)
 	for _, err := range errs {
-		at := "routes"
-		if tie := (route.Conflict{}); errors.As(err, &tie) {
-			at = places[tie.Second]
-		} else {
-			for name, place := range places {
-				if strings.HasPrefix(err.Error(), fmt.Sprintf("route %q:", name)) {
-					at = place
-				}
-			}
+		at, tie, bad := "routes", route.Conflict{}, route.Malformed{}
+		switch {
+		case errors.As(err, &tie):
+			at = routeAt(places[tie.Second])
+		case errors.As(err, &bad):
+			at = routeAt(places[bad.Name])
 		}
 		k.Fail(at, "%v", err)
 	}
 	k.Table = table
 }
 
+func routeAt(i int) string { return "routes[" + strconv.Itoa(i) + "]" }
+
+// route checks one route, fills in what was left out and returns its rule.
+func (k *checker) route(at string, r *Route) (route.Rule, bool) {
+	class, ok := k.Classes[r.Class]
+	if !ok {
+		k.Fail(at+".class", "%s", unknown("class", r.Class, slices.Collect(maps.Keys(k.Classes))))
+	}
+	strictyaml.Fill(&r.Deadline, class.Deadline)
+	r.Deadline = min(r.Deadline, class.Deadline)
+	if r.RequestClass != "" && r.RequestClass != r.Class {
+		k.Fail(at+".request_class", "clients that name %q would get the class %q: the two are the same", r.RequestClass, r.Class)
+	}
+	if (r.Pool == "") == (len(r.Pools) == 0) {
+		k.Fail(at, "exactly one of pool and pools is wanted")
+		return route.Rule{}, false
+	}
+	if r.Pool != "" {
+		r.Pools = []WeightedPool{{r.Pool, 1}}
+	}
+	strictyaml.Fill(&r.KeyCookie, "obj")
+	strictyaml.Fill(&r.Body.Max, 1<<30)
+	strictyaml.Fill(&r.Body.Buffer, 1<<20)
+	strictyaml.Fill(&r.Body.Within, Duration(time.Hour))
+	strictyaml.Fill(&r.Answer.Max, 1<<40)
+	strictyaml.Fill(&r.Answer.Idle, Duration(30*time.Second))
+	if r.Body.Buffer > k.Limits.Bodies {
+		k.Fail(at+".body.buffer", "%d MiB for one request, and limits.bodies is %d MiB for all", r.Body.Buffer>>20, k.Limits.Bodies>>20)
+	}
+	if r.Answer.Total != 0 && r.Answer.Total < r.Answer.Idle {
+		k.Fail(at+".answer.total", "it is shorter than idle")
+	}
+	for j, name := range r.Upgrades {
+		if r.Upgrades[j] = strings.ToLower(name); name == "" || strings.ContainsAny(name, " ,\t") || strings.HasPrefix(r.Upgrades[j], "h2") {
+			k.Fail(at+".upgrades", "%q is not a protocol that a connection may change to, such as websocket", name)
+		}
+	}
+	rule := route.Rule{Name: r.Name, Hosts: r.Hosts, Methods: r.Methods, Class: r.RequestClass}
+	for j, p := range r.Pools {
+		if _, ok := k.Pools[p.Pool]; !ok {
+			where := at + ".pool"
+			if r.Pool == "" {
+				where = fmt.Sprintf("%s.pools[%d].pool", at, j)
+			}
+			k.Fail(where, "%s", unknown("pool", p.Pool, slices.Collect(maps.Keys(k.Pools))))
+		}
+		rule.Pools = append(rule.Pools, route.WeightedPool(p))
+	}
+	for _, m := range r.Methods {
+		if m == "" || strings.ContainsFunc(m, func(c rune) bool { return c < 'A' || c > 'Z' }) || m == "CONNECT" {
+			k.Fail(at+".methods", "%q is not a method that is served, in capitals", m)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
+		rule.Headers = append(rule.Headers, route.Header{Name: name, Value: r.Headers[name]})
+	}
+	set := 0
+	for kind, text := range [...]string{route.Exact: r.Path.Exact, route.Pattern: r.Path.Pattern, route.Prefix: r.Path.Prefix} {
+		if text != "" {
+			set++
+			rule.Kind, rule.Path = route.PathKind(kind), text
+		}
+	}
+	if set == 0 {
+		rule.Kind, rule.Path = route.Prefix, "/"
+	} else if set > 1 {
+		k.Fail(at+".path", "at most one of exact, pattern and prefix is wanted")
+	}
+	rule.To = k.target(r)
+	return rule, true
+}
+
+// target returns the number of what a route leads to.
+func (k *checker) target(r *Route) int {
+	key := targetKey{r.Class, r.KeyCookie, strings.Join(r.Upgrades, "\n"), r.Deadline, r.Body, r.Answer, k.Pools[r.Pools[0].Pool].Tunnels}
+	if n, known := k.targets[key]; known {
+		return n
+	}
+	k.Targets = append(k.Targets, Target{Class: r.Class, Deadline: r.Deadline, KeyCookie: r.KeyCookie, Body: r.Body, Answer: r.Answer,
+		Upgrades: r.Upgrades, Tunnels: key.tunnels})
+	k.targets[key] = len(k.Targets) - 1
+	return len(k.Targets) - 1
+}
+
 func unknown(kind, name string, known []string) string {
 	if near := strictyaml.Nearest(name, known); near != "" {
 		return fmt.Sprintf("there is no %s %q; did you mean %q?", kind, name, near)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -31,7 +31,7 @@
 	if c.Class("c").Repeat != clayladder.Unsafe {
 		t.Error("a missing repeat kind is not unsafe")
 	}
-	if got := c.Routing["two"].Deadline; got != Duration(2*time.Second) {
+	if got := c.Targets[c.Table.Rule("two").To].Deadline; got != Duration(2*time.Second) {
 		t.Errorf("a route stretched its class's deadline to %v", time.Duration(got))
 	}
 	if got := c.Pools["q"].Nodes.File; got != "/etc/olivearch/q.yaml" {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -23,18 +23,17 @@
 
 // uses notes the classes of the routes to each pool, in order.
 func (c *Loaded) uses() {
-	sets := make(map[string]map[string]bool, len(c.Pools))
-	for i := range c.Routes {
-		for _, to := range c.Routes[i].Pools {
-			if sets[to.Pool] == nil {
-				sets[to.Pool] = map[string]bool{}
+	c.used = make(map[string][]string, len(c.Pools))
+	for r := range c.Table.Rules() {
+		class := c.Targets[r.To].Class
+		for _, to := range r.Pools {
+			if !slices.Contains(c.used[to.Pool], class) {
+				c.used[to.Pool] = append(c.used[to.Pool], class)
 			}
-			sets[to.Pool][c.Routes[i].Class] = true
 		}
 	}
-	c.used = make(map[string][]string, len(sets))
-	for pool, set := range sets {
-		c.used[pool] = slices.Sorted(maps.Keys(set))
+	for _, classes := range c.used {
+		slices.Sort(classes)
 	}
 }
 
--- /dev/null
+++ b/internal/config/size_test.go
@@ -0,0 +1,45 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// generated is a configuration of a size, in block style: one route or tenant a line.
+func generated(pools, routes, tenants int) []byte {
+	var b strings.Builder
+	fmt.Fprintf(&b, "listeners: [{address: '127.0.0.1:0', connections: 2000}]\nlimits: {memory: 1GiB, descriptors: 20000}\n")
+	b.WriteString("classes:\n  read: {repeat: safe, aim: 250ms, deadline: 1s}\n  write: {aim: 250ms, deadline: 1s}\n")
+	b.WriteString("pools:\n")
+	for i := range pools {
+		fmt.Fprintf(&b, "  pool-%03d: {nodes: {file: pool-%03d.yaml}, queue: 4, connections: 20}\n", i, i)
+	}
+	b.WriteString("routes:\n")
+	for i := range routes {
+		fmt.Fprintf(&b, "  - {name: route-%05d, hosts: [s%03d.example.org], path: {prefix: /r%05d}, class: %s, pool: pool-%03d}\n",
+			i, i%pools, i, []string{"read", "write"}[i%2], i%pools)
+	}
+	if tenants > 0 {
+		b.WriteString("tenants:\n")
+	}
+	for i := range tenants {
+		fmt.Fprintf(&b, "  tenant-%06d: {quota: %d}\n", i, 1+i%50)
+	}
+	return []byte(b.String())
+}
+
+func BenchmarkParse(b *testing.B) {
+	for _, c := range []struct{ pools, routes, tenants int }{{2, 10, 0}, {490, 15000, 0}, {490, 15000, 140000}} {
+		text := generated(c.pools, c.routes, c.tenants)
+		b.Run(fmt.Sprintf("%d-%d-%d", c.pools, c.routes, c.tenants), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(len(text)))
+			for range b.N {
+				if _, err := Parse("c.yaml", text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/proxy/routing.go
+++ b/internal/proxy/routing.go
@@ -32,9 +32,15 @@
 
 // Routing is a whole set of routes with the pools that they lead to. It never changes: a reload makes another.
 type Routing struct {
-	Table  *route.Table
-	Routes map[string]Destination // by the names of the table's rules
-	Pools  map[string]*pool.Pool
+	Table *route.Table
+	To    []Destination // by the numbers of the table's rules: many routes have one in common
+	Pools map[string]*pool.Pool
+}
+
+// lets tells whether a route of this name lets a connection change to a protocol.
+func (r *Routing) lets(by opened) bool {
+	rule := r.Table.Rule(by.route)
+	return rule != nil && slices.Contains(r.To[rule.To].Upgrades, by.protocol)
 }
 
 // Desk takes requests for several pools by their routes. Its Routing may be replaced while requests come.
@@ -66,7 +72,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for t, by := range d.tunnels {
-		if !slices.Contains(r.Routes[by.route].Upgrades, by.protocol) {
+		if !r.lets(by) {
 			t.EndSoon()
 		}
 	}
@@ -83,7 +89,7 @@
 		defer d.mu.Unlock()
 		delete(d.tunnels, t)
 	})
-	if !slices.Contains(d.routing.Load().Routes[by.route].Upgrades, by.protocol) { // a reload came meanwhile
+	if !d.routing.Load().lets(by) { // a reload came meanwhile
 		t.EndSoon()
 	}
 }
@@ -92,6 +98,7 @@
 type routed struct {
 	asked
 	route  string // that it goes by
+	to     *Destination
 	desk   *Desk
 	query  route.Query
 	fields http1.Fields // as they came
@@ -108,7 +115,7 @@
 
 // Longest is the longest limit of a route.
 func (d *Desk) Longest() (most time.Duration) {
-	for _, to := range d.routing.Load().Routes {
+	for _, to := range d.routing.Load().To {
 		most = max(most, to.Limit)
 	}
 	return most
@@ -164,7 +171,7 @@
 		return nil, err
 	}
 	bodied := method != http.MethodGet && method != http.MethodHead && method != http.MethodOptions && method != http.MethodDelete
-	to := d.routing.Load().Routes[q.route]
+	to := q.to
 	q.Message = upstream.Message{Line: method + " " + t.String(), Header: *h, Host: host, Bodied: bodied, Limits: to.Bodies, Hints: true}
 	if slices.Contains(to.Upgrades, upgrade) && upgrade != "" { // else it is an ordinary request: who asks must expect that
 		q.Message.Upgrade, q.Message.Tunnel = upgrade, to.Tunnels
@@ -187,7 +194,8 @@
 		return &edge.Refusal{Status: http.StatusNotFound, Why: "no route leads there"}
 	}
 	q.route = rule.Name
-	to := r.Routes[rule.Name]
+	to := &r.To[rule.To]
+	q.to = to
 	switch named := q.query.Class; {
 	case named != "" && named != to.Class.Name:
 		return edge.Bad("X-Class names %q, and the route to this host and path is for another class", named)
--- a/internal/proxy/routing_test.go
+++ b/internal/proxy/routing_test.go
@@ -37,12 +37,11 @@
 
 func routing(t testing.TB, pools ...*pool.Pool) *Routing {
 	t.Helper()
-	r := &Routing{Routes: map[string]Destination{}, Pools: map[string]*pool.Pool{}}
+	r := &Routing{To: []Destination{{Class: clayladder.Class{Name: "c", Deadline: time.Second, Repeat: clayladder.Unsafe}, Limit: time.Second, KeyCookie: "obj"}}, Pools: map[string]*pool.Pool{}}
 	var rules []route.Rule
 	for _, p := range pools {
 		r.Pools[p.Name()] = p
 		rules = append(rules, route.Rule{Name: p.Name(), Hosts: []string{p.Name() + ".example.org"}, Kind: route.Prefix, Path: "/a", Pools: []route.WeightedPool{{Pool: p.Name(), Weight: 1}}})
-		r.Routes[p.Name()] = Destination{Class: clayladder.Class{Name: "c", Deadline: time.Second, Repeat: clayladder.Unsafe}, Limit: time.Second, KeyCookie: "obj"}
 	}
 	var errs []error
 	if r.Table, errs = route.Build(rules); errs != nil {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -15,8 +15,9 @@
 package route
 
 import (
-	"cmp"
 	"fmt"
+	"iter"
+	"maps"
 	"net/textproto"
 	"slices"
 	"strings"
@@ -51,6 +52,7 @@
 	Headers []Header
 	Class   string // the client must name this class; empty: any or none
 	Pools   []WeightedPool
+	To      int // what else its requests meet: a number that means something to the caller
 
 	total uint64
 }
@@ -72,17 +74,43 @@
 	exact  map[string]*segment // by host
 	suffix map[string]*segment // by the part behind the star, with its dot
 	any    *segment
+	names  map[string]*Rule
 }
 
 // segment is a node of a trie over the segments of paths.
 type segment struct {
-	literal map[string]*segment
-	param   *segment
-	exact   []*Rule // the path ends here; of literal segments only
-	pattern []*Rule
-	prefix  []*Rule // it ends here or goes on
+	few   []edge              // to the literal segments that follow
+	many  map[string]*segment // the same, in place of few, from manyEdges on
+	param *segment
+	rules []*Rule // whose path ends here, or goes on for a Prefix: by kind, and of a kind that which goes first
 }
 
+// edge leads to a segment.
+type edge struct {
+	part string
+	to   *segment
+}
+
+// manyEdges is from how many edges on a map finds one faster than a look at each.
+const manyEdges = 8
+
+// Rule returns the rule of a name; nil: there is none.
+func (t *Table) Rule(name string) *Rule { return t.names[name] }
+
+// Rules goes over all rules, in no order. They are not to be changed.
+func (t *Table) Rules() iter.Seq[*Rule] { return maps.Values(t.names) }
+
+// Len is the number of rules.
+func (t *Table) Len() int { return len(t.names) }
+
+// Malformed is a rule that can't be used.
+type Malformed struct {
+	Name string
+	Why  error
+}
+
+func (m Malformed) Error() string { return fmt.Sprintf("route %q: %v", m.Name, m.Why) }
+
 // Conflict is a pair of rules of which neither goes before the other.
 type Conflict struct {
 	First, Second string // names
@@ -93,35 +121,6 @@
 	return fmt.Sprintf("routes %q and %q match the same requests on %s and neither is more specific", c.First, c.Second, c.Where)
 }
 
-// Build makes a table, or tells every error in the rules: malformed ones, and ties as Conflicts.
-func Build(rules []Rule) (*Table, []error) {
-	t := &Table{exact: map[string]*segment{}, suffix: map[string]*segment{}, any: &segment{}}
-	var errs []error
-	for i := range rules {
-		r := rules[i] // the table keeps its own: callers may change theirs
-		if err := r.check(); err != nil {
-			errs = append(errs, fmt.Errorf("route %q: %w", r.Name, err))
-			continue
-		}
-		for _, p := range r.Pools {
-			r.total += uint64(p.Weight)
-		}
-		hosts := r.Hosts
-		if len(hosts) == 0 {
-			hosts = []string{"*"}
-		}
-		for _, host := range hosts {
-			if other := t.insert(host, &r); other != nil {
-				errs = append(errs, Conflict{other.Name, r.Name, host + " " + r.Path})
-			}
-		}
-	}
-	if len(errs) > 0 {
-		return nil, errs
-	}
-	return t, nil
-}
-
 // check tells what makes a rule unusable, and brings its hosts and fields into canonical form.
 func (r *Rule) check() error {
 	r.Hosts, r.Headers, r.Methods = slices.Clone(r.Hosts), slices.Clone(r.Headers), slices.Clone(r.Methods)
@@ -174,61 +173,6 @@
 	return len(part) > 2 && part[0] == '{' && part[len(part)-1] == '}' && !strings.ContainsAny(part[1:len(part)-1], "{}")
 }
 
-// insert puts r under a host and returns a rule that it ties with.
-func (t *Table) insert(host string, r *Rule) *Rule {
-	at := t.any
-	if host != "*" {
-		hosts, name := t.exact, host
-		if strings.HasPrefix(host, "*.") {
-			hosts, name = t.suffix, host[1:]
-		}
-		if at = hosts[name]; at == nil {
-			at = &segment{}
-			hosts[name] = at
-		}
-	}
-	if r.Path != "/" || r.Kind != Prefix {
-		for part := range strings.SplitSeq(r.Path[1:], "/") {
-			at = at.child(part, r.Kind == Pattern && isParam(part))
-		}
-	}
-	list := &at.exact
-	switch r.Kind {
-	case Pattern:
-		list = &at.pattern
-	case Prefix:
-		list = &at.prefix
-	}
-	for _, other := range *list {
-		if other != r && ties(other, r) {
-			return other
-		}
-	}
-	*list = append(*list, r)
-	slices.SortStableFunc(*list, func(a, b *Rule) int {
-		return cmp.Or(cmp.Compare(b.named(), a.named()), cmp.Compare(b.wants(), a.wants()))
-	})
-	return nil
-}
-
-func (s *segment) child(part string, param bool) *segment {
-	if param {
-		if s.param == nil {
-			s.param = &segment{}
-		}
-		return s.param
-	}
-	if s.literal == nil {
-		s.literal = map[string]*segment{}
-	}
-	next := s.literal[part]
-	if next == nil {
-		next = &segment{}
-		s.literal[part] = next
-	}
-	return next
-}
-
 // named is 1 if the rule names methods.
 func (r *Rule) named() int { return min(len(r.Methods), 1) }
 
@@ -293,7 +237,7 @@
 // whole finds a rule for the rest of a path to its end.
 func (s *segment) whole(rest string, q *Query, kind PathKind) *Rule {
 	part, behind, more := strings.Cut(rest, "/")
-	if next := s.literal[part]; next != nil {
+	if next := s.next(part); next != nil {
 		if r := next.ending(behind, more, q, kind); r != nil {
 			return r
 		}
@@ -305,33 +249,39 @@
 }
 
 func (s *segment) ending(rest string, more bool, q *Query, kind PathKind) *Rule {
-	switch {
-	case more:
+	if more {
 		return s.whole(rest, q, kind)
-	case kind == Exact:
-		return first(s.exact, q)
 	}
-	return first(s.pattern, q)
+	return s.first(kind, q)
 }
 
 // longest finds the rule with the longest prefix.
 func (s *segment) longest(rest string, q *Query) *Rule {
 	part, behind, more := strings.Cut(rest, "/")
-	if next := s.literal[part]; next != nil {
+	if next := s.next(part); next != nil {
 		if !more {
-			if r := first(next.prefix, q); r != nil {
+			if r := next.first(Prefix, q); r != nil {
 				return r
 			}
 		} else if r := next.longest(behind, q); r != nil {
 			return r
 		}
 	}
-	return first(s.prefix, q)
+	return s.first(Prefix, q)
+}
+
+func (s *segment) next(part string) *segment {
+	for i := range s.few {
+		if s.few[i].part == part {
+			return s.few[i].to
+		}
+	}
+	return s.many[part] // of no map: nil
 }
 
-func first(rules []*Rule, q *Query) *Rule {
-	for _, r := range rules {
-		if r.fits(q) {
+func (s *segment) first(kind PathKind, q *Query) *Rule {
+	for _, r := range s.rules {
+		if r.Kind == kind && r.fits(q) {
 			return r
 		}
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -280,13 +280,13 @@
 
 // route makes the routes of a state those that hold.
 func (s *Service) route(next *state) {
-	r := &proxy.Routing{Table: next.config.Table, Routes: map[string]proxy.Destination{}, Pools: map[string]*pool.Pool{}}
-	for name, x := range next.config.Routing {
-		tunnels := next.config.Pools[x.Pools[0].Pool].Tunnels
-		r.Routes[name] = proxy.Destination{Class: next.config.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie,
+	c := next.config
+	r := &proxy.Routing{Table: c.Table, To: make([]proxy.Destination, len(c.Targets)), Pools: make(map[string]*pool.Pool, len(next.pools))}
+	for i, x := range c.Targets {
+		r.To[i] = proxy.Destination{Class: c.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie,
 			Bodies: &body.Limits{Request: int64(x.Body.Max), Ahead: int(x.Body.Buffer), Within: time.Duration(x.Body.Within), Answer: int64(x.Answer.Max),
 				Quiet: time.Duration(x.Answer.Idle), Total: time.Duration(x.Answer.Total), Trailers: true},
-			Upgrades: x.Upgrades, Tunnels: &body.TunnelLimits{Idle: time.Duration(tunnels.Idle), Total: time.Duration(tunnels.Total), Grace: time.Duration(tunnels.Grace)}}
+			Upgrades: x.Upgrades, Tunnels: &body.TunnelLimits{Idle: time.Duration(x.Tunnels.Idle), Total: time.Duration(x.Tunnels.Total), Grace: time.Duration(x.Tunnels.Grace)}}
 	}
 	for name, x := range next.pools {
 		r.Pools[name] = x.Pool
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -8,20 +8,24 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"reflect"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/agnivade/levenshtein"
 	"go.yaml.in/yaml/v3"
 )
 
-// maxNodes and maxDepth bound what a file can stand for: aliases of aliases, or one within itself, grow without bound.
+// maxNodes and maxDepth bound what a file can stand for: aliases of aliases, or one within itself, grow without bound. 15,000 routes, 140,000
+// tenants and 18,000 nodes in one file are over half a million values.
 const (
-	maxNodes = 1 << 19
-	maxDepth = 100
+	maxNodes  = 1 << 20
+	maxShared = 1 << 19 // of a file with anchors
+	maxDepth  = 100
 )
 
 // Position is a place in a file, counted from 1.
@@ -41,14 +45,27 @@
 // Doc knows where the values of a file stand, by path: "pools.maps.nodes", "routes[2].path".
 type Doc struct {
 	File      string
-	positions map[string]Position
+	root      *yaml.Node
+	first     int                 // lines before the text that is read
+	positions map[string]Position // made when the first is asked for
 	errs      []error
 	nodes     int
 	depth     int
+	deepest   int
+	full      bool // it stands for too many values
+	shared    bool // something stands in more than one place, or may
 }
 
 // At returns the place of a value, or of the nearest one around it.
 func (d *Doc) At(path string) Position {
+	if d.positions == nil {
+		d.positions = map[string]Position{"": {d.first + 1, 1}}
+		left := maxShared
+		if !d.shared {
+			left = maxNodes
+		}
+		d.locate("", d.root, &left, 0)
+	}
 	for {
 		if p, ok := d.positions[path]; ok || path == "" {
 			return p
@@ -57,11 +74,41 @@
 	}
 }
 
+// locate notes where the values stand that a node is made of.
+func (d *Doc) locate(path string, n *yaml.Node, left *int, depth int) {
+	if *left--; n == nil || *left < 0 || depth > maxDepth {
+		return
+	}
+	if path != "" {
+		d.positions[path] = Position{d.first + n.Line, n.Column}
+	}
+	for n.Kind == yaml.AliasNode {
+		n = n.Alias
+	}
+	switch n.Kind {
+	case yaml.MappingNode:
+		seen := make(map[string]bool, len(n.Content)/2)
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			if key := n.Content[i]; key.Kind == yaml.ScalarNode && !seen[key.Value] {
+				seen[key.Value] = true
+				d.locate(join(path, key.Value), n.Content[i+1], left, depth+1)
+			}
+		}
+	case yaml.SequenceNode:
+		for i, item := range n.Content {
+			d.locate(path+"["+strconv.Itoa(i)+"]", item, left, depth+1)
+		}
+	}
+}
+
 // Fail notes an error about the value at a path.
 func (d *Doc) Fail(path, format string, args ...any) {
 	d.errs = append(d.errs, Error{d.File, d.At(path), fmt.Sprintf(format, args...)})
 }
 
+// Failed tells whether an error has been noted.
+func (d *Doc) Failed() bool { return len(d.errs) > 0 }
+
 // Err joins what has been noted, in the order of the file; nil if there is nothing.
 func (d *Doc) Err() error {
 	slices.SortStableFunc(d.errs, func(a, b error) int {
@@ -90,16 +137,24 @@
 
 // Decode reads text, which came from the file of that name, into a pointer to a struct. Errors are noted in the Doc.
 func Decode(file string, text []byte, into any) *Doc {
-	d := &Doc{File: file, positions: map[string]Position{"": {1, 1}}}
+	d := &Doc{File: file}
+	if root := d.parse(text); root != nil {
+		d.value("", root, reflect.ValueOf(into).Elem())
+	}
+	return d
+}
+
+// parse returns the root of a text; nil if an error was noted.
+func (d *Doc) parse(text []byte) *yaml.Node {
 	var root yaml.Node
 	reader := yaml.NewDecoder(bytes.NewReader(text))
 	switch err := reader.Decode(&root); {
 	case errors.Is(err, io.EOF):
 		d.Fail("", "the file is empty")
-		return d
+		return nil
 	case err != nil:
 		d.syntax(err)
-		return d
+		return nil
 	}
 	if err := reader.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
 		if err != nil {
@@ -107,20 +162,20 @@
 		} else {
 			d.Fail("", "one document is wanted, and another follows")
 		}
-		return d
+		return nil
 	}
-	d.value("", root.Content[0], reflect.ValueOf(into).Elem())
-	return d
+	d.root = root.Content[0]
+	return d.root
 }
 
 // syntax notes a parser's error, which names a line and no column.
 func (d *Doc) syntax(err error) {
 	text := strings.TrimPrefix(err.Error(), "yaml: ")
-	at := Position{1, 1}
+	at := Position{d.first + 1, 1}
 	if rest, ok := strings.CutPrefix(text, "line "); ok {
 		if number, why, ok := strings.Cut(rest, ": "); ok {
 			if n, err := strconv.Atoi(number); err == nil {
-				at.Line, text = n, why
+				at.Line, text = d.first+n, why
 			}
 		}
 	}
@@ -138,8 +193,13 @@
 
 // value reads n into v.
 func (d *Doc) value(path string, n *yaml.Node, v reflect.Value) {
-	if d.nodes++; d.nodes > maxNodes {
-		if d.nodes == maxNodes+1 {
+	most := maxNodes
+	if d.shared {
+		most = maxShared
+	}
+	if d.nodes++; d.nodes > most {
+		if !d.full {
+			d.full = true
 			d.Fail(path, "the file stands for too many values")
 		}
 		return
@@ -150,9 +210,8 @@
 		return
 	}
 	defer func() { d.depth-- }()
-	if path != "" {
-		d.positions[path] = Position{n.Line, n.Column}
-	}
+	d.deepest = max(d.deepest, d.depth)
+	d.shared = d.shared || n.Anchor != "" || n.Kind == yaml.AliasNode
 	for n.Kind == yaml.AliasNode {
 		n = n.Alias
 	}
@@ -175,20 +234,18 @@
 		}
 	case reflect.Map:
 		if d.kind(path, n, yaml.MappingNode) {
-			v.Set(reflect.MakeMap(v.Type()))
-			d.pairs(path, n, func(key string, value *yaml.Node) {
+			v.Set(reflect.MakeMapWithSize(v.Type(), len(n.Content)/2))
+			d.pairs(n, func(key, value *yaml.Node) {
 				x := reflect.New(v.Type().Elem()).Elem()
-				d.value(join(path, key), value, x)
-				v.SetMapIndex(reflect.ValueOf(key), x)
+				d.value(join(path, key.Value), value, x)
+				v.SetMapIndex(reflect.ValueOf(key.Value), x)
 			})
 		}
 	case reflect.Slice:
 		if d.kind(path, n, yaml.SequenceNode) {
-			v.Set(reflect.MakeSlice(v.Type(), 0, len(n.Content)))
+			v.Set(reflect.MakeSlice(v.Type(), len(n.Content), len(n.Content)))
 			for i, item := range n.Content {
-				x := reflect.New(v.Type().Elem()).Elem()
-				d.value(path+"["+strconv.Itoa(i)+"]", item, x)
-				v.Set(reflect.Append(v, x))
+				d.value(path+"["+strconv.Itoa(i)+"]", item, v.Index(i))
 			}
 		}
 	default:
@@ -239,52 +296,73 @@
 }
 
 // pairs goes over a mapping's entries once each.
-func (d *Doc) pairs(path string, n *yaml.Node, entry func(key string, value *yaml.Node)) {
-	seen := map[string]int{}
+func (d *Doc) pairs(n *yaml.Node, entry func(key, value *yaml.Node)) {
+	var seen map[string]int // index in n.Content; made for a long mapping
+	if len(n.Content) > 32 {
+		seen = make(map[string]int, len(n.Content)/2)
+	}
+	first := func(i int) int {
+		if seen != nil {
+			if j, ok := seen[n.Content[i].Value]; ok {
+				return j
+			}
+			seen[n.Content[i].Value] = i
+			return i
+		}
+		for j := 0; j < i; j += 2 {
+			if x := n.Content[j]; x.Kind == yaml.ScalarNode && x.Value == n.Content[i].Value {
+				return j
+			}
+		}
+		return i
+	}
 	for i := 0; i+1 < len(n.Content); i += 2 {
 		key := n.Content[i]
-		at := Position{key.Line, key.Column}
+		d.shared = d.shared || key.Anchor != "" || key.Kind == yaml.AliasNode
 		if key.Kind != yaml.ScalarNode {
-			d.errs = append(d.errs, Error{d.File, at, "a key is a single value"})
-			continue
-		}
-		if line, ok := seen[key.Value]; ok {
-			d.errs = append(d.errs, Error{d.File, at, fmt.Sprintf("%q stands here for a second time, first in line %d", key.Value, line)})
-			continue
+			d.errs = append(d.errs, Error{d.File, d.place(key), "a key is a single value"})
+		} else if j := first(i); j != i {
+			d.errs = append(d.errs, Error{d.File, d.place(key), fmt.Sprintf("%q stands here for a second time, first in line %d", key.Value, d.place(n.Content[j]).Line)})
+		} else {
+			entry(key, n.Content[i+1])
 		}
-		seen[key.Value] = key.Line
-		entry(key.Value, n.Content[i+1])
 	}
 }
 
-// object reads a mapping into a struct, by its yaml tags.
-func (d *Doc) object(path string, n *yaml.Node, v reflect.Value) {
+func (d *Doc) place(n *yaml.Node) Position { return Position{d.first + n.Line, n.Column} }
+
+// fieldsOf are a struct's fields by their yaml tags; they are found once for each type.
+func fieldsOf(t reflect.Type) map[string]int {
+	if known, ok := structs.Load(t); ok {
+		return known.(map[string]int)
+	}
 	fields := map[string]int{}
-	var names []string
-	for i := range v.NumField() {
-		name, _, _ := strings.Cut(v.Type().Field(i).Tag.Get("yaml"), ",")
-		if name != "" && name != "-" {
+	for i := range t.NumField() {
+		if name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ","); name != "" && name != "-" {
 			fields[name] = i
-			names = append(names, name)
 		}
 	}
-	keys := map[string]Position{}
-	for i := 0; i+1 < len(n.Content); i += 2 {
-		keys[n.Content[i].Value] = Position{n.Content[i].Line, n.Content[i].Column}
-	}
-	d.pairs(path, n, func(key string, value *yaml.Node) {
-		if i, ok := fields[key]; ok {
-			d.value(join(path, key), value, v.Field(i))
+	structs.Store(t, fields)
+	return fields
+}
+
+var structs sync.Map // of reflect.Type to map[string]int
+
+// object reads a mapping into a struct, by its yaml tags.
+func (d *Doc) object(path string, n *yaml.Node, v reflect.Value) {
+	fields := fieldsOf(v.Type())
+	d.pairs(n, func(key, value *yaml.Node) {
+		if i, ok := fields[key.Value]; ok {
+			d.value(join(path, key.Value), value, v.Field(i))
 			return
 		}
-		text := fmt.Sprintf("unknown key %q", key)
-		if near := Nearest(key, names); near != "" {
+		text, names := fmt.Sprintf("unknown key %q", key.Value), slices.Sorted(maps.Keys(fields))
+		if near := Nearest(key.Value, names); near != "" {
 			text += fmt.Sprintf("; did you mean %q?", near)
 		} else {
-			slices.Sort(names)
 			text += "; known here: " + strings.Join(names, ", ")
 		}
-		d.errs = append(d.errs, Error{d.File, keys[key], text})
+		d.errs = append(d.errs, Error{d.File, d.place(key), text})
 	})
 }
 
