--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -40,6 +40,7 @@
 	Tenants *clayladder.Tenants
 
 	targets map[targetKey]int
+	held    *held               // nil: it was read as a whole
 	used    map[string][]string // by pool: the classes of its routes
 }
 
@@ -74,6 +75,14 @@
 
 // Parse checks the text of a file. Relative paths in it start at the file's folder.
 func Parse(path string, text []byte) (*Loaded, error) {
+	if c, _ := inParts(path, text); c != nil {
+		return c, nil
+	}
+	return atOnce(path, text)
+}
+
+// atOnce reads the whole text, and knows the place of each mistake.
+func atOnce(path string, text []byte) (*Loaded, error) {
 	c := &Loaded{targets: map[targetKey]int{}}
 	d := strictyaml.Decode(path, text, &c.File)
 	if err := d.Err(); err != nil { // what could not be read would only bring errors that follow from it
@@ -257,49 +266,54 @@
 	if len(k.Pools) == 0 {
 		k.Fail("pools", "at least one pool is wanted")
 	}
-	queue, descriptors := k.Limits.Descriptors, k.Limits.Descriptors-reserve
-	for _, l := range k.Listeners {
-		queue, descriptors = min(queue, l.Connections), descriptors-l.Connections
-	}
 	for _, name := range slices.Sorted(maps.Keys(k.Pools)) {
-		p, at := k.Pools[name], "pools."+name
-		strictyaml.Fill(&p.Queue, max(1, queue/len(k.Pools)))
-		strictyaml.Fill(&p.Connections, max(1, descriptors/len(k.Pools)))
-		strictyaml.Fill(&p.Share, 1)
-		strictyaml.Fill(&p.Drains, "any")
-		strictyaml.Fill(&p.Rest, "after_stray")
-		strictyaml.Fill(&p.Reports, "answers")
-		strictyaml.Fill(&p.ConnectTimeout, Duration(500*time.Millisecond))
-		strictyaml.Fill(&p.IdleTimeout, Duration(time.Minute))
-		strictyaml.Fill(&p.MaxAttempts, 3)
-		strictyaml.Fill(&p.MaxRetryAfter, Duration(5*time.Second))
-		strictyaml.Fill(&p.Tunnels.Most, max(1, p.Connections/2))
-		strictyaml.Fill(&p.Tunnels.PerNode, max(1, k.Limits.NodeConnections/2))
-		strictyaml.Fill(&p.Tunnels.Idle, Duration(10*time.Minute))
-		strictyaml.Fill(&p.Tunnels.Grace, Duration(10*time.Second))
-		if t := p.Tunnels; t.Most < 1 || t.PerNode < 1 || t.Most > p.Connections || t.PerNode > k.Limits.NodeConnections {
-			k.Fail(at+".tunnels", "most is from 1 to the pool's connections (%d), per_node from 1 to node_connections (%d)", p.Connections, k.Limits.NodeConnections)
-		}
-		if p.Queue < 1 || p.Connections < 1 || p.MaxAttempts < 1 {
-			k.Fail(at, "queue, connections and max_attempts are over 0")
-		}
-		if !(p.Share > 0 && p.Share <= 1e6) {
-			k.Fail(at+".share", "the share is over 0 and at most 1,000,000")
-		}
-		if p.Drains != "any" && p.Drains != "own" {
-			k.Fail(at+".drains", "%q is neither any nor own", p.Drains)
-		}
-		if p.Rest != "always" && p.Rest != "after_stray" {
-			k.Fail(at+".rest", "%q is neither always nor after_stray", p.Rest)
-		}
-		if _, ok := reports[p.Reports]; !ok {
-			k.Fail(at+".reports", "%q is none of answers, probes and none", p.Reports)
-		}
-		k.nodes(at+".nodes", &p.Nodes, folder)
+		p := k.Pools[name]
+		k.pool(folder, name, &p)
 		k.Pools[name] = p
 	}
 }
 
+// pool checks one pool and fills in what was left out.
+func (k *checker) pool(folder, name string, p *Pool) {
+	at, queue, descriptors := "pools."+name, k.Limits.Descriptors, k.Limits.Descriptors-reserve
+	for _, l := range k.Listeners {
+		queue, descriptors = min(queue, l.Connections), descriptors-l.Connections
+	}
+	strictyaml.Fill(&p.Queue, max(1, queue/len(k.Pools)))
+	strictyaml.Fill(&p.Connections, max(1, descriptors/len(k.Pools)))
+	strictyaml.Fill(&p.Share, 1)
+	strictyaml.Fill(&p.Drains, "any")
+	strictyaml.Fill(&p.Rest, "after_stray")
+	strictyaml.Fill(&p.Reports, "answers")
+	strictyaml.Fill(&p.ConnectTimeout, Duration(500*time.Millisecond))
+	strictyaml.Fill(&p.IdleTimeout, Duration(time.Minute))
+	strictyaml.Fill(&p.MaxAttempts, 3)
+	strictyaml.Fill(&p.MaxRetryAfter, Duration(5*time.Second))
+	strictyaml.Fill(&p.Tunnels.Most, max(1, p.Connections/2))
+	strictyaml.Fill(&p.Tunnels.PerNode, max(1, k.Limits.NodeConnections/2))
+	strictyaml.Fill(&p.Tunnels.Idle, Duration(10*time.Minute))
+	strictyaml.Fill(&p.Tunnels.Grace, Duration(10*time.Second))
+	if t := p.Tunnels; t.Most < 1 || t.PerNode < 1 || t.Most > p.Connections || t.PerNode > k.Limits.NodeConnections {
+		k.Fail(at+".tunnels", "most is from 1 to the pool's connections (%d), per_node from 1 to node_connections (%d)", p.Connections, k.Limits.NodeConnections)
+	}
+	if p.Queue < 1 || p.Connections < 1 || p.MaxAttempts < 1 {
+		k.Fail(at, "queue, connections and max_attempts are over 0")
+	}
+	if !(p.Share > 0 && p.Share <= 1e6) {
+		k.Fail(at+".share", "the share is over 0 and at most 1,000,000")
+	}
+	if p.Drains != "any" && p.Drains != "own" {
+		k.Fail(at+".drains", "%q is neither any nor own", p.Drains)
+	}
+	if p.Rest != "always" && p.Rest != "after_stray" {
+		k.Fail(at+".rest", "%q is neither always nor after_stray", p.Rest)
+	}
+	if _, ok := reports[p.Reports]; !ok {
+		k.Fail(at+".reports", "%q is none of answers, probes and none", p.Reports)
+	}
+	k.nodes(at+".nodes", &p.Nodes, folder)
+}
+
 func (k *checker) nodes(at string, n *NodeSource, folder string) {
 	sources := 0
 	for _, set := range []bool{n.File != "", n.Static != nil, n.Discovery != ""} {
--- /dev/null
+++ b/internal/config/read.go
@@ -0,0 +1,134 @@
+package config
+
+import (
+	"bytes"
+	"path/filepath"
+	"runtime"
+	"sync"
+
+	"clayladder"
+	"clayladder/internal/strictyaml"
+)
+
+const (
+	// batch is how many entries of a long section are read at once: what the parser makes of them takes about 2 KB each.
+	batch = 1024
+	// readers is how many batches are read side by side.
+	readers = 4
+)
+
+// held is the text that a configuration was read from in parts. It is what the next text is compared with.
+type held struct {
+	text   []byte
+	parts  []strictyaml.Part
+	values int // that it stands for, within a few
+}
+
+// section returns a part by its key.
+func (h *held) section(key string) (strictyaml.Part, bool) {
+	for _, p := range h.parts {
+		if p.Key == key {
+			return p, true
+		}
+	}
+	return strictyaml.Part{}, false
+}
+
+// long are the sections that are read in batches.
+var long = map[string]bool{"tenants": true, "routes": true, "pools": true}
+
+// inParts reads and checks a text part by part. It returns nil for one that can't be read so and for one with a mistake: reading the
+// whole tells. maybe is what can be said of the mistake at less cost, if anything.
+func inParts(path string, text []byte) (c *Loaded, maybe error) {
+	h := &held{text: text, parts: strictyaml.Outline(text)}
+	if h.parts == nil {
+		return nil, nil
+	}
+	c = &Loaded{targets: map[targetKey]int{}}
+	var tenants []clayladder.Tenant
+	for _, p := range h.parts {
+		if !long[p.Key] || !p.Block {
+			d, whole := strictyaml.ReadPart(path, text, p, &c.File)
+			if h.values += d.Values(); !whole {
+				return nil, d.Err()
+			}
+			continue
+		}
+		before := bytes.Count(text[:p.Body], []byte("\n"))
+		e := strictyaml.Divide(text[p.Body:p.To])
+		if e == nil || e.List != (p.Key == "routes") {
+			return nil, nil
+		}
+		var whole bool
+		var values int
+		switch p.Key {
+		case "tenants":
+			tenants = make([]clayladder.Tenant, len(e.Starts))
+			values, whole, maybe = inBatches(path, before, e, func(from int, read map[string]Tenant) {
+				for name, t := range read {
+					tenants[from] = clayladder.Tenant{Name: name, Quota: t.Quota}
+					from++
+				}
+			})
+			for _, t := range tenants {
+				whole = whole && fair(t.Quota)
+			}
+		case "pools":
+			var mu sync.Mutex
+			c.Pools = make(map[string]Pool, len(e.Starts))
+			values, whole, maybe = inBatches(path, before, e, func(_ int, read map[string]Pool) {
+				mu.Lock()
+				defer mu.Unlock()
+				for name, x := range read {
+					c.Pools[name] = x
+				}
+			})
+			whole = whole && len(c.Pools) == len(e.Starts)
+		case "routes":
+			c.Routes = make([]Route, len(e.Starts))
+			values, whole, maybe = inBatches(path, before, e, func(from int, read []Route) { copy(c.Routes[from:], read) })
+		}
+		if h.values += values; !whole {
+			return nil, maybe
+		}
+	}
+	if c.Tenants = clayladder.NewTenants(tenants); c.Tenants.Err() != nil || h.values > strictyaml.MaxValues/2 {
+		return nil, nil
+	}
+	k := checker{Doc: &strictyaml.Doc{File: path}, Loaded: c}
+	if k.all(filepath.Dir(path)); k.Failed() {
+		return nil, nil
+	}
+	c.held = h
+	return c, nil
+}
+
+// inBatches reads the entries of a section into values of type T, a few batches side by side, and hands each over with the number of its first
+// entry.
+func inBatches[T any](path string, line int, e *strictyaml.Entries, take func(from int, read T)) (values int, whole bool, maybe error) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	whole = true
+	slots := make(chan struct{}, min(readers, runtime.GOMAXPROCS(0)))
+	for from := 0; from < len(e.Starts); from += batch {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			var read T
+			d, ok := e.Read(path, line, from, min(from+batch, len(e.Starts)), &read)
+			if ok {
+				take(from, read)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if values += d.Values(); !ok {
+				whole = false
+				if maybe == nil {
+					maybe = d.Err()
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return values, whole, maybe
+}
--- a/tenants.go
+++ b/tenants.go
@@ -92,6 +92,14 @@
 	return shard, at, found
 }
 
+// Err is what is wrong with the list; Settings.Validate tells the same.
+func (t *Tenants) Err() error {
+	if t == nil {
+		return nil
+	}
+	return t.err
+}
+
 // Len is the number of tenants.
 func (t *Tenants) Len() int {
 	if t == nil {
