Service: a reload touches only pools that differ; headroom bounded in bytes

Service: a reload touches only the pools whose settings differ; the heap's headroom is bounded in bytes.

Apply gave each pool its settings and each static list anew, and the collector let the heap grow to five times what lives. What reading a large file took is given back at once. A hang-up that comes during a reload is kept, whatever number come: SIGTERM has a channel of its own.

--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -34,8 +34,10 @@
 	if path == "" || f.NArg() > 0 {
 		return fmt.Errorf("%w: serve wants --config FILE and nothing else", errUsage)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	hangups, ends := make(chan os.Signal, 1), make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Notify(ends, syscall.SIGTERM, os.Interrupt)
+	service.BeforeReading()
 	c, err := config.Load(path)
 	if err != nil {
 		return err
@@ -45,26 +47,35 @@
 	if err != nil {
 		return err
 	}
+	service.AfterReading(c)
 	slog.Info("serving", "config", path, "pools", len(c.Pools), "routes", c.Table.Len())
+	return keep(s, c, hangups, ends, func(old *config.Loaded) (*config.Loaded, error) { return config.Reload(path, old) })
+}
+
+// keep serves until it is told to end, and reads the configuration again at each hang-up: a signal that comes while it is being read
+// or put in force has it read once more after that.
+func keep(s *service.Service, c *config.Loaded, hangups, ends <-chan os.Signal, reload func(*config.Loaded) (*config.Loaded, error)) error {
 	for {
 		select {
 		case err := <-s.Failed():
 			s.Stop()
 			return err
-		case x := <-signals:
-			if x != syscall.SIGHUP {
-				slog.Info("stopping", "signal", x)
-				s.Stop()
-				return nil
-			}
-			if c, err = config.Load(path); err == nil {
-				err = s.Apply(c)
+		case x := <-ends:
+			slog.Info("stopping", "signal", x)
+			s.Stop()
+			return nil
+		case <-hangups:
+			next, err := reload(c)
+			if err == nil {
+				err = s.Apply(next)
 			}
 			if err != nil {
 				slog.Error("reading the configuration again: the old one stays", "err", err)
 				continue
 			}
+			c = next
 			service.LimitMemory(c)
+			service.AfterReading(c)
 			slog.Info("configuration read again", "pools", len(c.Pools), "routes", c.Table.Len())
 		}
 	}
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -41,6 +41,7 @@
 
 	targets map[targetKey]int
 	held    *held               // nil: it was read as a whole
+	read    int                 // bytes that were read anew
 	used    map[string][]string // by pool: the classes of its routes
 }
 
@@ -83,7 +84,7 @@
 
 // atOnce reads the whole text, and knows the place of each mistake.
 func atOnce(path string, text []byte) (*Loaded, error) {
-	c := &Loaded{targets: map[targetKey]int{}}
+	c := &Loaded{targets: map[targetKey]int{}, read: len(text)}
 	d := strictyaml.Decode(path, text, &c.File)
 	if err := d.Err(); err != nil { // what could not be read would only bring errors that follow from it
 		return nil, err
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -44,7 +44,7 @@
 	if h.parts == nil {
 		return nil, nil
 	}
-	c = &Loaded{targets: map[targetKey]int{}}
+	c = &Loaded{targets: map[targetKey]int{}, read: len(text)}
 	var tenants []clayladder.Tenant
 	for _, p := range h.parts {
 		if !long[p.Key] || !p.Block {
@@ -92,6 +92,9 @@
 			return nil, maybe
 		}
 	}
+	for name, t := range c.File.Tenants { // in one line
+		tenants = append(tenants, clayladder.Tenant{Name: name, Quota: t.Quota})
+	}
 	if c.Tenants = clayladder.NewTenants(tenants); c.Tenants.Err() != nil || h.values > strictyaml.MaxValues/2 {
 		return nil, nil
 	}
@@ -99,7 +102,7 @@
 	if k.all(filepath.Dir(path)); k.Failed() {
 		return nil, nil
 	}
-	c.held = h
+	c.File.Tenants, c.held = nil, h
 	return c, nil
 }
 
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -44,7 +44,7 @@
 	}
 	copied := *c
 	next = &copied
-	next.held = h
+	next.held, next.read = h, 0
 	k := checker{Doc: &strictyaml.Doc{File: path}, Loaded: next}
 	for _, p := range h.parts {
 		before, known := c.held.section(p.Key)
@@ -84,6 +84,9 @@
 	return next, false
 }
 
+// Read is how much was read anew for the configuration, in bytes of its file.
+func (c *Loaded) Read() int { return c.read }
+
 // differing returns the entries in which two bodies differ, with one before where there is one, whose line both have; nil if they can't be
 // compared so.
 func differing(was, is []byte) (*strictyaml.Entries, *strictyaml.Entries) {
@@ -149,6 +152,7 @@
 	}
 	k.held.values -= d.Values()
 	d, ok = is.Read(path, 0, 0, len(is.Starts), next)
+	k.read += len(is.Text)
 	if k.held.values += d.Values(); d.Failed() {
 		k.Fail("", "it has mistakes")
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,12 +11,13 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"runtime/debug"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"clayladder"
 	"clayladder/internal/body"
 	"clayladder/internal/config"
 	"clayladder/internal/edge"
@@ -109,7 +110,9 @@
 	if err != nil {
 		return err
 	}
-	s.directory.Limit(c.Limits.NodeConnections)
+	if now.config == nil || now.config.Limits.NodeConnections != c.Limits.NodeConnections {
+		s.directory.Limit(c.Limits.NodeConnections)
+	}
 	s.promises.follow(c.Promises)
 	for name, spec := range p.specs {
 		if old := now.pools[name]; old == nil {
@@ -135,8 +138,10 @@
 	s.route(p.next)
 	s.serve(now, p)
 	s.state.Store(p.next)
-	for name, x := range p.next.pools { // once more: the ledger may have spoken since a pool was opened
-		s.promises.begin(name, x)
+	for name, x := range p.next.pools {
+		if now.pools[name] == nil { // once more: the ledger may have spoken since the pool was opened
+			s.promises.begin(name, x)
+		}
 	}
 	for name, old := range now.pools {
 		if p.next.pools[name] == nil {
@@ -159,8 +164,11 @@
 	}
 	p.lists = readLists(c, files)
 	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
-		p.specs[name] = spec(c, name)
-		if err := p.specs[name].Settings.Validate(); err != nil {
+		x := spec(c, name)
+		p.specs[name] = x
+		if old := now.pools[name]; old != nil && same(old.spec, x) {
+			continue
+		} else if err := x.Settings.Validate(); err != nil {
 			errs = append(errs, fmt.Errorf("pool %s: %w", name, err))
 		}
 		if err := p.lists[name].err; err != nil {
@@ -211,6 +219,18 @@
 		Tunnels: pool.TunnelCaps{Most: x.Tunnels.Most, PerNode: x.Tunnels.PerNode}, Whole: true}
 }
 
+// same tells whether a pool that was told x would be told nothing new by y.
+func same(x, y pool.Spec) bool {
+	if !x.Settings.Equal(y.Settings) {
+		return false
+	}
+	x.Settings, y.Settings = clayladder.Settings{}, clayladder.Settings{}
+	for _, s := range []*pool.Spec{&x, &y} {
+		s.Seed, s.Known, s.Keep = 0, nil, nil // for its start only
+	}
+	return reflect.DeepEqual(x, y)
+}
+
 // open starts a pool and gives it its list.
 func (s *Service) open(p *plan, name string, spec pool.Spec, source config.NodeSource) error {
 	spec.Seed = rand.Uint64()
@@ -246,10 +266,12 @@
 	if moved { // a late word of the old source must not pass for one of the new
 		old.stop()
 	}
-	if err := old.Configure(spec); err != nil { // its settings are valid: it has ended
-		slog.Error("pool keeps its configuration", "pool", name, "err", err)
+	if !same(old.spec, spec) {
+		if err := old.Configure(spec); err != nil { // its settings are valid: it has ended
+			slog.Error("pool keeps its configuration", "pool", name, "err", err)
+		}
 	}
-	if source.Discovery == "" && (moved || source.File == "") {
+	if source.Discovery == "" && (moved || source.File == "" && !slices.Equal(old.source.Static, source.Static)) {
 		old.Tell(p.lists[name].nodes)
 	}
 	if moved {
@@ -372,10 +394,3 @@
 	v.Promises = s.promises.view()
 	return v
 }
-
-// LimitMemory tells the collector how much memory the configuration gives. Collecting later costs memory, which the soft
-// limit bounds. It is for a process that runs one service and nothing else.
-func LimitMemory(c *config.Loaded) {
-	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(c.Limits.Memory) / 10 * 8)
-}
