A reload compares texts in whole lines and looks at each pool once

A reload compares texts in whole lines, reads into the buffer of the text before, and looks at each pool once.

One comment line in a file of 5 MB took 90 ms of CPU: the text was read into new memory, all lines were looked at, and each pool's settings were compared twice with all shards of the tenants' table. A table of tenants that was read anew and says the same is not taken for another.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -40,9 +40,9 @@
 	Tenants *clayladder.Tenants
 
 	targets map[targetKey]int
-	held    *held               // nil: it was read as a whole
-	read    int                 // bytes that were read anew
-	used    map[string][]string // by pool: the classes of its routes
+	held    *held                     // nil: it was read as a whole
+	read    int                       // bytes that were read anew
+	used    map[string]map[string]int // by pool: how many of its routes have each class
 }
 
 // Target is what requests of a route meet beside its pools. Most routes have one in common with others.
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -21,17 +21,8 @@
 type held struct {
 	text   []byte
 	parts  []strictyaml.Part
-	values int // that it stands for, within a few
-}
-
-// section returns a part by its key.
-func (h *held) section(key string) (strictyaml.Part, bool) {
-	for _, p := range h.parts {
-		if p.Key == key {
-			return p, true
-		}
-	}
-	return strictyaml.Part{}, false
+	values int    // that it stands for, within a few
+	spare  []byte // for the next text
 }
 
 // long are the sections that are read in batches.
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -5,6 +5,7 @@
 	"maps"
 	"path/filepath"
 	"reflect"
+	"slices"
 
 	"clayladder"
 	"clayladder/internal/route"
@@ -12,13 +13,28 @@
 )
 
 // Reload reads and checks a file again that old came from. It gives what Load gives, and has in common with old what has not changed; where
-// few entries differ, the work is in proportion to them.
+// few entries differ, the work is in proportion to them, beside reading and comparing the text. It is for one goroutine at a time, and
+// of what it has returned only the last, or old, can be reloaded.
 func Reload(path string, old *Loaded) (*Loaded, error) {
-	text, err := strictyaml.ReadFile(path, maxFile)
+	var spare []byte
+	if old.held != nil {
+		spare = old.held.spare
+	}
+	text, err := strictyaml.ReadFileInto(spare, path, maxFile)
 	if err != nil {
 		return nil, err
 	}
-	return old.reparse(path, text)
+	next, err := old.reparse(path, text)
+	if err == nil && next.Tenants.Equal(old.Tenants) { // read as a whole: pools need not look
+		next.Tenants = old.Tenants
+	}
+	if old.held != nil {
+		old.held.spare = text
+		if err == nil && next.held != nil {
+			next.held.spare = old.held.text
+		}
+	}
+	return next, err
 }
 
 func (c *Loaded) reparse(path string, text []byte) (*Loaded, error) {
@@ -38,71 +54,134 @@
 	if c.held == nil {
 		return nil, false
 	}
-	h := &held{text: text, parts: strictyaml.Outline(text), values: c.held.values}
-	if len(h.parts) == 0 || len(h.parts) != len(c.held.parts) {
-		return nil, false
-	}
 	copied := *c
 	next = &copied
-	next.held, next.read = h, 0
+	next.read = 0
+	next.held = &held{text: text, values: c.held.values}
 	k := checker{Doc: &strictyaml.Doc{File: path}, Loaded: next}
-	for _, p := range h.parts {
-		before, known := c.held.section(p.Key)
-		switch {
-		case !known || before.Block != p.Block:
-			return nil, false
-		case bytes.Equal(c.held.text[before.From:before.To], text[p.From:p.To]):
-		case !long[p.Key] || !p.Block: // a comment
-			var was, is File
-			_, ok := strictyaml.ReadPart(path, c.held.text, before, &was)
-			d, whole := strictyaml.ReadPart(path, text, p, &is)
-			if !ok || !whole || d.Failed() || !reflect.DeepEqual(was, is) {
-				return nil, false
-			}
-		default:
-			was, is := differing(c.held.text[before.Body:before.To], text[p.Body:p.To])
-			if was == nil || is == nil {
+	from, end := compare(c.held.text, text)
+	if by := len(text) - len(c.held.text); len(c.held.text)-end <= c.held.parts[0].From && strictyaml.Bare(text[from:len(text)-end]) {
+		next.held.parts = c.held.moved(-1, by) // comments before all else
+	} else if p, within := c.held.around(from, end); within && strictyaml.Inner(c.held.text[from:len(c.held.text)-end]) && strictyaml.Inner(text[from:len(text)-end]) {
+		next.held.parts = c.held.moved(p, by)
+		if ok := k.change(path, c.held, p, next.held.parts[p], from, end); !ok {
+			return nil, k.Failed()
+		}
+	} else if next.held.parts = strictyaml.Outline(text); len(next.held.parts) != len(c.held.parts) {
+		return nil, false
+	} else {
+		for _, now := range next.held.parts {
+			p := slices.IndexFunc(c.held.parts, func(x strictyaml.Part) bool { return x.Key == now.Key })
+			if p < 0 {
 				return nil, false
 			}
-			ok := false
-			switch p.Key {
-			case "tenants":
-				ok = k.changeTenants(path, was, is)
-			case "routes":
-				ok = k.changeRoutes(path, was, is)
-			case "pools":
-				ok = k.changePools(path, was, is)
+			was := c.held.parts[p]
+			if bytes.Equal(c.held.text[was.From:was.To], text[now.From:now.To]) {
+				continue
 			}
-			if !ok || k.Failed() {
+			from, end := compare(c.held.text[was.From:was.To], text[now.From:now.To])
+			if ok := k.change(path, c.held, p, now, was.From+from, len(c.held.text)-was.To+end); !ok {
 				return nil, k.Failed()
 			}
 		}
 	}
-	if h.values > strictyaml.MaxValues/2 || len(next.Targets) > 2*next.Table.Len()+256 { // those that no rule leads to any more are dropped
+	if next.held.values > strictyaml.MaxValues/2 || len(next.Targets) > 2*next.Table.Len()+256 { // those that no rule leads to any more are dropped
 		return nil, false
 	}
 	return next, false
 }
 
-// Read is how much was read anew for the configuration, in bytes of its file.
-func (c *Loaded) Read() int { return c.read }
-
-// differing returns the entries in which two bodies differ, with one before where there is one, whose line both have; nil if they can't be
-// compared so.
-func differing(was, is []byte) (*strictyaml.Entries, *strictyaml.Entries) {
-	from := 0
-	for from < min(len(was), len(is)) && was[from] == is[from] {
+// compare returns how much two texts have in common at their beginning and, beyond that, at their end, in whole lines.
+func compare(was, is []byte) (from, end int) {
+	const block = 1 << 12
+	least := min(len(was), len(is))
+	for from+block <= least && bytes.Equal(was[from:from+block], is[from:from+block]) {
+		from += block
+	}
+	for from < least && was[from] == is[from] {
 		from++
 	}
-	end := 0
-	for end < min(len(was), len(is))-from && was[len(was)-1-end] == is[len(is)-1-end] {
+	from = bytes.LastIndexByte(was[:from], '\n') + 1
+	w, i := was[from:], is[from:]
+	least -= from
+	for end+block <= least && bytes.Equal(w[len(w)-end-block:len(w)-end], i[len(i)-end-block:len(i)-end]) {
+		end += block
+	}
+	for end < least && w[len(w)-1-end] == i[len(i)-1-end] {
 		end++
 	}
+	begins := func(text []byte) bool { return end == len(text) || text[len(text)-end-1] == '\n' }
+	if begins(w) && begins(i) {
+		return from, end
+	}
+	if line := bytes.IndexByte(w[len(w)-end:], '\n'); line >= 0 { // behind the line in which they differ last
+		return from, end - line - 1
+	}
+	return from, 0
+}
+
+// around returns the part in whose body all of the text is but so much at its beginning and its end.
+func (h *held) around(from, end int) (part int, within bool) {
+	for i, p := range h.parts {
+		if p.Block && p.Body <= from && len(h.text)-end <= p.To {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// moved are the parts of a text in which one has become longer; -1: what stands before them.
+func (h *held) moved(part, by int) []strictyaml.Part {
+	parts := slices.Clone(h.parts)
+	for i := range parts {
+		if i > part {
+			parts[i].From, parts[i].Body = parts[i].From+by, parts[i].Body+by
+		}
+		if i >= part {
+			parts[i].To += by
+		}
+	}
+	return parts
+}
+
+// change takes a part that differs, but for so much of the old text before and behind it; false if that is in doubt.
+func (k *checker) change(path string, old *held, part int, now strictyaml.Part, from, end int) bool {
+	was := old.parts[part]
+	if was.Block != now.Block {
+		return false
+	}
+	if !long[now.Key] || !now.Block { // a comment
+		var before, after File
+		_, ok := strictyaml.ReadPart(path, old.text, was, &before)
+		d, whole := strictyaml.ReadPart(path, k.held.text, now, &after)
+		return ok && whole && !d.Failed() && reflect.DeepEqual(before, after)
+	}
+	before, after := differing(old.text[was.Body:was.To], k.held.text[now.Body:now.To], max(0, from-was.Body), max(0, was.To-(len(old.text)-end)))
+	if before == nil || after == nil {
+		return false
+	}
+	ok := false
+	switch now.Key {
+	case "tenants":
+		ok = k.changeTenants(path, before, after)
+	case "routes":
+		ok = k.changeRoutes(path, before, after)
+	case "pools":
+		ok = k.changePools(path, before, after)
+	}
+	return ok && !k.Failed()
+}
+
+// Read is how much was read anew for the configuration, in bytes of its file.
+func (c *Loaded) Read() int { return c.read }
+
+// differing returns the entries in which two bodies differ, with one before where there is one, whose line both have; nil if they can't be
+// compared so. They have whole lines in common, so much at the beginning and at the end.
+func differing(was, is []byte, from, end int) (*strictyaml.Entries, *strictyaml.Entries) {
 	first := strictyaml.Divide(head(was))
 	if other := strictyaml.Divide(head(is)); first == nil || other == nil || first.Column != other.Column || first.List != other.List {
 		return nil, nil
 	}
-	from = bytes.LastIndexByte(was[:from], '\n') + 1 // the line that differs first
 	at := first.Column
 	begins := func(text []byte) bool { // an entry
 		return len(text) > at && text[at] != ' ' && text[at] != '#' && text[at] != '\n' && len(bytes.TrimLeft(text[:at], " ")) == 0
@@ -113,17 +192,25 @@
 			break
 		}
 	}
-	for end > 0 { // to the next entry that begins a line, both of which are the same
-		line := bytes.IndexByte(was[len(was)-end:], '\n')
-		if line < 0 {
-			end = 0
-			break
-		}
-		if end -= line + 1; end > 0 && begins(was[len(was)-end:]) {
-			break
+	next := func() { // to where an entry begins whose line is the same in both
+		for first := true; end > 0 && (first || !begins(was[len(was)-end:])); first = false {
+			line := bytes.IndexByte(was[len(was)-end:], '\n')
+			if line < 0 {
+				end = 0
+				break
+			}
+			end -= line + 1
 		}
 	}
-	return strictyaml.Divide(was[from : len(was)-end]), strictyaml.Divide(is[from : len(is)-end])
+	if end > 0 && !begins(was[len(was)-end:]) {
+		next()
+	}
+	x, y := strictyaml.Divide(was[from:len(was)-end]), strictyaml.Divide(is[from:len(is)-end])
+	if end > 0 && (x == nil || y == nil) { // before the first entry one stands in but one of them
+		next()
+		x, y = strictyaml.Divide(was[from:len(was)-end]), strictyaml.Divide(is[from:len(is)-end])
+	}
+	return x, y
 }
 
 // head is a body to the end of its first entry's first line.
@@ -227,8 +314,15 @@
 	if errs != nil || table.Len() == 0 {
 		return false
 	}
+	k.used = maps.Clone(k.used)
+	own := map[string]bool{}
+	for _, name := range gone {
+		k.use(before[name].Class, k.Table.Rule(name).Pools, -1, own)
+	}
+	for _, rule := range added {
+		k.use(k.Targets[rule.To].Class, rule.Pools, 1, own)
+	}
 	k.Table = table
-	k.uses()
 	return true
 }
 
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -347,6 +347,7 @@
 		b.Fatal(err)
 	}
 	for _, x := range []struct{ name, old, new string }{
+		{"head", "listeners:", "# a comment\nlisteners:"},
 		{"comment", "tenants:", "# a comment\ntenants:"},
 		{"quota", "tenant-100000: {quota: 1}", "tenant-100000: {quota: 2}"},
 		{"route", "prefix: /r07000}", "prefix: /other}"},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clayladder"
+	"clayladder/internal/route"
 )
 
 var (
@@ -21,19 +22,28 @@
 		Group: groups[x.Group], Memory: time.Duration(x.Memory), Worth: *x.Worth, LateWorth: x.LateWorth}
 }
 
-// uses notes the classes of the routes to each pool, in order.
+// uses notes the classes of the routes to each pool.
 func (c *Loaded) uses() {
-	c.used = make(map[string][]string, len(c.Pools))
+	c.used = make(map[string]map[string]int, len(c.Pools))
+	own := map[string]bool{}
 	for r := range c.Table.Rules() {
-		class := c.Targets[r.To].Class
-		for _, to := range r.Pools {
-			if !slices.Contains(c.used[to.Pool], class) {
-				c.used[to.Pool] = append(c.used[to.Pool], class)
+		c.use(c.Targets[r.To].Class, r.Pools, 1, own)
+	}
+}
+
+// use counts a route of a class to some pools. own are the pools whose counts are not shared with another configuration.
+func (c *Loaded) use(class string, pools []route.WeightedPool, n int, own map[string]bool) {
+	for _, to := range pools {
+		if !own[to.Pool] {
+			own[to.Pool] = true
+			if c.used[to.Pool] = maps.Clone(c.used[to.Pool]); c.used[to.Pool] == nil {
+				c.used[to.Pool] = map[string]int{}
 			}
 		}
-	}
-	for _, classes := range c.used {
-		slices.Sort(classes)
+		counts := c.used[to.Pool]
+		if counts[class] += n; counts[class] == 0 {
+			delete(counts, class)
+		}
 	}
 }
 
@@ -41,7 +51,7 @@
 // what changes elsewhere does not reach it.
 func (c *Loaded) Settings(pool string) clayladder.Settings {
 	p, r := c.Pools[pool], c.Rules
-	used := c.used[pool]
+	used := slices.Sorted(maps.Keys(c.used[pool]))
 	if len(used) == 0 { // the module wants a class; a pool that no route names gets no request
 		used = slices.Sorted(maps.Keys(c.Classes))
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -17,7 +17,6 @@
 	"sync/atomic"
 	"time"
 
-	"clayladder"
 	"clayladder/internal/body"
 	"clayladder/internal/config"
 	"clayladder/internal/edge"
@@ -94,6 +93,7 @@
 	listeners map[string]net.Listener
 	lists     map[string]firstList // of pools whose source is new, or stands in the configuration
 	specs     map[string]pool.Spec
+	stay      map[string]bool // pools that are told nothing new
 }
 
 // drop undoes a plan that is not carried out.
@@ -154,7 +154,7 @@
 // plan checks and opens what a configuration needs.
 func (s *Service) plan(now *state, c *config.Loaded) (*plan, error) {
 	p := &plan{next: &state{config: c, fronts: map[string]*front{}, pools: map[string]*member{}, reloads: now.reloads + 1},
-		listeners: map[string]net.Listener{}, specs: map[string]pool.Spec{}}
+		listeners: map[string]net.Listener{}, specs: make(map[string]pool.Spec, len(c.Pools)), stay: make(map[string]bool, len(c.Pools))}
 	var errs []error
 	var files []string
 	for name, x := range c.Pools {
@@ -166,8 +166,8 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
 		x := spec(c, name)
 		p.specs[name] = x
-		if old := now.pools[name]; old != nil && same(old.spec, x) {
-			continue
+		if old := now.pools[name]; old != nil && same(&old.spec, &x) {
+			p.stay[name] = true
 		} else if err := x.Settings.Validate(); err != nil {
 			errs = append(errs, fmt.Errorf("pool %s: %w", name, err))
 		}
@@ -219,16 +219,15 @@
 		Tunnels: pool.TunnelCaps{Most: x.Tunnels.Most, PerNode: x.Tunnels.PerNode}, Whole: true}
 }
 
-// same tells whether a pool that was told x would be told nothing new by y.
-func same(x, y pool.Spec) bool {
-	if !x.Settings.Equal(y.Settings) {
+// same tells whether a pool that was told x would be told nothing new by y. A table of tenants that was made anew is taken for another.
+func same(x, y *pool.Spec) bool {
+	if x.Settings.Tenants != y.Settings.Tenants {
 		return false
 	}
-	x.Settings, y.Settings = clayladder.Settings{}, clayladder.Settings{}
-	for _, s := range []*pool.Spec{&x, &y} {
-		s.Seed, s.Known, s.Keep = 0, nil, nil // for its start only
-	}
-	return reflect.DeepEqual(x, y)
+	was, is := *x, *y
+	was.Seed, was.Known, was.Keep = is.Seed, is.Known, is.Keep // for its start only
+	was.Settings.Tenants, is.Settings.Tenants = nil, nil       // a table's size is nothing to be compared for each pool
+	return reflect.DeepEqual(was, is)
 }
 
 // open starts a pool and gives it its list.
@@ -266,7 +265,7 @@
 	if moved { // a late word of the old source must not pass for one of the new
 		old.stop()
 	}
-	if !same(old.spec, spec) {
+	if !p.stay[name] {
 		if err := old.Configure(spec); err != nil { // its settings are valid: it has ended
 			slog.Error("pool keeps its configuration", "pool", name, "err", err)
 		}
--- a/internal/strictyaml/decode.go
+++ b/internal/strictyaml/decode.go
@@ -122,17 +122,24 @@
 }
 
 // ReadFile reads a file of at most so many bytes, a whole number of MiB.
-func ReadFile(path string, most int64) ([]byte, error) {
+func ReadFile(path string, most int64) ([]byte, error) { return ReadFileInto(nil, path, most) }
+
+// ReadFileInto is ReadFile into a buffer, where that is long enough.
+func ReadFileInto(buffer []byte, path string, most int64) ([]byte, error) {
 	f, err := os.Open(path)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
-	text, err := io.ReadAll(io.LimitReader(f, most+1))
-	if err == nil && int64(len(text)) > most {
+	if info, err := f.Stat(); err == nil && info.Size()+bytes.MinRead > int64(cap(buffer)) { // with room to see the end
+		buffer = make([]byte, 0, min(info.Size()+info.Size()/64, most)+bytes.MinRead)
+	}
+	text := bytes.NewBuffer(buffer[:0])
+	_, err = text.ReadFrom(io.LimitReader(f, most+1))
+	if err == nil && int64(text.Len()) > most {
 		err = fmt.Errorf("%s: the file is over %d MiB", path, most>>20)
 	}
-	return text, err
+	return text.Bytes(), err
 }
 
 // Decode reads text, which came from the file of that name, into a pointer to a struct. Errors are noted in the Doc.
--- a/internal/strictyaml/parts.go
+++ b/internal/strictyaml/parts.go
@@ -41,13 +41,41 @@
 	return len(line) == 0 || line[0] == '\n' || line[0] == '#'
 }
 
-// Outline finds the top-level entries of a text without reading them; nil if it can't be read in parts.
-func Outline(text []byte) (parts []Part) {
-	for _, odd := range []string{"\r", "\u0085", "\u2028", "\u2029", "\ufeff"} { // other line ends
+// Odd tells whether there are other line ends than a line feed in a text, which are not looked for elsewhere.
+func Odd(text []byte) bool {
+	for _, odd := range []string{"\r", "\u0085", "\u2028", "\u2029", "\ufeff"} {
 		if bytes.Contains(text, []byte(odd)) {
-			return nil
+			return true
 		}
 	}
+	return false
+}
+
+// Bare tells whether whole lines are blank or comments.
+func Bare(text []byte) bool {
+	ok := !Odd(text)
+	lines(text, func(_ int, line []byte) bool {
+		ok = ok && bare(line)
+		return ok
+	})
+	return ok
+}
+
+// Inner tells whether whole lines, which stand in the body of a part, stay in it, whatever stands before and behind them.
+func Inner(text []byte) bool {
+	ok := !Odd(text)
+	lines(text, func(_ int, line []byte) bool {
+		ok = ok && (bare(line) || line[0] == ' ')
+		return ok
+	})
+	return ok
+}
+
+// Outline finds the top-level entries of a text without reading them; nil if it can't be read in parts.
+func Outline(text []byte) (parts []Part) {
+	if Odd(text) {
+		return nil
+	}
 	ok, seen := true, map[string]bool{}
 	lines(text, func(at int, line []byte) bool {
 		switch c := line[0]; {
