check says what a configuration costs; what memory can't bear is refused unread

check says what a configuration costs; one that the memory does not bear is refused before it is read.

At 490 pools nothing said what a configuration takes, and a reload that the memory does not bear was found out by the system. check tells pools, nodes, routes, tenants, memory with all pools in use and while the file is read, descriptors at rest and at most.

--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"clayladder"
 	"clayladder/internal/config"
 	"clayladder/internal/live"
 	"clayladder/internal/route"
@@ -109,18 +110,21 @@
 			continue
 		}
 		c, err := config.Load(path)
+		nodes := 0
 		if err == nil {
-			err = service.CheckLists(c)
+			nodes, err = service.CheckLists(c)
 		}
 		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
 		fmt.Fprintf(out, "%s: well: %d listeners, %d routes, %d pools\n", path, len(c.Listeners), c.Table.Len(), len(c.Pools))
+		tellCost(out, c.Cost(nodes))
+		var known []use
 		for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
 			fmt.Fprintf(out, "  pool %s: %s\n", name, loadFrom[c.Pools[name].Reports])
 			if c.Instances.Count > 1 {
-				if err := uses(out, c, name); err != nil {
+				if known, err = uses(out, c, name, known); err != nil {
 					errs = append(errs, fmt.Errorf("%s: %w", path, err))
 				}
 			}
@@ -137,21 +141,40 @@
 	return errors.Join(append(errs, config.AgreeVoters(voters))...)
 }
 
-// uses tells how many nodes of a pool this one of many balancers uses.
-func uses(out io.Writer, c *config.Loaded, pool string) error {
-	fmt.Fprintf(out, "  pool %s: balancer %d of %d uses at first", pool, c.Instances.Rank, c.Instances.Count)
-	for i, nodes := range []int{10, 100, 1000} {
-		n, err := service.Uses(c.Settings(pool), nodes)
-		if err != nil {
-			return err
+// tellCost tells what a configuration takes.
+func tellCost(out io.Writer, x config.Cost) {
+	fmt.Fprintf(out, "  cost: %d pools, %d nodes in lists, %d routes, %d tenants: about %d MiB of memory with all pools in use and no request, %d MiB while a new process reads the file; %d descriptors at rest, %d at most\n",
+		x.Pools, x.Nodes, x.Routes, x.Tenants, (x.Resident+1<<20-1)>>20, (x.Reading+1<<20-1)>>20, x.AtRest, x.AtMost)
+}
+
+// use is what a balancer with some settings uses, as text.
+type use struct {
+	settings clayladder.Settings
+	text     string
+}
+
+// uses tells how many nodes of a pool this one of many balancers uses. Pools with the same settings use the same: known has what was found.
+func uses(out io.Writer, c *config.Loaded, pool string, known []use) ([]use, error) {
+	s := c.Settings(pool)
+	s.Limits.Out, s.Classes = 0, s.Classes[:1] // these say nothing of it
+	at := slices.IndexFunc(known, func(x use) bool { return x.settings.Equal(s) })
+	if at < 0 {
+		text := fmt.Sprintf("balancer %d of %d uses at first", c.Instances.Rank, c.Instances.Count)
+		for i, nodes := range []int{10, 100, 1000} {
+			n, err := service.Uses(c.Settings(pool), nodes)
+			if err != nil {
+				return known, err
+			}
+			text += fmt.Sprintf("%s %d of %d nodes", []string{"", ",", ","}[i], n, nodes)
 		}
-		fmt.Fprintf(out, "%s %d of %d nodes", []string{"", ",", ","}[i], n, nodes)
+		at = len(known)
+		known = append(known, use{s, text})
 	}
-	fmt.Fprintln(out)
+	fmt.Fprintf(out, "  pool %s: %s\n", pool, known[at].text)
 	if c.Tenants.Len() == 0 {
 		fmt.Fprintf(out, "  pool %s: no tenant has bought anything, so a balancer with more than its part of the traffic is not known to have it\n", pool)
 	}
-	return nil
+	return known, nil
 }
 
 // clear moves a terminal's cursor home and clears what is behind it.
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -117,7 +117,7 @@
 				if err != nil {
 					t.Fatalf("%v: %v", size, err)
 				}
-				if err := service.CheckLists(c); err != nil {
+				if _, err := service.CheckLists(c); err != nil {
 					t.Fatalf("%v: %v", size, err)
 				}
 				wantRoutes := size.Routes
--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -27,6 +27,8 @@
 	perRequest = 160 << 10
 	// baseMemory is what the process takes without requests.
 	baseMemory = 24 << 20
+	// usualMemory is that of a configuration that names none.
+	usualMemory = 192 << 20
 )
 
 // Loaded is a configuration that has been checked, with what was left out filled in. It never changes. Routes and tenants
@@ -39,10 +41,12 @@
 	// Tenants is shared by the settings of all pools.
 	Tenants *clayladder.Tenants
 
-	targets map[targetKey]int
-	held    *held                     // nil: it was read as a whole
-	read    int                       // bytes that were read anew
-	used    map[string]map[string]int // by pool: how many of its routes have each class
+	targets  map[targetKey]int
+	held     *held                     // nil: it was read as a whole
+	read     int                       // bytes that were read anew
+	size     int                       // of the file, bytes
+	memoryAt strictyaml.Error          // where it says what memory there is
+	used     map[string]map[string]int // by pool: how many of its routes have each class
 }
 
 // Target is what requests of a route meet beside its pools. Most routes have one in common with others.
@@ -76,7 +80,17 @@
 
 // Parse checks the text of a file. Relative paths in it start at the file's folder.
 func Parse(path string, text []byte) (*Loaded, error) {
-	if c, _ := inParts(path, text); c != nil {
+	return parse(path, text, 0)
+}
+
+// parse is Parse in a process that holds so many bytes already.
+func parse(path string, text []byte, already int64) (*Loaded, error) {
+	c, err := inParts(path, text, already)
+	switch err.(type) {
+	case known, tooLarge:
+		return nil, err
+	}
+	if c != nil {
 		return c, nil
 	}
 	return atOnce(path, text)
@@ -84,7 +98,9 @@
 
 // atOnce reads the whole text, and knows the place of each mistake.
 func atOnce(path string, text []byte) (*Loaded, error) {
-	c := &Loaded{targets: map[targetKey]int{}, read: len(text)}
+	c := &Loaded{targets: map[targetKey]int{}, read: len(text), size: len(text)}
+	_, at := limit(path, text, strictyaml.Outline(text))
+	c.memoryAt = strictyaml.Error{File: path, Position: at}
 	d := strictyaml.Decode(path, text, &c.File)
 	if err := d.Err(); err != nil { // what could not be read would only bring errors that follow from it
 		return nil, err
@@ -164,7 +180,7 @@
 
 func (k *checker) limits() {
 	l := &k.Limits
-	strictyaml.Fill(&l.Memory, 192<<20)
+	strictyaml.Fill(&l.Memory, usualMemory)
 	strictyaml.Fill(&l.Descriptors, 1024)
 	strictyaml.Fill(&l.NodeConnections, 64)
 	if l.Memory < 32<<20 {
@@ -482,7 +498,7 @@
 		connections, queues = connections+p.Connections, queues+p.Queue
 	}
 	if connections > k.Limits.Descriptors {
-		k.Fail("limits.descriptors", "listeners and pools may take %d with a reserve of %d, more than the %d there are: lower their connections",
+		k.Fail("limits.descriptors", "listeners and pools may take %d with a reserve of %d, more than the %d there are: lower their connections or give more",
 			connections, reserve, k.Limits.Descriptors)
 	}
 	for i, l := range k.Listeners {
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -30,12 +30,26 @@
 
 // inParts reads and checks a text part by part. It returns nil for one that can't be read so and for one with a mistake: reading the
 // whole tells. maybe is what can be said of the mistake at less cost, if anything.
-func inParts(path string, text []byte) (c *Loaded, maybe error) {
+func inParts(path string, text []byte, already int64) (c *Loaded, maybe error) {
 	h := &held{text: text, parts: strictyaml.Outline(text)}
 	if h.parts == nil {
 		return nil, nil
 	}
-	c = &Loaded{targets: map[targetKey]int{}, read: len(text)}
+	c = &Loaded{targets: map[targetKey]int{}, read: len(text), size: len(text)}
+	memory, at := limit(path, text, h.parts)
+	c.memoryAt = strictyaml.Error{File: path, Position: at}
+	if err := bears(path, at, memory, already, len(text), true, "the file"); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if c == nil { // at once it takes more
+			if err := bears(path, at, memory, already, len(text), false, "the file at once, as one with a mistake or with anchors has to be,"); err != nil && maybe == nil {
+				maybe = err
+			} else if err != nil {
+				maybe = known{maybe}
+			}
+		}
+	}()
 	var tenants []clayladder.Tenant
 	for _, p := range h.parts {
 		if !long[p.Key] || !p.Block {
@@ -97,6 +111,20 @@
 	return c, nil
 }
 
+// limit is the memory that a text gives, and where it says so.
+func limit(path string, text []byte, parts []strictyaml.Part) (Size, strictyaml.Position) {
+	var f File
+	at := strictyaml.Position{Line: 1, Column: 1}
+	for _, p := range parts {
+		if p.Key == "limits" {
+			d, _ := strictyaml.ReadPart(path, text, p, &f)
+			at = d.At("limits.memory")
+		}
+	}
+	strictyaml.Fill(&f.Limits.Memory, usualMemory)
+	return f.Limits.Memory, at
+}
+
 // inBatches reads the entries of a section into values of type T, a few batches side by side, and hands each over with the number of its first
 // entry.
 func inBatches[T any](path string, line int, e *strictyaml.Entries, take func(from int, read T)) (values int, whole bool, maybe error) {
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -42,10 +42,10 @@
 	switch {
 	case next != nil:
 		return next, nil
-	case mistaken:
+	case mistaken && bears(path, strictyaml.Position{}, c.Limits.Memory, c.Cost(0).Resident, len(text), false, "") == nil:
 		return atOnce(path, text)
 	}
-	return Parse(path, text)
+	return parse(path, text, c.Cost(0).Resident)
 }
 
 // changed returns the configuration of a text of which few entries differ from the one held; nil if that is in doubt or there is a
@@ -56,7 +56,7 @@
 	}
 	copied := *c
 	next = &copied
-	next.read = 0
+	next.read, next.size = 0, len(text)
 	next.held = &held{text: text, values: c.held.values}
 	k := checker{Doc: &strictyaml.Doc{File: path}, Loaded: next}
 	from, end := compare(c.held.text, text)
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -178,7 +178,7 @@
 func agrees(t *testing.T, before *Loaded, text string) (next *Loaded, small bool) {
 	t.Helper()
 	want, wrong := atOnce("/c/c.yaml", []byte(text))
-	parts, _ := inParts("/c/c.yaml", []byte(text))
+	parts, _ := inParts("/c/c.yaml", []byte(text), 0)
 	if parts != nil && (wrong != nil || told(parts) != told(want)) {
 		t.Fatalf("in parts another configuration than at once (%v): %s\n%s", wrong, differ(parts, want), text)
 	}
@@ -206,7 +206,7 @@
 	for seed := range rounds {
 		rng := rand.New(rand.NewPCG(36, uint64(seed)))
 		text := shaped(rng)
-		c, _ := inParts("/c/c.yaml", []byte(text))
+		c, _ := inParts("/c/c.yaml", []byte(text), 0)
 		if c == nil {
 			_, err := atOnce("/c/c.yaml", []byte(text))
 			t.Fatalf("a right text is not read in parts (%v):\n%s", err, text)
@@ -236,7 +236,7 @@
 	}
 	f.Fuzz(func(t *testing.T, seed uint64, from, n int, put string) {
 		text := shaped(rand.New(rand.NewPCG(seed, 0)))
-		c, _ := inParts("/c/c.yaml", []byte(text))
+		c, _ := inParts("/c/c.yaml", []byte(text), 0)
 		if c == nil || from < 0 || n < 0 {
 			return
 		}
--- a/internal/service/lists.go
+++ b/internal/service/lists.go
@@ -48,20 +48,22 @@
 	return lists
 }
 
-// CheckLists reads the lists that a configuration names, as a start would.
-func CheckLists(c *config.Loaded) error {
+// CheckLists reads the lists that a configuration names, as a start would, and returns how many nodes there are over all of them and those
+// that stand in it.
+func CheckLists(c *config.Loaded) (nodes int, err error) {
 	var names []string
 	for name, x := range c.Pools {
-		if x.Nodes.File != "" {
+		if nodes += len(x.Nodes.Static); x.Nodes.File != "" {
 			names = append(names, name)
 		}
 	}
 	var errs []error
 	lists := readLists(c, names)
 	for _, name := range slices.Sorted(maps.Keys(lists)) {
+		nodes += len(lists[name].nodes)
 		errs = append(errs, lists[name].err)
 	}
-	return errors.Join(errs...)
+	return nodes, errors.Join(append(errs, c.Bears(nodes))...)
 }
 
 // reportWatch says once that the system refuses to tell of changes in lists, and once that it tells of all again.
--- a/internal/service/promises.go
+++ b/internal/service/promises.go
@@ -28,8 +28,9 @@
 func (g *governing) follow(c *config.Promises) {
 	g.mu.Lock()
 	old, same := g.copy, c != nil && g.copy != nil && maps.Equal(c.Voters, g.config.Voters) && c.Copy == g.config.Copy
+	none := c == nil && g.copy == nil && len(g.words) == 0 // nor was there one
 	g.mu.Unlock()
-	if same {
+	if same || none {
 		return
 	}
 	if old != nil {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -163,6 +163,11 @@
 		}
 	}
 	p.lists = readLists(c, files)
+	nodes := 0
+	for _, l := range p.lists {
+		nodes += len(l.nodes)
+	}
+	errs = append(errs, c.Bears(nodes))
 	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
 		x := spec(c, name)
 		p.specs[name] = x
@@ -200,12 +205,12 @@
 		}
 		p.next.admin = x
 	}
-	if len(errs) > 0 {
+	if err := errors.Join(errs...); err != nil {
 		p.drop()
 		if x := p.next.admin; x != nil && x != now.admin {
 			x.stop()
 		}
-		return nil, errors.Join(errs...)
+		return nil, err
 	}
 	return p, nil
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -721,3 +723,79 @@
 	}
 	x.clean()
 }
+
+// TestFailedListsChangeNothing: a reload that moves a pool, adds another whose list can't be read, drops a route and changes a quota is
+// refused as a whole: routes, lists, listeners and settings are those that held.
+func TestFailedListsChangeNothing(t *testing.T) {
+	j, folder := fleet.NewJudge(time.Second), t.TempDir()
+	all := nodes(t, j, 2, fleet.Spec{Work: time.Millisecond})
+	write(t, j, folder, "a.yaml", all[0].Entry("up"))
+	write(t, j, folder, "b.yaml", all[1].Entry("up"))
+	x := begin(t, j, folder, twoPools+"tenants: {t: {quota: 5}}\n")
+	before, routing, view := x.state.Load(), x.state.Load().config.Table, x.View()
+	err := x.Apply(x.parse(strings.NewReplacer("  b: {nodes: {file: b.yaml}", "  c: {nodes: {file: none.yaml}}\n  b: {nodes: {file: a.yaml}", "name: a,", "name: other,").Replace(twoPools) + "tenants: {t: {quota: 6}}\n"))
+	if err == nil || !strings.Contains(err.Error(), "none.yaml") {
+		t.Fatalf("got %v", err)
+	}
+	if x.state.Load() != before || x.state.Load().config.Table != routing || x.View().Reloads != view.Reloads || len(x.View().Pools) != 2 {
+		t.Errorf("something changed: %+v", x.View())
+	}
+	for _, host := range []string{"a.example.org", "b.example.org"} {
+		r, err := http.NewRequest("POST", x.url+"/x", strings.NewReader("b"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = host
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if resp.Body.Close(); resp.StatusCode == http.StatusNotFound {
+			t.Errorf("%s: the route has gone", host)
+		}
+	}
+}
+
+// TestReloadLeavesOthersAlone: of three pools a reload changes one; the others are not told anything, and a quota reaches all.
+func TestReloadLeavesOthersAlone(t *testing.T) {
+	text := func(queue, quota int, path string) string {
+		return fmt.Sprintf(`classes: {c: {aim: 250ms, deadline: 1s}}
+tenants: {t: {quota: %d}}
+pools:
+  a: {nodes: {static: [{address: '127.0.0.1:1'}]}, queue: 10}
+  b: {nodes: {static: [{address: '127.0.0.1:2'}]}, queue: %d}
+  c: {nodes: {static: [{address: '127.0.0.1:3'}]}, queue: 10}
+routes: [{name: r, path: {prefix: %s}, class: c, pools: [{pool: a, weight: 1}, {pool: b, weight: 1}, {pool: c, weight: 1}]}]
+`, quota, queue, path)
+	}
+	x := begin(t, fleet.NewJudge(time.Second), t.TempDir(), text(10, 5, "/x"))
+	stay := func(text string) (names []string) {
+		t.Helper()
+		c := x.parse(text)
+		if c.Tenants.Equal(x.state.Load().config.Tenants) { // as config.Reload has it
+			c.Tenants = x.state.Load().config.Tenants
+		}
+		p, err := x.plan(x.state.Load(), c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.drop()
+		names = slices.Sorted(maps.Keys(p.stay))
+		if err := x.Apply(c); err != nil {
+			t.Fatal(err)
+		}
+		return names
+	}
+	for _, step := range []struct {
+		text string
+		want []string
+	}{
+		{text(11, 5, "/x"), []string{"a", "c"}},
+		{text(11, 5, "/y"), []string{"a", "b", "c"}},
+		{text(11, 6, "/y"), nil},
+	} {
+		if got := stay(step.text); !slices.Equal(got, step.want) {
+			t.Errorf("left alone: %q, want %q", got, step.want)
+		}
+	}
+}
