--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -26,18 +27,46 @@
 	perRequest = 160 << 10
 	// baseMemory is what the process takes without requests.
 	baseMemory = 24 << 20
+	// usualMemory is that of a configuration that names none.
+	usualMemory = 192 << 20
 )
 
-// Loaded is a configuration that has been checked, with what was left out filled in.
+// Loaded is a configuration that has been checked, with what was left out filled in. It never changes. Routes and tenants
+// are not in the File but in tables, which have what did not change in common with those of the configuration before.
 type Loaded struct {
 	File
 	Table *route.Table
-	// Routing has what the table does not: the rest of each route, by name.
-	Routing map[string]Route
+	// Targets are what the table's rules lead to, by their numbers, beside pools.
+	Targets []Target
 	// Tenants is shared by the settings of all pools.
 	Tenants *clayladder.Tenants
 
-	used map[string][]string // by pool: the classes of its routes
+	targets  map[targetKey]int
+	held     *held                     // nil: it was read as a whole
+	read     int                       // bytes that were read anew
+	size     int                       // of the file, bytes
+	memoryAt strictyaml.Error          // where it says what memory there is
+	used     map[string]map[string]int // by pool: how many of its routes have each class
+}
+
+// Target is what requests of a route meet beside its pools. Most routes have one in common with others.
+type Target struct {
+	Class     string
+	Deadline  Duration
+	KeyCookie string
+	Body      Body
+	Answer    Answer
+	Upgrades  []string
+	Tunnels   Tunnels // of its first pool
+}
+
+// targetKey is a Target that can be compared.
+type targetKey struct {
+	class, cookie, upgrades string
+	deadline                Duration
+	body                    Body
+	answer                  Answer
+	tunnels                 Tunnels
 }
 
 // Load reads and checks a file. The error joins one strictyaml.Error for each thing wrong.
@@ -51,28 +80,36 @@
 
 // Parse checks the text of a file. Relative paths in it start at the file's folder.
 func Parse(path string, text []byte) (*Loaded, error) {
-	c := &Loaded{Routing: map[string]Route{}}
+	return parse(path, text, 0)
+}
+
+// parse is Parse in a process that holds so many bytes already.
+func parse(path string, text []byte, already int64) (*Loaded, error) {
+	c, err := inParts(path, text, already)
+	switch err.(type) {
+	case known, tooLarge:
+		return nil, err
+	}
+	if c != nil {
+		return c, nil
+	}
+	return atOnce(path, text)
+}
+
+// atOnce reads the whole text, and knows the place of each mistake.
+func atOnce(path string, text []byte) (*Loaded, error) {
+	c := &Loaded{targets: map[targetKey]int{}, read: len(text), size: len(text)}
+	_, at := limit(path, text, strictyaml.Outline(text))
+	c.memoryAt = strictyaml.Error{File: path, Position: at}
 	d := strictyaml.Decode(path, text, &c.File)
 	if err := d.Err(); err != nil { // what could not be read would only bring errors that follow from it
 		return nil, err
 	}
 	k := checker{Doc: d, Loaded: c}
-	k.listeners()
-	k.limits()
-	k.classes()
-	k.rules()
-	k.pools(filepath.Dir(path))
-	k.routes()
-	if k.Promises != nil {
-		k.Promises.check(d, "promises", filepath.Dir(path))
-	}
-	if d.Err() == nil {
-		k.bulkheads()
-	}
+	k.all(filepath.Dir(path))
 	if err := d.Err(); err != nil {
 		return nil, err
 	}
-	c.uses()
 	tenants := make([]clayladder.Tenant, 0, len(c.File.Tenants))
 	for name, t := range c.File.Tenants {
 		tenants = append(tenants, clayladder.Tenant{Name: name, Quota: t.Quota})
@@ -81,6 +118,25 @@
 	return c, nil
 }
 
+// all checks everything and builds the table of routes.
+func (k *checker) all(folder string) {
+	k.listeners()
+	k.limits()
+	k.classes()
+	k.rules()
+	k.pools(folder)
+	k.routes()
+	if k.Promises != nil {
+		k.Promises.check(k.Doc, "promises", folder)
+	}
+	if k.Failed() {
+		return
+	}
+	k.bulkheads()
+	k.Routes = nil
+	k.uses()
+}
+
 // checker goes over a configuration, notes what is wrong and fills in what was left out.
 type checker struct {
 	*strictyaml.Doc
@@ -124,7 +180,7 @@
 
 func (k *checker) limits() {
 	l := &k.Limits
-	strictyaml.Fill(&l.Memory, 192<<20)
+	strictyaml.Fill(&l.Memory, usualMemory)
 	strictyaml.Fill(&l.Descriptors, 1024)
 	strictyaml.Fill(&l.NodeConnections, 64)
 	if l.Memory < 32<<20 {
@@ -193,7 +249,7 @@
 		k.Classes[name] = c
 	}
 	for name, t := range k.Loaded.File.Tenants {
-		if !(t.Quota >= 0 && t.Quota < 1e9) {
+		if !fair(t.Quota) {
 			k.Fail("tenants."+name+".quota", "the quota is a rate of requests a second, 0 or more")
 		}
 	}
@@ -205,6 +261,9 @@
 	}
 }
 
+// fair tells whether a quota is one.
+func fair(quota float64) bool { return quota >= 0 && quota < 1e9 }
+
 func (k *checker) rules() {
 	r := &k.Rules
 	strictyaml.Fill(&r.DrainGrace, Duration(time.Second))
@@ -224,49 +283,54 @@
 	if len(k.Pools) == 0 {
 		k.Fail("pools", "at least one pool is wanted")
 	}
-	queue, descriptors := k.Limits.Descriptors, k.Limits.Descriptors-reserve
-	for _, l := range k.Listeners {
-		queue, descriptors = min(queue, l.Connections), descriptors-l.Connections
-	}
 	for _, name := range slices.Sorted(maps.Keys(k.Pools)) {
-		p, at := k.Pools[name], "pools."+name
-		strictyaml.Fill(&p.Queue, max(1, queue/len(k.Pools)))
-		strictyaml.Fill(&p.Connections, max(1, descriptors/len(k.Pools)))
-		strictyaml.Fill(&p.Share, 1)
-		strictyaml.Fill(&p.Drains, "any")
-		strictyaml.Fill(&p.Rest, "after_stray")
-		strictyaml.Fill(&p.Reports, "answers")
-		strictyaml.Fill(&p.ConnectTimeout, Duration(500*time.Millisecond))
-		strictyaml.Fill(&p.IdleTimeout, Duration(time.Minute))
-		strictyaml.Fill(&p.MaxAttempts, 3)
-		strictyaml.Fill(&p.MaxRetryAfter, Duration(5*time.Second))
-		strictyaml.Fill(&p.Tunnels.Most, max(1, p.Connections/2))
-		strictyaml.Fill(&p.Tunnels.PerNode, max(1, k.Limits.NodeConnections/2))
-		strictyaml.Fill(&p.Tunnels.Idle, Duration(10*time.Minute))
-		strictyaml.Fill(&p.Tunnels.Grace, Duration(10*time.Second))
-		if t := p.Tunnels; t.Most < 1 || t.PerNode < 1 || t.Most > p.Connections || t.PerNode > k.Limits.NodeConnections {
-			k.Fail(at+".tunnels", "most is from 1 to the pool's connections (%d), per_node from 1 to node_connections (%d)", p.Connections, k.Limits.NodeConnections)
-		}
-		if p.Queue < 1 || p.Connections < 1 || p.MaxAttempts < 1 {
-			k.Fail(at, "queue, connections and max_attempts are over 0")
-		}
-		if !(p.Share > 0 && p.Share <= 1e6) {
-			k.Fail(at+".share", "the share is over 0 and at most 1,000,000")
-		}
-		if p.Drains != "any" && p.Drains != "own" {
-			k.Fail(at+".drains", "%q is neither any nor own", p.Drains)
-		}
-		if p.Rest != "always" && p.Rest != "after_stray" {
-			k.Fail(at+".rest", "%q is neither always nor after_stray", p.Rest)
-		}
-		if _, ok := reports[p.Reports]; !ok {
-			k.Fail(at+".reports", "%q is none of answers, probes and none", p.Reports)
-		}
-		k.nodes(at+".nodes", &p.Nodes, folder)
+		p := k.Pools[name]
+		k.pool(folder, name, &p)
 		k.Pools[name] = p
 	}
 }
 
+// pool checks one pool and fills in what was left out.
+func (k *checker) pool(folder, name string, p *Pool) {
+	at, queue, descriptors := "pools."+name, k.Limits.Descriptors, k.Limits.Descriptors-reserve
+	for _, l := range k.Listeners {
+		queue, descriptors = min(queue, l.Connections), descriptors-l.Connections
+	}
+	strictyaml.Fill(&p.Queue, max(1, queue/len(k.Pools)))
+	strictyaml.Fill(&p.Connections, max(1, descriptors/len(k.Pools)))
+	strictyaml.Fill(&p.Share, 1)
+	strictyaml.Fill(&p.Drains, "any")
+	strictyaml.Fill(&p.Rest, "after_stray")
+	strictyaml.Fill(&p.Reports, "answers")
+	strictyaml.Fill(&p.ConnectTimeout, Duration(500*time.Millisecond))
+	strictyaml.Fill(&p.IdleTimeout, Duration(time.Minute))
+	strictyaml.Fill(&p.MaxAttempts, 3)
+	strictyaml.Fill(&p.MaxRetryAfter, Duration(5*time.Second))
+	strictyaml.Fill(&p.Tunnels.Most, max(1, p.Connections/2))
+	strictyaml.Fill(&p.Tunnels.PerNode, max(1, k.Limits.NodeConnections/2))
+	strictyaml.Fill(&p.Tunnels.Idle, Duration(10*time.Minute))
+	strictyaml.Fill(&p.Tunnels.Grace, Duration(10*time.Second))
+	if t := p.Tunnels; t.Most < 1 || t.PerNode < 1 || t.Most > p.Connections || t.PerNode > k.Limits.NodeConnections {
+		k.Fail(at+".tunnels", "most is from 1 to the pool's connections (%d), per_node from 1 to node_connections (%d)", p.Connections, k.Limits.NodeConnections)
+	}
+	if p.Queue < 1 || p.Connections < 1 || p.MaxAttempts < 1 {
+		k.Fail(at, "queue, connections and max_attempts are over 0")
+	}
+	if !(p.Share > 0 && p.Share <= 1e6) {
+		k.Fail(at+".share", "the share is over 0 and at most 1,000,000")
+	}
+	if p.Drains != "any" && p.Drains != "own" {
+		k.Fail(at+".drains", "%q is neither any nor own", p.Drains)
+	}
+	if p.Rest != "always" && p.Rest != "after_stray" {
+		k.Fail(at+".rest", "%q is neither always nor after_stray", p.Rest)
+	}
+	if _, ok := reports[p.Reports]; !ok {
+		k.Fail(at+".reports", "%q is none of answers, probes and none", p.Reports)
+	}
+	k.nodes(at+".nodes", &p.Nodes, folder)
+}
+
 func (k *checker) nodes(at string, n *NodeSource, folder string) {
 	sources := 0
 	for _, set := range []bool{n.File != "", n.Static != nil, n.Discovery != ""} {
@@ -307,98 +371,116 @@
 	if len(k.Routes) == 0 {
 		k.Fail("routes", "at least one route is wanted")
 	}
-	rules := make([]route.Rule, 0, len(k.Routes))
-	places := map[string]string{}
+	rules, places := make([]route.Rule, 0, len(k.Routes)), make(map[string]int, len(k.Routes))
 	for i := range k.Routes {
-		r, at := &k.Routes[i], fmt.Sprintf("routes[%d]", i)
-		if _, twice := k.Routing[r.Name]; r.Name == "" || twice {
-			k.Fail(at, "a route needs a name of its own; %q is not", r.Name)
-			continue
-		}
-		class, ok := k.Classes[r.Class]
-		if !ok {
-			k.Fail(at+".class", "%s", unknown("class", r.Class, slices.Collect(maps.Keys(k.Classes))))
-		}
-		strictyaml.Fill(&r.Deadline, class.Deadline)
-		r.Deadline = min(r.Deadline, class.Deadline)
-		if r.RequestClass != "" && r.RequestClass != r.Class {
-			k.Fail(at+".request_class", "clients that name %q would get the class %q: the two are the same", r.RequestClass, r.Class)
-		}
-		if (r.Pool == "") == (len(r.Pools) == 0) {
-			k.Fail(at, "exactly one of pool and pools is wanted")
+		r := &k.Routes[i]
+		if _, twice := places[r.Name]; r.Name == "" || twice {
+			k.Fail(routeAt(i), "a route needs a name of its own; %q is not", r.Name)
 			continue
 		}
-		if r.Pool != "" {
-			r.Pools = []WeightedPool{{r.Pool, 1}}
-		}
-		strictyaml.Fill(&r.KeyCookie, "obj")
-		strictyaml.Fill(&r.Body.Max, 1<<30)
-		strictyaml.Fill(&r.Body.Buffer, 1<<20)
-		strictyaml.Fill(&r.Body.Within, Duration(time.Hour))
-		strictyaml.Fill(&r.Answer.Max, 1<<40)
-		strictyaml.Fill(&r.Answer.Idle, Duration(30*time.Second))
-		if r.Body.Buffer > k.Limits.Bodies {
-			k.Fail(at+".body.buffer", "%d MiB for one request, and limits.bodies is %d MiB for all", r.Body.Buffer>>20, k.Limits.Bodies>>20)
-		}
-		if r.Answer.Total != 0 && r.Answer.Total < r.Answer.Idle {
-			k.Fail(at+".answer.total", "it is shorter than idle")
-		}
-		for j, name := range r.Upgrades {
-			if r.Upgrades[j] = strings.ToLower(name); name == "" || strings.ContainsAny(name, " ,\t") || strings.HasPrefix(r.Upgrades[j], "h2") {
-				k.Fail(at+".upgrades", "%q is not a protocol that a connection may change to, such as websocket", name)
-			}
-		}
-		rule := route.Rule{Name: r.Name, Hosts: r.Hosts, Methods: r.Methods, Class: r.RequestClass}
-		for j, p := range r.Pools {
-			if _, ok := k.Pools[p.Pool]; !ok {
-				where := at + ".pool"
-				if r.Pool == "" {
-					where = fmt.Sprintf("%s.pools[%d].pool", at, j)
-				}
-				k.Fail(where, "%s", unknown("pool", p.Pool, slices.Collect(maps.Keys(k.Pools))))
-			}
-			rule.Pools = append(rule.Pools, route.WeightedPool(p))
-		}
-		for _, m := range r.Methods {
-			if m == "" || strings.ContainsFunc(m, func(c rune) bool { return c < 'A' || c > 'Z' }) || m == "CONNECT" {
-				k.Fail(at+".methods", "%q is not a method that is served, in capitals", m)
-			}
-		}
-		for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
-			rule.Headers = append(rule.Headers, route.Header{Name: name, Value: r.Headers[name]})
+		if rule, ok := k.route(routeAt(i), r); ok {
+			places[r.Name] = i
+			rules = append(rules, rule)
 		}
-		set := 0
-		for kind, text := range map[route.PathKind]string{route.Exact: r.Path.Exact, route.Pattern: r.Path.Pattern, route.Prefix: r.Path.Prefix} {
-			if text != "" {
-				set++
-				rule.Kind, rule.Path = kind, text
-			}
-		}
-		if set == 0 {
-			rule.Kind, rule.Path = route.Prefix, "/"
-		} else if set > 1 {
-			k.Fail(at+".path", "at most one of exact, pattern and prefix is wanted")
-		}
-		k.Routing[r.Name], places[r.Name] = *r, at
-		rules = append(rules, rule)
 	}
 	table, errs := route.Build(rules)
 	for _, err := range errs {
-		at := "routes"
-		if tie := (route.Conflict{}); errors.As(err, &tie) {
-			at = places[tie.Second]
-		} else {
-			for name, place := range places {
-				if strings.HasPrefix(err.Error(), fmt.Sprintf("route %q:", name)) {
-					at = place
-				}
-			}
+		at, tie, bad := "routes", route.Conflict{}, route.Malformed{}
+		switch {
+		case errors.As(err, &tie):
+			at = routeAt(places[tie.Second])
+		case errors.As(err, &bad):
+			at = routeAt(places[bad.Name])
 		}
 		k.Fail(at, "%v", err)
 	}
 	k.Table = table
 }
 
+func routeAt(i int) string { return "routes[" + strconv.Itoa(i) + "]" }
+
+// route checks one route, fills in what was left out and returns its rule.
+func (k *checker) route(at string, r *Route) (route.Rule, bool) {
+	class, ok := k.Classes[r.Class]
+	if !ok {
+		k.Fail(at+".class", "%s", unknown("class", r.Class, slices.Collect(maps.Keys(k.Classes))))
+	}
+	strictyaml.Fill(&r.Deadline, class.Deadline)
+	r.Deadline = min(r.Deadline, class.Deadline)
+	if r.RequestClass != "" && r.RequestClass != r.Class {
+		k.Fail(at+".request_class", "clients that name %q would get the class %q: the two are the same", r.RequestClass, r.Class)
+	}
+	if (r.Pool == "") == (len(r.Pools) == 0) {
+		k.Fail(at, "exactly one of pool and pools is wanted")
+		return route.Rule{}, false
+	}
+	if r.Pool != "" {
+		r.Pools = []WeightedPool{{r.Pool, 1}}
+	}
+	strictyaml.Fill(&r.KeyCookie, "obj")
+	strictyaml.Fill(&r.Body.Max, 1<<30)
+	strictyaml.Fill(&r.Body.Buffer, 1<<20)
+	strictyaml.Fill(&r.Body.Within, Duration(time.Hour))
+	strictyaml.Fill(&r.Answer.Max, 1<<40)
+	strictyaml.Fill(&r.Answer.Idle, Duration(30*time.Second))
+	if r.Body.Buffer > k.Limits.Bodies {
+		k.Fail(at+".body.buffer", "%d MiB for one request, and limits.bodies is %d MiB for all", r.Body.Buffer>>20, k.Limits.Bodies>>20)
+	}
+	if r.Answer.Total != 0 && r.Answer.Total < r.Answer.Idle {
+		k.Fail(at+".answer.total", "it is shorter than idle")
+	}
+	for j, name := range r.Upgrades {
+		if r.Upgrades[j] = strings.ToLower(name); name == "" || strings.ContainsAny(name, " ,\t") || strings.HasPrefix(r.Upgrades[j], "h2") {
+			k.Fail(at+".upgrades", "%q is not a protocol that a connection may change to, such as websocket", name)
+		}
+	}
+	rule := route.Rule{Name: r.Name, Hosts: r.Hosts, Methods: r.Methods, Class: r.RequestClass}
+	for j, p := range r.Pools {
+		if _, ok := k.Pools[p.Pool]; !ok {
+			where := at + ".pool"
+			if r.Pool == "" {
+				where = fmt.Sprintf("%s.pools[%d].pool", at, j)
+			}
+			k.Fail(where, "%s", unknown("pool", p.Pool, slices.Collect(maps.Keys(k.Pools))))
+		}
+		rule.Pools = append(rule.Pools, route.WeightedPool(p))
+	}
+	for _, m := range r.Methods {
+		if m == "" || strings.ContainsFunc(m, func(c rune) bool { return c < 'A' || c > 'Z' }) || m == "CONNECT" {
+			k.Fail(at+".methods", "%q is not a method that is served, in capitals", m)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Headers)) {
+		rule.Headers = append(rule.Headers, route.Header{Name: name, Value: r.Headers[name]})
+	}
+	set := 0
+	for kind, text := range [...]string{route.Exact: r.Path.Exact, route.Pattern: r.Path.Pattern, route.Prefix: r.Path.Prefix} {
+		if text != "" {
+			set++
+			rule.Kind, rule.Path = route.PathKind(kind), text
+		}
+	}
+	if set == 0 {
+		rule.Kind, rule.Path = route.Prefix, "/"
+	} else if set > 1 {
+		k.Fail(at+".path", "at most one of exact, pattern and prefix is wanted")
+	}
+	rule.To = k.target(r)
+	return rule, true
+}
+
+// target returns the number of what a route leads to.
+func (k *checker) target(r *Route) int {
+	key := targetKey{r.Class, r.KeyCookie, strings.Join(r.Upgrades, "\n"), r.Deadline, r.Body, r.Answer, k.Pools[r.Pools[0].Pool].Tunnels}
+	if n, known := k.targets[key]; known {
+		return n
+	}
+	k.Targets = append(k.Targets, Target{Class: r.Class, Deadline: r.Deadline, KeyCookie: r.KeyCookie, Body: r.Body, Answer: r.Answer,
+		Upgrades: r.Upgrades, Tunnels: key.tunnels})
+	k.targets[key] = len(k.Targets) - 1
+	return len(k.Targets) - 1
+}
+
 func unknown(kind, name string, known []string) string {
 	if near := strictyaml.Nearest(name, known); near != "" {
 		return fmt.Sprintf("there is no %s %q; did you mean %q?", kind, name, near)
@@ -416,7 +498,7 @@
 		connections, queues = connections+p.Connections, queues+p.Queue
 	}
 	if connections > k.Limits.Descriptors {
-		k.Fail("limits.descriptors", "listeners and pools may take %d with a reserve of %d, more than the %d there are: lower their connections",
+		k.Fail("limits.descriptors", "listeners and pools may take %d with a reserve of %d, more than the %d there are: lower their connections or give more",
 			connections, reserve, k.Limits.Descriptors)
 	}
 	for i, l := range k.Listeners {
