--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -69,7 +69,7 @@
 	ctx, end := context.WithCancel(ctx)
 	p := &Pool{loop: newLoop(ctx, spec), name: spec.Name, end: end, ended: make(chan struct{})}
 	p.queue.Store(int64(spec.Queue))
-	p.loop.shares = d.join(spec.Name, spec.Share, spec.OwnDrains, p.loop.hand)
+	p.loop.shares = d.join(spec.Share, spec.OwnDrains, p.loop.hand)
 	p.loop.maint.Merge(held)
 	if err := p.loop.start(spec.Seed, spec.Known); err != nil {
 		p.loop.shares.leave()
@@ -190,6 +190,9 @@
 // Silent tells the pool why there is no good word from its list's source. The last list holds.
 func (p *Pool) Silent(why error) { p.loop.hand(listed{Err: why}) }
 
+// Confirm notes that the list's source was asked, and says that the list stays as it was. It wakes nobody.
+func (p *Pool) Confirm() { p.loop.confirmed.Store(int64(p.loop.now())) }
+
 // Configure changes the pool while it serves. What its module has learnt stays. An error changes nothing.
 func (p *Pool) Configure(spec Spec) error {
 	done := make(chan error, 1)
