--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -124,11 +124,13 @@
 				if e.Added > 0 {
 					wantRoutes++
 				}
-				if len(c.Routes) != wantRoutes || len(c.Tenants) != size.Tenants || len(c.Pools) != size.Pools {
-					t.Errorf("%v: %d routes, %d tenants, %d pools are read", size, len(c.Routes), len(c.Tenants), len(c.Pools))
+				if len(c.Routes) != wantRoutes || c.Tenants.Len() != size.Tenants || len(c.Pools) != size.Pools {
+					t.Errorf("%v: %d routes, %d tenants, %d pools are read", size, len(c.Routes), c.Tenants.Len(), len(c.Pools))
 				}
-				if e.Quota > 0 && size.Tenants > 0 && c.Tenants[Tenant(0)].Quota != 77 {
-					t.Errorf("the quota is %g", c.Tenants[Tenant(0)].Quota)
+				if e.Quota > 0 && size.Tenants > 0 {
+					if quota, _ := c.Tenants.Quota(Tenant(0)); quota != 77 {
+						t.Errorf("the quota is %g", quota)
+					}
 				}
 			}
 		}
