Pool: parked with nothing to do, made for its first request, given back

Pool: parked while nothing is to do, made for its first request and given back after a minute.

A pool whose module rests ends its goroutine; its mailbox starts it again, under the lock, with the next event, and one timer does for the end of the oldest idle connection. One that no request has come to holds its list as it was told; it is made on the first request and given back a minute after its last request and connection, unless something must not be forgotten (cold ramps, retry windows of keyed classes, waits after failed connects, tenants' levels). Drains, what is out by hand, the ledger's word and counters hold for both. Pools that probe, and those whose module asks discovery (the platform's), stay as they were. Lines of the log are written by a goroutine only while there are any.

--- a/internal/pool/configure.go
+++ b/internal/pool/configure.go
@@ -28,11 +28,21 @@
 
 // adopt takes the settings and limits of a Spec, or changes nothing.
 func (l *loop) adopt(c Spec) error {
-	if err := l.balancer.Configure(l.now(), c.Settings); err != nil {
+	if l.made() {
+		if err := l.balancer.Configure(l.now(), c.Settings); err != nil {
+			return err
+		}
+	} else if err := c.Settings.Validate(); err != nil {
 		return err
 	}
 	asked := l.settings.OnRequest
-	if l.limit(c); asked != c.Settings.OnRequest { // the module has asked by what held before
+	l.limit(c)
+	if !l.mayRest() {
+		if err := l.make(); err != nil {
+			return err
+		}
+	}
+	if asked != c.Settings.OnRequest { // the module has asked by what held before
 		l.Watch(true)
 	}
 	return nil
--- a/internal/pool/directory.go
+++ b/internal/pool/directory.go
@@ -241,21 +241,17 @@
 		return
 	}
 	same, n := true, 0
-	for _, p := range l.peers {
-		if p.listed != clayladder.Gone {
-			drains, ok := l.shares.claimed[p.address]
-			same = same && ok && drains == (p.listed == clayladder.Draining)
-			n++
-		}
+	for address, drains := range l.nodes() {
+		told, ok := l.shares.claimed[address]
+		same = same && ok && told == drains
+		n++
 	}
 	if same && n == len(l.shares.claimed) {
 		return
 	}
 	nodes := make(map[string]bool, n)
-	for _, p := range l.peers {
-		if p.listed != clayladder.Gone { // two at one address drain if one does
-			nodes[p.address] = nodes[p.address] || p.listed == clayladder.Draining
-		}
+	for address, drains := range l.nodes() { // two at one address drain if one does
+		nodes[address] = nodes[address] || drains
 	}
 	l.shares.claim(nodes)
 }
--- a/internal/pool/host.go
+++ b/internal/pool/host.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"clayladder"
@@ -46,20 +47,41 @@
 
 // Log writes a line to the log, or drops it rather than wait.
 func (l *loop) Log(text string) {
-	select {
-	case l.logs <- text:
-	default:
+	l.logs.add(text)
+}
+
+// logLines are lines on their way to the log. A goroutine writes them, while there are any.
+type logLines struct {
+	mu      sync.Mutex
+	lines   []string
+	writing bool
+}
+
+func (g *logLines) add(text string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.lines) >= logQueue {
+		return
+	}
+	g.lines = append(g.lines, text)
+	if !g.writing {
+		g.writing = true
+		go g.write()
 	}
 }
 
-func (l *loop) writeLogs() {
+func (g *logLines) write() {
 	for {
-		select {
-		case text := <-l.logs:
-			slog.Info(text)
-		case <-l.ctx.Done():
+		g.mu.Lock()
+		lines := g.lines
+		g.lines, g.writing = nil, len(lines) > 0
+		g.mu.Unlock()
+		if len(lines) == 0 {
 			return
 		}
+		for _, text := range lines {
+			slog.Info(text)
+		}
 	}
 }
 
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -20,10 +20,18 @@
 // loop owns the Balancer, from one goroutine. Everything here runs on that goroutine but for post, now and what is
 // started with go. It never waits for anything but its channels.
 type loop struct {
-	balancer  *clayladder.Balancer
+	balancer  *clayladder.Balancer // nil: it is not made
+	unmade    unmade               // what there is in its place
+	seed      uint64
+	makes     uint64        // how often it was made
+	listed    bool          // a list has been told
+	madeFor   time.Duration // with no request and no connection
+	emptyAt   time.Duration // since when there is neither; 0: there is, or nobody has looked
+	waker     *time.Timer   // starts the goroutine of a parked pool; nil: none yet
+	parking   func()        // a test's, called between the last look and the end of the goroutine; else nil
 	ctx       context.Context
 	mail      *mailbox
-	logs      chan string
+	logs      logLines
 	origin    time.Time
 	epoch     time.Duration
 	discovery *discovery.Client  // nil: lists come by Tell
@@ -61,7 +69,7 @@
 var _ clayladder.Host = (*loop)(nil)
 
 func newLoop(ctx context.Context, c Spec) *loop {
-	l := &loop{ctx: ctx, mail: newMailbox(), logs: make(chan string, logQueue),
+	l := &loop{ctx: ctx, mail: newMailbox(), madeFor: madeFor,
 		origin: time.Now(), names: discovery.NewNames(), requests: map[clayladder.RequestID]*Request{}, open: map[string]bool{},
 		peers: map[clayladder.UpstreamID]*peer{}, tunnels: map[*attempt]struct{}{}}
 	l.limit(c)
@@ -98,8 +106,12 @@
 	if known != nil && l.discovery != nil && (known.Revision > 0 || len(known.Members) > 0) {
 		l.discovery.Hold(known.Revision)
 	}
-	var err error
-	if l.balancer, err = clayladder.New(l.settings, seed, l.now(), l); err != nil {
+	l.seed = seed
+	if l.mayRest() { // it is made for its first request
+		if err := l.settings.Validate(); err != nil {
+			return err
+		}
+	} else if err := l.make(); err != nil {
 		return err
 	}
 	if known != nil {
@@ -114,10 +126,11 @@
 // batchMost bounds how many events are taken before alarms are looked at.
 const batchMost = 64
 
-// run handles events until the context ends.
+// run handles events until the context ends, or the pool is parked.
 func (l *loop) run() {
-	go l.writeLogs()
+	l.unpark()
 	clock := time.NewTimer(0)
+	defer clock.Stop()
 	armed := l.now() // when the clock goes off
 	var batch, spare []event
 	for {
@@ -141,6 +154,9 @@
 			}
 			continue
 		}
+		if l.ctx.Err() != nil || l.park() {
+			return
+		}
 		if at, some := l.alarms.next(); some && (at < armed || armed <= l.now()) {
 			armed = at
 			clock.Reset(max(0, at-l.now()))
--- a/internal/pool/mailbox.go
+++ b/internal/pool/mailbox.go
@@ -12,6 +12,8 @@
 	usual  []event
 	urgent []event
 	hurry  atomic.Bool   // there is something urgent
+	taker  func()        // takes what comes, from a goroutine that is started when something has come; nil: somebody always does
+	taking bool          // it has been started and has not left
 	ready  chan struct{} // holds a word while there is something in an empty mailbox
 }
 
@@ -21,7 +23,6 @@
 func (m *mailbox) post(e event) {
 	m.mu.Lock()
 	m.usual = append(m.usual, e)
-	m.mu.Unlock()
 	m.wake()
 }
 
@@ -30,17 +31,48 @@
 	m.mu.Lock()
 	m.urgent = append(m.urgent, e)
 	m.hurry.Store(true)
-	m.mu.Unlock()
 	m.wake()
 }
 
+// wake tells the taker that there is something, or starts it. It gives the lock back, which its caller has taken.
 func (m *mailbox) wake() {
+	start := m.taker != nil && !m.taking
+	if start {
+		m.taking = true
+	}
+	m.mu.Unlock()
+	if start {
+		go m.taker()
+		return
+	}
 	select {
 	case m.ready <- struct{}{}:
 	default:
 	}
 }
 
+// open begins to start the taker, also for what has come before.
+func (m *mailbox) open(taker func()) {
+	m.mu.Lock()
+	m.taker = taker
+	m.wake()
+}
+
+// rouse lets the taker look at its clock.
+func (m *mailbox) rouse() {
+	m.mu.Lock()
+	m.wake()
+}
+
+// leave ends the taker's turn. It must touch nothing then: the next may have been started already. false: something has come, and
+// the turn goes on.
+func (m *mailbox) leave() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.taking = len(m.usual) > 0 || len(m.urgent) > 0
+	return !m.taking
+}
+
 // take returns what has come, and leaves spare in its place.
 func (m *mailbox) take(spare []event) []event {
 	m.mu.Lock()
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -14,6 +14,7 @@
 	id        clayladder.UpstreamID
 	name      string // discovery's id
 	address   string
+	member    discovery.Member // as it was listed last
 	listed    clayladder.State // by this pool's own list
 	state     clayladder.State // with what the other pools of the process were told, and what is out by hand
 	idle      []*link          // the most recently used last
@@ -93,6 +94,10 @@
 // members applies a list: first to the peers, so that nothing goes to one that drains, then to the module, which
 // may send at once.
 func (l *loop) members(mode clayladder.ListMode, x discovery.Listing) {
+	if l.listed = true; !l.made() {
+		l.relist(mode, x)
+		return
+	}
 	l.revision = x.Revision
 	list := make([]clayladder.Upstream, 0, len(x.Members))
 	named := make(map[clayladder.UpstreamID]bool, len(x.Members))
@@ -167,7 +172,7 @@
 		}
 		p.address = address
 	}
-	p.listed = u.State
+	p.listed, p.member = u.State, *m
 	p.entry, p.weight = u, u.Weight
 	l.place(p)
 	return p
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -76,7 +76,7 @@
 		end()
 		return nil, err
 	}
-	go p.loop.run()
+	p.loop.mail.open(p.loop.run)
 	return p, nil
 }
 
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -85,7 +85,12 @@
 		r.Reply <- Answer{Status: http.StatusConflict}
 		return
 	}
+	if err := l.make(); err != nil {
+		l.refuseUnmade(r, err)
+		return
+	}
 	l.open[r.Name] = true
+	l.emptyAt = 0
 	l.serial++
 	r.ID = clayladder.RequestID(l.serial) // the module's own: what clients send need not be unique
 	r.deadline = r.At + r.Budget
--- a/internal/pool/staff.go
+++ b/internal/pool/staff.go
@@ -71,7 +71,7 @@
 // learntNow asks for what the module has learnt.
 type learntNow chan<- clayladder.Memory
 
-func (e learntNow) apply(l *loop) { e <- l.balancer.Memory() }
+func (e learntNow) apply(l *loop) { e <- l.learnt(l.now()) }
 
 // recalled is what another module has learnt.
 type recalled struct {
@@ -80,7 +80,9 @@
 }
 
 func (e recalled) apply(l *loop) {
-	l.balancer.Recall(l.now(), e.Memory)
+	if err := l.make(); err == nil { // else its settings are wrong, which their check rules out
+		l.balancer.Recall(l.now(), e.Memory)
+	}
 	l.settle()
 	e.done <- struct{}{}
 }
@@ -113,7 +115,7 @@
 
 func (e maintained) apply(l *loop) {
 	p := l.named(e.id)
-	if p == nil && !l.maint.IsOut(e.id) {
+	if !l.lists(e.id) && !l.maint.IsOut(e.id) {
 		e.done <- fmt.Errorf("there is no upstream %.40q", e.id)
 		return
 	}
@@ -145,7 +147,7 @@
 	known chan<- bool
 }
 
-func (e asked) apply(l *loop) { e.known <- l.named(e.id) != nil || l.maint.Held(e.id, "") }
+func (e asked) apply(l *loop) { e.known <- l.lists(e.id) || l.maint.Held(e.id, "") }
 
 // governed is what the ledger says.
 type governed maintenance.Shared
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -27,7 +27,11 @@
 
 func (e viewing) apply(l *loop) {
 	now := l.now()
-	views, held := l.balancer.View(now)
+	var views []clayladder.UpstreamView
+	held := 0
+	if l.made() {
+		views, held = l.balancer.View(now)
+	}
 	v := live.Pool{Open: len(l.requests), Held: held, Connections: l.conns, Limit: l.maxConns, Tunnels: len(l.tunnels), Served: l.served, Refused: l.refused, Failed: l.failed,
 		ListAgeMS: (now - l.heardAt).Milliseconds(), HoldMS: l.hold.Milliseconds(), Expired: l.expired(now), Trouble: l.trouble,
 		Nodes: []live.Node{}}
@@ -40,6 +44,15 @@
 			Mean: u.Mean, Upper: u.Upper, Lower: u.Lower, Area: u.Area, Readings: u.Readings, Load: loadKind(u), Unreadable: p.spoilt, UnreadableWhy: p.why, Strays: p.strays, Cold: u.Cold, Silent: u.Silent, Out: u.Out, Bound: u.Bound,
 			LatencyMS: float64(u.Latency.Microseconds()) / 1000, Connections: p.conns, Part: cmp.Or(p.share.Part, 1), Limit: p.share.Connections})
 	}
+	for i := range l.unmade.members { // nobody has asked for it
+		m := &l.unmade.members[i]
+		u := m.Upstream(0)
+		p := &peer{name: m.ID, address: m.HostPort, listed: u.State, entry: u, weight: u.Weight}
+		l.place(p)
+		mark := l.unmade.marks[m.ID]
+		v.Nodes = append(v.Nodes, live.Node{ID: p.name, Address: p.address, Phase: phaseNames[p.state], Cut: 1, Load: live.Unknown,
+			Unreadable: mark.spoilt, UnreadableWhy: mark.why, Strays: mark.strays, Part: cmp.Or(p.share.Part, 1), Limit: p.share.Connections})
+	}
 	e.got <- v
 }
 
--- a/rest.go
+++ b/rest.go
@@ -54,6 +54,39 @@
 	b.restAt = last + b.tick
 }
 
+// owesMost bounds the time to the next look at what a tenant of no quota has had: that is never forgotten.
+const owesMost = 24 * time.Hour
+
+// Resting reports whether no timer is set: nothing is open.
+func (b *Balancer) Resting() bool { return b.resting }
+
+// Owes tells until when b has something that no one made in its place would know: what is open, a cold or failing
+// upstream's wait, the time in which a keyed request must not be repeated elsewhere, a tenant's use of its quota.
+// Not after now: nothing.
+func (b *Balancer) Owes(now time.Duration) (until time.Duration) {
+	if b.catchUp(now); !b.resting {
+		return now + b.tick
+	}
+	for _, c := range b.classes {
+		if c.ranAt > 0 {
+			until = max(until, c.ranAt+c.Memory)
+		}
+	}
+	for _, u := range b.ups {
+		if u.State == Active {
+			until = max(until, u.freeAt, u.StartedAt+b.s.Rules.RampTime)
+		}
+	}
+	if b.owing(now) {
+		until = max(until, now+b.tick)
+		for _, x := range b.ring {
+			dry := min(x.level/max(x.rate, math.SmallestNonzeroFloat32), owesMost.Seconds())
+			until = max(until, x.at+time.Duration(dry*float64(time.Second)))
+		}
+	}
+	return until
+}
+
 // fading is the work of an upstream that fades in a rest.
 type fading struct {
 	u         *upstream
