--- a/rest.go
+++ b/rest.go
@@ -60,9 +60,9 @@
 // Resting reports whether no timer is set: nothing is open.
 func (b *Balancer) Resting() bool { return b.resting }
 
-// Owes tells until when b has something that no one made in its place would know: what is open, a cold or failing
-// upstream's wait, the time in which a keyed request must not be repeated elsewhere, a tenant's use of its quota.
-// Not after now: nothing.
+// Owes tells until when b has something that no one made in its place would know: what is open, the wait of a
+// cold or failing upstream, the time in which a keyed request must not be repeated elsewhere, a tenant's use
+// of its quota. Not after now: nothing.
 func (b *Balancer) Owes(now time.Duration) (until time.Duration) {
 	if b.catchUp(now); !b.resting {
 		return now + b.tick
