--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -16,8 +16,10 @@
 	"syscall"
 	"time"
 
+	"clayladder"
 	"clayladder/internal/config"
 	"clayladder/internal/live"
+	"clayladder/internal/route"
 	"clayladder/internal/service"
 )
 
@@ -33,8 +35,10 @@
 	if path == "" || f.NArg() > 0 {
 		return fmt.Errorf("%w: serve wants --config FILE and nothing else", errUsage)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGHUP, syscall.SIGTERM, os.Interrupt)
+	hangups, ends := make(chan os.Signal, 1), make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	signal.Notify(hangups, syscall.SIGHUP)
+	signal.Notify(ends, syscall.SIGTERM, os.Interrupt)
+	service.BeforeReading()
 	c, err := config.Load(path)
 	if err != nil {
 		return err
@@ -44,27 +48,36 @@
 	if err != nil {
 		return err
 	}
-	slog.Info("serving", "config", path, "pools", len(c.Pools), "routes", len(c.Routes))
+	service.AfterReading(c)
+	slog.Info("serving", "config", path, "pools", len(c.Pools), "routes", c.Table.Len())
+	return keep(s, c, hangups, ends, func(old *config.Loaded) (*config.Loaded, error) { return config.Reload(path, old) })
+}
+
+// keep serves until it is told to end, and reads the configuration again at each hang-up: a signal that comes while it is being read
+// or put in force has it read once more after that.
+func keep(s *service.Service, c *config.Loaded, hangups, ends <-chan os.Signal, reload func(*config.Loaded) (*config.Loaded, error)) error {
 	for {
 		select {
 		case err := <-s.Failed():
 			s.Stop()
 			return err
-		case x := <-signals:
-			if x != syscall.SIGHUP {
-				slog.Info("stopping", "signal", x)
-				s.Stop()
-				return nil
-			}
-			if c, err = config.Load(path); err == nil {
-				err = s.Apply(c)
+		case x := <-ends:
+			slog.Info("stopping", "signal", x)
+			s.Stop()
+			return nil
+		case <-hangups:
+			next, err := reload(c)
+			if err == nil {
+				err = s.Apply(next)
 			}
 			if err != nil {
 				slog.Error("reading the configuration again: the old one stays", "err", err)
 				continue
 			}
+			c = next
 			service.LimitMemory(c)
-			slog.Info("configuration read again", "pools", len(c.Pools), "routes", len(c.Routes))
+			service.AfterReading(c)
+			slog.Info("configuration read again", "pools", len(c.Pools), "routes", c.Table.Len())
 		}
 	}
 }
@@ -97,18 +110,21 @@
 			continue
 		}
 		c, err := config.Load(path)
+		nodes := 0
 		if err == nil {
-			err = service.CheckLists(c)
+			nodes, err = service.CheckLists(c)
 		}
 		if err != nil {
 			errs = append(errs, err)
 			continue
 		}
-		fmt.Fprintf(out, "%s: well: %d listeners, %d routes, %d pools\n", path, len(c.Listeners), len(c.Routes), len(c.Pools))
+		fmt.Fprintf(out, "%s: well: %d listeners, %d routes, %d pools\n", path, len(c.Listeners), c.Table.Len(), len(c.Pools))
+		tellCost(out, c.Cost(nodes))
+		var known []use
 		for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
 			fmt.Fprintf(out, "  pool %s: %s\n", name, loadFrom[c.Pools[name].Reports])
 			if c.Instances.Count > 1 {
-				if err := uses(out, c, name); err != nil {
+				if known, err = uses(out, c, name, known); err != nil {
 					errs = append(errs, fmt.Errorf("%s: %w", path, err))
 				}
 			}
@@ -116,31 +132,49 @@
 		if c.Promises != nil {
 			checkPromises(c.Promises, out)
 		}
-		for _, r := range c.Routes {
-			if len(r.Upgrades) > 0 {
-				caps := c.Pools[r.Pools[0].Pool].Tunnels
-				fmt.Fprintf(out, "  route %s: clients may change to %s, %d at once, %d to a node\n", r.Name, strings.Join(r.Upgrades, ", "), caps.Most, caps.PerNode)
+		for _, r := range slices.SortedFunc(c.Table.Rules(), func(x, y *route.Rule) int { return strings.Compare(x.Name, y.Name) }) {
+			if to := c.Targets[r.To]; len(to.Upgrades) > 0 {
+				fmt.Fprintf(out, "  route %s: clients may change to %s, %d at once, %d to a node\n", r.Name, strings.Join(to.Upgrades, ", "), to.Tunnels.Most, to.Tunnels.PerNode)
 			}
 		}
 	}
 	return errors.Join(append(errs, config.AgreeVoters(voters))...)
 }
 
-// uses tells how many nodes of a pool this one of many balancers uses.
-func uses(out io.Writer, c *config.Loaded, pool string) error {
-	fmt.Fprintf(out, "  pool %s: balancer %d of %d uses at first", pool, c.Instances.Rank, c.Instances.Count)
-	for i, nodes := range []int{10, 100, 1000} {
-		n, err := service.Uses(c.Settings(pool), nodes)
-		if err != nil {
-			return err
+// tellCost tells what a configuration takes.
+func tellCost(out io.Writer, x config.Cost) {
+	fmt.Fprintf(out, "  cost: %d pools, %d nodes in lists, %d routes, %d tenants: about %d MiB of memory with all pools in use and no request, %d MiB while a new process reads the file; %d descriptors at rest, %d at most\n",
+		x.Pools, x.Nodes, x.Routes, x.Tenants, (x.Resident+1<<20-1)>>20, (x.Reading+1<<20-1)>>20, x.AtRest, x.AtMost)
+}
+
+// use is what a balancer with some settings uses, as text.
+type use struct {
+	settings clayladder.Settings
+	text     string
+}
+
+// uses tells how many nodes of a pool this one of many balancers uses. Pools with the same settings use the same: known has what was found.
+func uses(out io.Writer, c *config.Loaded, pool string, known []use) ([]use, error) {
+	s := c.Settings(pool)
+	s.Limits.Out, s.Classes = 0, s.Classes[:1] // these say nothing of it
+	at := slices.IndexFunc(known, func(x use) bool { return x.settings.Equal(s) })
+	if at < 0 {
+		text := fmt.Sprintf("balancer %d of %d uses at first", c.Instances.Rank, c.Instances.Count)
+		for i, nodes := range []int{10, 100, 1000} {
+			n, err := service.Uses(c.Settings(pool), nodes)
+			if err != nil {
+				return known, err
+			}
+			text += fmt.Sprintf("%s %d of %d nodes", []string{"", ",", ","}[i], n, nodes)
 		}
-		fmt.Fprintf(out, "%s %d of %d nodes", []string{"", ",", ","}[i], n, nodes)
+		at = len(known)
+		known = append(known, use{s, text})
 	}
-	fmt.Fprintln(out)
+	fmt.Fprintf(out, "  pool %s: %s\n", pool, known[at].text)
 	if c.Tenants.Len() == 0 {
 		fmt.Fprintf(out, "  pool %s: no tenant has bought anything, so a balancer with more than its part of the traffic is not known to have it\n", pool)
 	}
-	return nil
+	return known, nil
 }
 
 // clear moves a terminal's cursor home and clears what is behind it.
