--- a/internal/service/lists_test.go
+++ b/internal/service/lists_test.go
@@ -141,7 +141,8 @@
 	c := (&site{t: t, folder: folder}).parse(text)
 	for range 5 {
 		_, err := Start(c, "test")
-		for _, err := range []error{err, CheckLists(c)} {
+		_, checked := CheckLists(c)
+		for _, err := range []error{err, checked} {
 			if err == nil {
 				t.Fatal("taken")
 			}
