Configuration: smaller batches; tests of odd texts and of mistakes with little memory

Configuration: batches of about a millisecond, half the processors; odd texts, and a mistake with little memory.

Reading took all processors in pieces of some 10 ms, for which decisions wait where there are few. Batches are of 128 entries, and half the processors read. Where the memory does not bear reading a file with a mistake at once, the batch tells the place.

TestOddTexts: sections, names and entries twice, entries within quotes, anchors, other line ends: without the look for a section twice, or for a name elsewhere in the section, it fails.

--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -10,12 +10,12 @@
 	"clayladder/internal/strictyaml"
 )
 
-const (
-	// batch is how many entries of a long section are read at once: what the parser makes of them takes about 2 KB each.
-	batch = 1024
-	// readers is how many batches are read side by side.
-	readers = 4
-)
+// batch is how many entries of a long section are read at once, in about a millisecond: on a machine with one processor decisions wait for
+// no more than one. What the parser makes of them takes about 2 KB each.
+const batch = 128
+
+// readers is how many batches are read side by side: half the processors stay for what is served meanwhile.
+func readers() int { return max(1, min(4, runtime.GOMAXPROCS(0)/2)) }
 
 // held is the text that a configuration was read from in parts. It is what the next text is compared with.
 type held struct {
@@ -131,7 +131,7 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	whole = true
-	slots := make(chan struct{}, min(readers, runtime.GOMAXPROCS(0)))
+	slots := make(chan struct{}, readers())
 	for from := 0; from < len(e.Starts); from += batch {
 		slots <- struct{}{}
 		wg.Go(func() {
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -228,9 +228,12 @@
 	return nil
 }
 
+// mostFew is how many entries may differ: more are read faster side by side.
+const mostFew = 4096
+
 // few reads what differs, as it was and as it is; false if it is much or in doubt.
 func few[T any](k *checker, path string, was, is *strictyaml.Entries, old, next *T) bool {
-	if len(was.Starts) > 4*batch || len(is.Starts) > 4*batch {
+	if len(was.Starts) > mostFew || len(is.Starts) > mostFew {
 		return false
 	}
 	d, ok := was.Read(path, 0, 0, len(was.Starts), old)
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -229,6 +229,66 @@
 	t.Logf("%d of %d edits were read by their difference", taken, edits)
 }
 
+// TestOddTexts: texts whose lines look like entries and are not, or the other way round, are read as the whole is.
+func TestOddTexts(t *testing.T) {
+	const text = `listeners: [{address: '127.0.0.1:0'}]
+classes: {c: {aim: 100ms, deadline: 1s}}
+tenants:
+  a: {quota: 5}
+  b: {quota: 6}
+  c: {quota: 7}
+pools:
+  p:
+    nodes: {file: p.yaml}
+  q:
+    nodes: {file: q.yaml}
+routes:
+- {name: one, class: c, pool: p}
+- {name: two, class: c, pool: q, path: {prefix: /two}}
+`
+	c, _ := inParts("/c/c.yaml", []byte(text), 0)
+	if c == nil {
+		t.Fatal("the text is not read in parts")
+	}
+	for _, x := range []struct {
+		old, new string
+		right    bool // the whole takes it
+	}{
+		{"pools:\n", "tenants:\n  d: {quota: 8}\npools:\n", false}, // a section twice
+		{"classes:", "limits: {memory: 256MiB}\nlimits: {memory: 512MiB}\nclasses:", false},
+		{"file: p.yaml}", "file: \"p\n  q: {nodes: {file: x}}\n  r.yaml\"}", true},             // entries within quotes
+		{"file: p.yaml}", "file: \"p\nroutes:\n  r.yaml\"}", true},                             // a section
+		{"  b: {quota: 6}\n", "  b: {quota:\n  6}\n", true},                                    // a value where entries begin
+		{"  b: {quota: 6}\n", "  ? b\n  : {quota: 6}\n", true},                                 // one entry in two lines
+		{"  b: {quota: 6}\n", "  b: {quota: 6}\u0085  d: {quota: 8}\n", true},                  // two in one
+		{"  b: {quota: 6}\n", "  b: &b {quota: 6}\n", true},                                    // an anchor
+		{"b: {quota: 6}\n  c: {quota: 7}", "b: &b {quota: 6}\n  c: *b", true},                  // and its alias
+		{"  b: {quota: 6}\n", "  a: {quota: 6}\n", false},                                      // a name twice
+		{"  c: {quota: 7}\n", "  a: {quota: 5}\n", false},                                      // far from the first
+		{"name: two", "name: one", false},                                                      // of routes
+		{"{prefix: /two}", "{prefix: /}", false},                                               // two that tie
+		{"  b: {quota: 6}\n", "  b: {quota: 6}\n   d: {quota: 8}\n", false},                    // deeper than its section
+		{"  b: {quota: 6}\n", "  b: {quota: 6}\n d: {quota: 8}\n", false},                      // less deep
+		{"  b: {quota: 6}\n", "  b: {quota: 6}\n- d\n", false},                                 // an item among keys
+		{"  a: {quota: 5}\n  b: {quota: 6}\n  c: {quota: 7}\n", "", false},                     // none left
+		{"  a: {quota: 5}\n  b: {quota: 6}\n  c: {quota: 7}\n", "  # none\n", false},           // but a comment
+		{"  a: {quota: 5}\n  b: {quota: 6}\n", "", true},                                       // one left
+		{"tenants:\n", "tenants: # of now\n", true},                                            // a comment behind a key
+		{"tenants:\n", "tenants: &t\n", true},                                                  // an anchor there
+		{"tenants:\n", "%TAG ! x\ntenants:\n", false},                                          // a directive
+		{"pools:\n", "---\npools:\n", false},                                                   // another document
+		{"  b: {quota: 6}\n", "  b: {quota: 6}\r\n", true},                                     // another line end
+		{"  b: {quota: 6}\n", "  b: {quota: 6}\n\tx\n", false},                                 // a tab
+		{"file: p.yaml}", "file: p.yaml}\n    rest: >-\n      always\n    # not always", true}, // a block of text
+	} {
+		edit := strings.Replace(text, x.old, x.new, 1)
+		if _, err := atOnce("/c/c.yaml", []byte(edit)); edit == text || (err == nil) != x.right {
+			t.Errorf("%q for %q: the whole says %v", x.new, x.old, err)
+		}
+		agrees(t, c, edit)
+	}
+}
+
 // FuzzReload: any edit of a text is read as the whole is, or gives way.
 func FuzzReload(f *testing.F) {
 	for seed := range 4 {
@@ -340,6 +400,23 @@
 	}
 }
 
+// TestMistakeWithLittleMemory: where the memory does not bear reading the whole at once, the batch with the mistake tells its place.
+func TestMistakeWithLittleMemory(t *testing.T) {
+	text := strings.Replace(string(generated(10, 100, 40000)), "memory: 1GiB", "memory: 64MiB", 1)
+	if _, err := Parse("c.yaml", []byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct{ old, new, want string }{
+		{"tenant-039000: {quota", "tenant-039000: {qouta", "c.yaml:39119:19: unknown key \"qouta\""},
+		{"tenant-039000: {", "tenant-039000: &x {", "c.yaml:2:18: reading the file at once, as one with a mistake or with anchors has to be, takes about 75 MiB"},
+	} {
+		_, err := Parse("c.yaml", []byte(strings.Replace(text, x.old, x.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), x.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", x.new, err)
+		}
+	}
+}
+
 func BenchmarkReload(b *testing.B) {
 	text := string(generated(490, 15000, 140000))
 	c, err := Parse("c.yaml", []byte(text))
