--- a/internal/standin/loopnodes/loopnodes.go
+++ b/internal/standin/loopnodes/loopnodes.go
@@ -94,10 +94,13 @@
 	}
 }
 
-// At is the address of a node, from 0 to 2^22 - 1: 127.64.0.1 is the first, and .0 and .255 at an end are left out.
-func (n *Nodes) At(node int) string {
+// At is where a node is asked, from 0 on.
+func (n *Nodes) At(node int) string { return Address(node, n.port) }
+
+// Address is a node's address with a port, for nodes from 0 to a million: 127.64.0.1 is the first, and .0 and .255 at an end are left out.
+func Address(node int, port uint16) string {
 	v := node/254<<8 | (node%254 + 1)
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + v>>16), byte(v >> 8), byte(v)}), n.port).String()
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(64 + v>>16), byte(v >> 8), byte(v)}), port).String()
 }
 
 // Connections counts those that have come up, and Runs the requests answered.
--- a/rigs/capacity/main.go
+++ b/rigs/capacity/main.go
@@ -86,7 +86,15 @@
 	flag.StringVar(&o.name, "name", "capacity", "what their files' names begin with")
 	flag.IntVar(&o.largest, "pools", 0, "leave out what has more pools; 0: nothing")
 	flag.StringVar(&o.folder, "folder", memory(), "where sites are written; on a disk a rename waits for it")
+	site := flag.String("site", "", "write the planned size's configuration and lists into this `FOLDER`, and end")
 	flag.Parse()
+	if *site != "" {
+		if err := writeSite(*site, o.seed); err != nil {
+			fmt.Fprintln(os.Stderr, "capacity:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if only != "" {
 		o.only = strings.Split(only, ",")
 	}
@@ -157,6 +165,23 @@
 	return nil
 }
 
+// writeSite writes a site to try things on. Nobody listens at its nodes.
+func writeSite(folder string, seed uint64) error {
+	folder, err := filepath.Abs(folder)
+	if err != nil {
+		return err
+	}
+	s, err := capacity.New(planned, seed)
+	if err != nil {
+		return err
+	}
+	p := &capacity.Places{Listen: "127.0.0.1:8080", Admin: "127.0.0.1:8081", Lists: filepath.Join(folder, "lists"), Node: func(node int) string { return loopnodes.Address(node, 9) }}
+	if err := s.WriteLists(p, func(int) capacity.Word { return capacity.Up }); err != nil {
+		return err
+	}
+	return capacity.Replace(filepath.Join(folder, "olivearch.yaml"), s.Config(p, capacity.Edit{}))
+}
+
 // commit names the code, with a plus if the working tree has other.
 func commit(ctx context.Context) string {
 	text, err := exec.CommandContext(ctx, "git", "describe", "--always", "--dirty=+", "--exclude=*").Output()
