--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,7 +11,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"runtime/debug"
+	"reflect"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -93,6 +93,7 @@
 	listeners map[string]net.Listener
 	lists     map[string]firstList // of pools whose source is new, or stands in the configuration
 	specs     map[string]pool.Spec
+	stay      map[string]bool // pools that are told nothing new
 }
 
 // drop undoes a plan that is not carried out.
@@ -109,7 +110,9 @@
 	if err != nil {
 		return err
 	}
-	s.directory.Limit(c.Limits.NodeConnections)
+	if now.config == nil || now.config.Limits.NodeConnections != c.Limits.NodeConnections {
+		s.directory.Limit(c.Limits.NodeConnections)
+	}
 	s.promises.follow(c.Promises)
 	for name, spec := range p.specs {
 		if old := now.pools[name]; old == nil {
@@ -135,8 +138,10 @@
 	s.route(p.next)
 	s.serve(now, p)
 	s.state.Store(p.next)
-	for name, x := range p.next.pools { // once more: the ledger may have spoken since a pool was opened
-		s.promises.begin(name, x)
+	for name, x := range p.next.pools {
+		if now.pools[name] == nil { // once more: the ledger may have spoken since the pool was opened
+			s.promises.begin(name, x)
+		}
 	}
 	for name, old := range now.pools {
 		if p.next.pools[name] == nil {
@@ -149,7 +154,7 @@
 // plan checks and opens what a configuration needs.
 func (s *Service) plan(now *state, c *config.Loaded) (*plan, error) {
 	p := &plan{next: &state{config: c, fronts: map[string]*front{}, pools: map[string]*member{}, reloads: now.reloads + 1},
-		listeners: map[string]net.Listener{}, specs: map[string]pool.Spec{}}
+		listeners: map[string]net.Listener{}, specs: make(map[string]pool.Spec, len(c.Pools)), stay: make(map[string]bool, len(c.Pools))}
 	var errs []error
 	var files []string
 	for name, x := range c.Pools {
@@ -158,9 +163,17 @@
 		}
 	}
 	p.lists = readLists(c, files)
+	nodes := 0
+	for _, l := range p.lists {
+		nodes += len(l.nodes)
+	}
+	errs = append(errs, c.Bears(nodes))
 	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
-		p.specs[name] = spec(c, name)
-		if err := p.specs[name].Settings.Validate(); err != nil {
+		x := spec(c, name)
+		p.specs[name] = x
+		if old := now.pools[name]; old != nil && same(&old.spec, &x) {
+			p.stay[name] = true
+		} else if err := x.Settings.Validate(); err != nil {
 			errs = append(errs, fmt.Errorf("pool %s: %w", name, err))
 		}
 		if err := p.lists[name].err; err != nil {
@@ -192,12 +205,12 @@
 		}
 		p.next.admin = x
 	}
-	if len(errs) > 0 {
+	if err := errors.Join(errs...); err != nil {
 		p.drop()
 		if x := p.next.admin; x != nil && x != now.admin {
 			x.stop()
 		}
-		return nil, errors.Join(errs...)
+		return nil, err
 	}
 	return p, nil
 }
@@ -211,6 +224,17 @@
 		Tunnels: pool.TunnelCaps{Most: x.Tunnels.Most, PerNode: x.Tunnels.PerNode}, Whole: true}
 }
 
+// same tells whether a pool that was told x would be told nothing new by y. A table of tenants that was made anew is taken for another.
+func same(x, y *pool.Spec) bool {
+	if x.Settings.Tenants != y.Settings.Tenants {
+		return false
+	}
+	was, is := *x, *y
+	was.Seed, was.Known, was.Keep = is.Seed, is.Known, is.Keep // for its start only
+	was.Settings.Tenants, is.Settings.Tenants = nil, nil       // a table's size is nothing to be compared for each pool
+	return reflect.DeepEqual(was, is)
+}
+
 // open starts a pool and gives it its list.
 func (s *Service) open(p *plan, name string, spec pool.Spec, source config.NodeSource) error {
 	spec.Seed = rand.Uint64()
@@ -246,10 +270,12 @@
 	if moved { // a late word of the old source must not pass for one of the new
 		old.stop()
 	}
-	if err := old.Configure(spec); err != nil { // its settings are valid: it has ended
-		slog.Error("pool keeps its configuration", "pool", name, "err", err)
+	if !p.stay[name] {
+		if err := old.Configure(spec); err != nil { // its settings are valid: it has ended
+			slog.Error("pool keeps its configuration", "pool", name, "err", err)
+		}
 	}
-	if source.Discovery == "" && (moved || source.File == "") {
+	if source.Discovery == "" && (moved || source.File == "" && !slices.Equal(old.source.Static, source.Static)) {
 		old.Tell(p.lists[name].nodes)
 	}
 	if moved {
@@ -259,13 +285,13 @@
 
 // route makes the routes of a state those that hold.
 func (s *Service) route(next *state) {
-	r := &proxy.Routing{Table: next.config.Table, Routes: map[string]proxy.Destination{}, Pools: map[string]*pool.Pool{}}
-	for name, x := range next.config.Routing {
-		tunnels := next.config.Pools[x.Pools[0].Pool].Tunnels
-		r.Routes[name] = proxy.Destination{Class: next.config.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie,
+	c := next.config
+	r := &proxy.Routing{Table: c.Table, To: make([]proxy.Destination, len(c.Targets)), Pools: make(map[string]*pool.Pool, len(next.pools))}
+	for i, x := range c.Targets {
+		r.To[i] = proxy.Destination{Class: c.Class(x.Class), Limit: time.Duration(x.Deadline), KeyCookie: x.KeyCookie,
 			Bodies: &body.Limits{Request: int64(x.Body.Max), Ahead: int(x.Body.Buffer), Within: time.Duration(x.Body.Within), Answer: int64(x.Answer.Max),
 				Quiet: time.Duration(x.Answer.Idle), Total: time.Duration(x.Answer.Total), Trailers: true},
-			Upgrades: x.Upgrades, Tunnels: &body.TunnelLimits{Idle: time.Duration(tunnels.Idle), Total: time.Duration(tunnels.Total), Grace: time.Duration(tunnels.Grace)}}
+			Upgrades: x.Upgrades, Tunnels: &body.TunnelLimits{Idle: time.Duration(x.Tunnels.Idle), Total: time.Duration(x.Tunnels.Total), Grace: time.Duration(x.Tunnels.Grace)}}
 	}
 	for name, x := range next.pools {
 		r.Pools[name] = x.Pool
@@ -372,10 +398,3 @@
 	v.Promises = s.promises.view()
 	return v
 }
-
-// LimitMemory tells the collector how much memory the configuration gives. Collecting later costs memory, which the soft
-// limit bounds. It is for a process that runs one service and nothing else.
-func LimitMemory(c *config.Loaded) {
-	debug.SetGCPercent(400)
-	debug.SetMemoryLimit(int64(c.Limits.Memory) / 10 * 8)
-}
