Capacity rig: hollow balancers read their configuration as serve does

serve compares a reload with the configuration before and bounds the heap's headroom; hollow balancers now do both, the latter once for all. The busiest services have room for 64 requests: on a busy machine the smallest site, with all traffic on one service, had refused 108 of 2,004.

--- a/internal/capacity/hollow/hollow.go
+++ b/internal/capacity/hollow/hollow.go
@@ -81,17 +81,18 @@
 
 type balancer struct {
 	file    string
+	config  *config.Loaded
 	service *service.Service
 }
 
 func (h *process) obey(c Command) (r Reply) {
-	if c.Limit > 0 { // as service.LimitMemory, for all balancers of the process
-		debug.SetGCPercent(400)
+	if c.Limit > 0 {
 		debug.SetMemoryLimit(c.Limit)
 	}
 	some := h.all
 	switch c.Do {
 	case Start:
+		service.BeforeReading()
 		for _, file := range c.Files {
 			h.all = append(h.all, &balancer{file: file})
 		}
@@ -109,6 +110,7 @@
 	default:
 		r.Err = fmt.Sprintf("no verb %q", c.Do)
 	}
+	h.collect()
 	for _, b := range h.all {
 		if b.service != nil {
 			r.Addresses = append(r.Addresses, b.service.Address(Listen).String())
@@ -117,6 +119,17 @@
 	return r
 }
 
+// headroom is what the heap may grow by for each balancer before the collector runs, as service.AfterReading has it for one.
+const headroom = 16 << 20
+
+// collect gives back what reading configurations took, once for all balancers, and bounds what the heap may grow by.
+func (h *process) collect() {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	debug.SetGCPercent(min(400, int(100*headroom*float64(len(h.all))/float64(max(1, m.HeapAlloc)))+1))
+}
+
 // each does something with balancers, as many at a time as there are cores, and tells how long each took from its turn on.
 func each(all []*balancer, f func(*balancer) error) (took []float64, failed string) {
 	took = make([]float64, len(all))
@@ -144,21 +157,25 @@
 	if err != nil {
 		return err
 	}
+	b.config = c
 	b.service, err = service.Start(c, "hollow")
 	return err
 }
 
 func (b *balancer) reload() error {
-	c, err := config.Load(b.file)
-	if err != nil {
-		return err
+	c, err := config.Reload(b.file, b.config)
+	if err == nil {
+		err = b.service.Apply(c)
 	}
-	return b.service.Apply(c)
+	if err == nil {
+		b.config = c
+	}
+	return err
 }
 
 func (b *balancer) restart() error {
 	b.service.Stop()
-	b.service = nil
+	b.service, b.config = nil, nil
 	return b.start()
 }
 
--- a/internal/capacity/text.go
+++ b/internal/capacity/text.go
@@ -9,9 +9,9 @@
 
 // The limits that a configuration states, the same for every size: room for 490 pools, and within what a process may use.
 const (
-	Memory      = 288 << 20
-	Descriptors = 4096
-	clients     = 1500
+	Memory      = 384 << 20
+	Descriptors = 5000
+	clients     = 2000
 	bodies      = 16 << 20
 )
 
@@ -72,7 +72,7 @@
 		connections, queue := 4, 2
 		switch rank := s.ranks[i]; {
 		case rank < 8:
-			connections, queue = 64, 16
+			connections, queue = 64, 64
 		case rank < 64:
 			queue = 8
 		}
--- a/rigs/capacity/traffic.go
+++ b/rigs/capacity/traffic.go
@@ -23,16 +23,17 @@
 // Seen are latencies in ms. Added is what the balancer adds: the requests' quantile less that of as many sent to a node straight, at
 // the same time.
 type Seen struct {
-	Asked    int     `json:"asked"`
-	Wrong    int     `json:"wrong"` // not answered 200
-	P50      float64 `json:"p50_ms"`
-	P99      float64 `json:"p99_ms"`
-	Most     float64 `json:"most_ms"`
-	Direct99 float64 `json:"direct_p99_ms"`
-	AddedP50 float64 `json:"added_p50_ms"`
-	AddedP99 float64 `json:"added_p99_ms"`
-	Resident float64 `json:"resident_mb"` // at the end
-	CPU      float64 `json:"cpu"`         // part of a core
+	Asked    int            `json:"asked"`
+	Wrong    int            `json:"wrong"` // not answered 200
+	How      map[string]int `json:"wrong_by_answer,omitempty"`
+	P50      float64        `json:"p50_ms"`
+	P99      float64        `json:"p99_ms"`
+	Most     float64        `json:"most_ms"`
+	Direct99 float64        `json:"direct_p99_ms"`
+	AddedP50 float64        `json:"added_p50_ms"`
+	AddedP99 float64        `json:"added_p99_ms"`
+	Resident float64        `json:"resident_mb"` // at the end
+	CPU      float64        `json:"cpu"`         // part of a core
 }
 
 // The traffic of one of 1,500 balancers of a fleet with 250,000 requests a second.
@@ -94,6 +95,7 @@
 
 // seen sends requests for a time, at drawn moments whether or not others are answered, and as many to a node straight.
 func (r *rig) seen(ctx context.Context, b *balancer, seed uint64, length time.Duration) (s Seen, err error) {
+	s.How = map[string]int{}
 	arrivals := b.site.Arrivals(int(rate*length.Seconds()), seed)
 	rng := rand.New(rand.NewPCG(seed, 5))
 	var mu sync.Mutex
@@ -124,6 +126,11 @@
 			through = append(through, took)
 			if err != nil || status != http.StatusOK {
 				s.Wrong++
+				how := fmt.Sprint(status)
+				if err != nil {
+					how = "no answer"
+				}
+				s.How[how]++
 			}
 			if straightErr == nil {
 				resp.Body.Close()
