--- /dev/null
+++ b/internal/pool/rest_test.go
@@ -0,0 +1,462 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"clayladder"
+	"clayladder/internal/discovery"
+	"clayladder/internal/maintenance"
+	"clayladder/internal/nodelist"
+	"clayladder/internal/standin/scripted"
+	"clayladder/internal/upstream"
+	"clayladder/internal/wire"
+)
+
+// restSpec is a pool that is parked and given back.
+func restSpec() Spec {
+	s := testSpec()
+	s.Discovery, s.Known = "", nil
+	s.Settings.OnRequest, s.Settings.Rest, s.Queue = false, true, 1000
+	s.Links.KeepAlive = 200 * time.Millisecond
+	return s
+}
+
+// restPool is a pool that runs, with hooks for a test.
+type restPool struct {
+	*Pool
+	t testing.TB
+}
+
+// newRest starts one that is given back after so long. change is called before it runs.
+func newRest(t testing.TB, spec Spec, madeFor time.Duration, change func(l *loop)) *restPool {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	l := newLoop(ctx, spec)
+	l.madeFor = madeFor
+	if change != nil {
+		change(l)
+	}
+	if err := l.start(1, spec.Known); err != nil {
+		t.Fatal(err)
+	}
+	p := &Pool{loop: l, name: spec.Name, end: cancel, ended: make(chan struct{})}
+	p.queue.Store(int64(spec.Queue))
+	l.mail.open(l.run)
+	return &restPool{p, t}
+}
+
+// taking is a node that answers everything.
+func taking(t testing.TB) *scripted.Node {
+	s := scripted.Start(t, scripted.Done)
+	go func() {
+		for range s.Arrivals {
+		}
+	}()
+	return s
+}
+
+func node(id string, s *scripted.Node) nodelist.Node {
+	return nodelist.Node{ID: id, Address: s.Addr, Zone: "z1", Phase: "up", Weight: 1}
+}
+
+// begin asks a request.
+func (p *restPool) begin(name string) *Request {
+	r := &Request{Name: name, At: p.Now(), Reply: make(chan Answer, 2)}
+	r.Class, r.Budget = "checkin", 3*time.Second
+	r.Message = upstream.Message{Line: "POST /checkin", Host: "x"}
+	p.Ask(r)
+	return r
+}
+
+func (p *restPool) ask(name string) Answer {
+	p.t.Helper()
+	select {
+	case a := <-p.begin(name).Reply:
+		return a
+	case <-time.After(10 * time.Second):
+		p.t.Fatal("no answer")
+		return Answer{}
+	}
+}
+
+// look runs f on the loop's goroutine.
+type look struct {
+	f    func(l *loop)
+	done chan struct{}
+}
+
+func (e look) apply(l *loop) { e.f(l); close(e.done) }
+
+func (p *restPool) look(f func(l *loop)) {
+	e := look{f, make(chan struct{})}
+	p.loop.post(e)
+	<-e.done
+}
+
+func (p *restPool) made() (made bool) {
+	p.look(func(l *loop) { made = l.made() })
+	return made
+}
+
+// parked waits until the goroutine has ended.
+func (p *restPool) parked() {
+	p.t.Helper()
+	p.await("parked", func() bool {
+		p.loop.mail.mu.Lock()
+		defer p.loop.mail.mu.Unlock()
+		return !p.loop.mail.taking
+	})
+}
+
+func (p *restPool) await(what string, ok func() bool) {
+	p.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			p.t.Fatalf("not %s within 10 s", what)
+		}
+	}
+}
+
+// A pool is made by its first request, parks, closes its connections in time and is given back; it keeps its list, its counters and
+// what it learnt over that, and has no goroutine meanwhile.
+func TestMadeParkedGivenBack(t *testing.T) {
+	s := taking(t)
+	p := newRest(t, restSpec(), 50*time.Millisecond, nil)
+	p.Tell([]nodelist.Node{node("a", s), node("b", s)})
+	p.parked()
+	want(t, "made before a request", p.made(), false)
+	v := p.View()
+	want(t, "nodes in view", len(v.Nodes), 2)
+	want(t, "phase", v.Nodes[0].Phase, "up")
+	before := runtime.NumGoroutine()
+	for i := range 3 {
+		want(t, "status", p.ask(fmt.Sprint(i)).Status, http.StatusOK)
+		want(t, "made", p.made(), true)
+		p.await("given back", func() bool { return !p.made() })
+		p.parked()
+		want(t, "connections", p.View().Connections, 0)
+	}
+	want(t, "served", p.View().Served, uint64(3))
+	want(t, "learnt of upstreams", len(p.Memory().Upstreams) > 0, true)
+	p.parked()
+	p.await("without goroutines", func() bool { return runtime.NumGoroutine() <= before })
+}
+
+// What comes while the goroutine is about to end is not lost, and there is never a second one.
+func TestWokenWhileParking(t *testing.T) {
+	s := taking(t)
+	var at, let = make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	p := newRest(t, restSpec(), time.Minute, func(l *loop) {
+		l.parking = func() { once.Do(func() { close(at); <-let }) }
+	})
+	<-at // it has looked a last time, and its mailbox was empty
+	p.Tell([]nodelist.Node{node("a", s)})
+	r := p.begin("1")
+	close(let)
+	select {
+	case a := <-r.Reply:
+		want(t, "status", a.Status, http.StatusOK)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request is lost")
+	}
+}
+
+// Events from many goroutines, with the loop parking in between: under the race detector two goroutines of one loop would be seen.
+func TestOneGoroutineAtATime(t *testing.T) {
+	s := taking(t)
+	p := newRest(t, restSpec(), time.Millisecond, func(l *loop) { l.parking = runtime.Gosched })
+	p.Tell([]nodelist.Node{node("a", s)})
+	var g sync.WaitGroup
+	for w := range 8 {
+		g.Go(func() {
+			for i := range 50 {
+				switch (w + i) % 4 {
+				case 0:
+					if a := p.ask(fmt.Sprint(w, "-", i)); a.Status != http.StatusOK {
+						t.Errorf("status %d", a.Status)
+					}
+				case 1:
+					p.View()
+				case 2:
+					p.Tell([]nodelist.Node{node("a", s)})
+				default:
+					p.Alive()
+				}
+			}
+		})
+	}
+	g.Wait()
+}
+
+// A drain told while the pool rests holds for its first request, whichever way it came.
+func TestDrainWhileUnmade(t *testing.T) {
+	a, b := taking(t), taking(t)
+	drained := node("a", a)
+	drained.Phase = "draining"
+	for what, drain := range map[string]func(p *restPool){
+		"list":    func(p *restPool) { p.Tell([]nodelist.Node{drained, node("b", b)}) },
+		"by hand": func(p *restPool) { want(t, "out by hand", p.Maintain("a", true), nil) },
+		"ledger":  func(p *restPool) { p.Govern(maintenance.Shared{Out: map[string]bool{"a": true}}) },
+		"merged":  func(p *restPool) { p.Merge(map[string]maintenance.Entry{"a": {Out: true, At: 1}}) },
+		"delta": func(p *restPool) {
+			p.loop.hand(listed{Listing: discovery.Listing{Revision: 9, Members: []discovery.Member{{ID: "a", HostPort: a.Addr, Phase: "draining", Size: 1}}}})
+		},
+		"gone": func(p *restPool) {
+			p.loop.hand(listed{Listing: discovery.Listing{Revision: 9, Members: []discovery.Member{{ID: "a", Phase: "removed"}}}})
+		},
+	} {
+		for _, after := range []time.Duration{0, 900 * time.Millisecond, 1100 * time.Millisecond} {
+			t.Run(fmt.Sprint(what, after), func(t *testing.T) {
+				t.Parallel()
+				p := newRest(t, restSpec(), time.Minute, nil)
+				p.Tell([]nodelist.Node{node("a", a), node("b", b)})
+				p.parked()
+				drain(p)
+				p.parked()
+				want(t, "made", p.made(), false)
+				for _, n := range p.View().Nodes {
+					want(t, "phase of "+n.ID, n.Phase, map[string]string{"a": "draining", "b": "up"}[n.ID])
+				}
+				time.Sleep(after)
+				for i := range 6 {
+					want(t, "status", p.ask(fmt.Sprint(i)).Status, http.StatusOK)
+				}
+			})
+		}
+	}
+	t.Cleanup(func() { want(t, "sent to the drained one", a.Opened(), 0) })
+}
+
+// A drain that another pool was told of holds for one that is not made, and its own drain for others.
+func TestDrainOfOthersWhileUnmade(t *testing.T) {
+	a, b := taking(t), taking(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	d := NewDirectory(ctx, 10)
+	start := func(name string) *restPool {
+		spec := restSpec()
+		spec.Name, spec.Share = name, 1
+		p, err := New(ctx, spec, d, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return &restPool{p, t}
+	}
+	x, y := start("x"), start("y")
+	for _, p := range []*restPool{x, y} {
+		p.Tell([]nodelist.Node{node("a", a), node("b", b)})
+	}
+	drained := node("a", a)
+	drained.Phase = "draining"
+	x.Tell([]nodelist.Node{drained, node("b", b)})
+	y.await("told", func() bool {
+		v := y.View().Nodes
+		return len(v) == 2 && v[0].Phase == "draining" && v[1].Phase == "up"
+	})
+	want(t, "made", x.made() || y.made(), false)
+	for i := range 4 {
+		want(t, "status", y.ask(fmt.Sprint(i)).Status, http.StatusOK)
+	}
+	want(t, "sent to the drained one", a.Opened(), 0)
+}
+
+// The first request to 300 resting pools at once: all are served, each in a bounded time.
+func TestManyFirstRequests(t *testing.T) {
+	s := taking(t)
+	var pools []*restPool
+	for range 300 {
+		p := newRest(t, restSpec(), time.Minute, nil)
+		p.Tell([]nodelist.Node{node("a", s), node("b", s), node("c", s)})
+		pools = append(pools, p)
+	}
+	for _, p := range pools {
+		p.parked()
+	}
+	var g sync.WaitGroup
+	for _, p := range pools {
+		g.Go(func() {
+			begun := time.Now()
+			if a := p.ask("1"); a.Status != http.StatusOK {
+				t.Errorf("status %d", a.Status)
+			}
+			if took := time.Since(begun); took > time.Second {
+				t.Errorf("answered after %v", took)
+			}
+		})
+	}
+	g.Wait()
+}
+
+// A pool is not given back while something is open, or must not be forgotten.
+func TestNotGivenBackWhile(t *testing.T) {
+	release := make(chan struct{})
+	slow := scripted.Start(t, func(c net.Conn, r *http.Request) bool { <-release; return scripted.Done(c, r) })
+	fast := taking(t)
+	const madeFor, short = 10 * time.Millisecond, 800 * time.Millisecond
+	stays := func(t *testing.T, p *restPool, made bool) {
+		t.Helper()
+		if made {
+			for range 5 {
+				time.Sleep(60 * time.Millisecond)
+				if !p.made() {
+					t.Fatal("given back")
+				}
+			}
+		}
+		p.await("given back", func() bool { return !p.made() })
+	}
+	t.Run("request", func(t *testing.T) {
+		p := newRest(t, restSpec(), madeFor, nil)
+		p.Tell([]nodelist.Node{node("a", slow)})
+		r := p.begin("1")
+		<-slow.Arrivals
+		time.Sleep(300 * time.Millisecond)
+		want(t, "made", p.made(), true)
+		close(release)
+		want(t, "status", (<-r.Reply).Status, http.StatusOK)
+		stays(t, p, false)
+	})
+	t.Run("retry window", func(t *testing.T) {
+		spec := restSpec()
+		spec.Settings.Classes[1].Repeat, spec.Settings.Classes[1].Memory = clayladder.Keyed, short
+		p := newRest(t, spec, madeFor, nil)
+		p.Tell([]nodelist.Node{node("a", fast)})
+		want(t, "status", p.ask("1").Status, http.StatusOK)
+		ended := time.Now()
+		stays(t, p, true)
+		if kept := time.Since(ended); kept < short-50*time.Millisecond {
+			t.Errorf("given back after %v", kept)
+		}
+	})
+	t.Run("cold ramp", func(t *testing.T) {
+		spec := restSpec()
+		spec.Settings.Rules.RampTime = short
+		p := newRest(t, spec, madeFor, nil)
+		fresh := node("a", fast)
+		p.Tell([]nodelist.Node{node("b", fast)})
+		want(t, "status", p.ask("1").Status, http.StatusOK)
+		fresh.Started = time.Now()
+		p.Tell([]nodelist.Node{node("b", fast), fresh})
+		begun := time.Now()
+		stays(t, p, true)
+		if kept := time.Since(begun); kept < short-50*time.Millisecond {
+			t.Errorf("given back after %v", kept)
+		}
+	})
+	t.Run("tenant", func(t *testing.T) {
+		spec := restSpec()
+		spec.Settings.Tenants = clayladder.NewTenants([]clayladder.Tenant{{Name: "t", Quota: 2}})
+		p := newRest(t, spec, madeFor, nil)
+		p.Tell([]nodelist.Node{node("a", fast)})
+		r := &Request{Name: "1", At: p.Now(), Reply: make(chan Answer, 2)}
+		r.Class, r.Budget, r.Tenant = "checkin", time.Second, "t"
+		r.Message = upstream.Message{Line: "POST /checkin", Host: "x"}
+		p.Ask(r)
+		want(t, "status", (<-r.Reply).Status, http.StatusOK)
+		stays(t, p, true) // half a second
+	})
+	t.Run("connection", func(t *testing.T) {
+		spec := restSpec()
+		spec.Links.KeepAlive = 1200 * time.Millisecond
+		p := newRest(t, spec, madeFor, nil)
+		p.Tell([]nodelist.Node{node("a", fast)})
+		want(t, "status", p.ask("1").Status, http.StatusOK)
+		want(t, "connections", p.View().Connections, 1)
+		stays(t, p, true)
+	})
+}
+
+// An unmade pool ends, takes another configuration, and outlives nothing that ends it.
+func TestEndsWhileUnmade(t *testing.T) {
+	s := taking(t)
+	kept := &kept{closed: make(chan struct{})}
+	spec := restSpec()
+	spec.Keep = kept
+	p := newRest(t, spec, time.Minute, func(l *loop) { l.shares = NewDirectory(t.Context(), 10).join(1, false, l.hand) })
+	p.Tell([]nodelist.Node{node("a", s)})
+	p.parked()
+	want(t, "lists kept", kept.count(), 1)
+	wrong := spec
+	wrong.Settings.Classes = nil
+	if err := p.Configure(wrong); err == nil || !strings.Contains(err.Error(), "Classes") {
+		t.Errorf("wrong settings: %v", err)
+	}
+	next := spec
+	next.Connections = 7
+	want(t, "configure", p.Configure(next), nil)
+	want(t, "made", p.made(), false)
+	want(t, "limit", p.View().Limit, 7)
+	p.parked()
+	p.Retire()
+	<-p.Ended()
+	<-kept.closed
+	want(t, "enter", func() bool { ok, _ := p.Enter(); return ok }(), false)
+
+	q := newRest(t, restSpec(), time.Minute, nil)
+	q.Tell([]nodelist.Node{node("a", s)})
+	q.parked()
+	q.end() // its context
+	want(t, "nodes in view", len(q.View().Nodes), 0)
+	want(t, "held", len(q.Held()), 0)
+}
+
+type kept struct {
+	mu     sync.Mutex
+	told   int
+	closed chan struct{}
+}
+
+func (k *kept) Told(discovery.Listing) { k.mu.Lock(); k.told++; k.mu.Unlock() }
+func (k *kept) Close()                 { close(k.closed) }
+func (k *kept) count() int             { k.mu.Lock(); defer k.mu.Unlock(); return k.told }
+
+// A restart that a list tells while the pool is unmade makes the upstream cold in the module that its first request makes.
+func TestColdWhenMade(t *testing.T) {
+	s := taking(t)
+	p := newRest(t, restSpec(), time.Minute, nil)
+	fresh := node("b", s)
+	fresh.Started = time.Now()
+	p.Tell([]nodelist.Node{node("a", s), fresh})
+	want(t, "status", p.ask("1").Status, http.StatusOK)
+	for _, n := range p.View().Nodes {
+		want(t, "cold: "+n.ID, n.Cold, n.ID == "b")
+	}
+}
+
+// BenchmarkMake is what the first request of a pool pays.
+func BenchmarkMake(b *testing.B) {
+	for _, c := range []struct{ nodes, balancers int }{{40, 1}, {2000, 1}, {2000, 1500}} {
+		b.Run(fmt.Sprintf("%d of %d", c.nodes, c.balancers), func(b *testing.B) {
+			spec := restSpec()
+			spec.Settings.Balancers = c.balancers
+			spec.Links = wire.Links{KeepAlive: time.Minute, ConnectTimeout: time.Second}
+			l := newLoop(b.Context(), spec)
+			if err := l.start(1, nil); err != nil {
+				b.Fatal(err)
+			}
+			x := discovery.Listing{Complete: true}
+			for i := range c.nodes {
+				x.Members = append(x.Members, discovery.Member{ID: fmt.Sprintf("node-%05d", i), HostPort: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Locality: "z1", Phase: "up", Size: 1})
+			}
+			listed{Listing: x}.apply(l)
+			for b.Loop() {
+				if err := l.make(); err != nil {
+					b.Fatal(err)
+				}
+				b.StopTimer()
+				l.giveBack(l.now())
+				b.StartTimer()
+			}
+		})
+	}
+}
