--- a/internal/pool/rest_test.go
+++ b/internal/pool/rest_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -297,12 +298,32 @@
 	g.Wait()
 }
 
+// A parked pool closes an idle connection in its time with no event to wake it.
+func TestParkedClosesConnections(t *testing.T) {
+	closed := make(chan struct{})
+	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		scripted.Done(c, r)
+		io.Copy(io.Discard, c) // until it is closed
+		close(closed)
+		return false
+	})
+	p := newRest(t, restSpec(), time.Minute, nil)
+	p.Tell([]nodelist.Node{node("a", s)})
+	want(t, "status", p.ask("1").Status, http.StatusOK)
+	p.parked()
+	select {
+	case <-closed:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the connection stays open")
+	}
+}
+
 // A pool is not given back while something is open, or must not be forgotten.
 func TestNotGivenBackWhile(t *testing.T) {
 	release := make(chan struct{})
 	slow := scripted.Start(t, func(c net.Conn, r *http.Request) bool { <-release; return scripted.Done(c, r) })
 	fast := taking(t)
-	const madeFor, short = 10 * time.Millisecond, 800 * time.Millisecond
+	const madeFor, short = 10 * time.Millisecond, 2 * time.Second // longer than to the next sweep
 	stays := func(t *testing.T, p *restPool, made bool) {
 		t.Helper()
 		if made {
@@ -327,6 +348,7 @@
 		stays(t, p, false)
 	})
 	t.Run("retry window", func(t *testing.T) {
+		t.Parallel()
 		spec := restSpec()
 		spec.Settings.Classes[1].Repeat, spec.Settings.Classes[1].Memory = clayladder.Keyed, short
 		p := newRest(t, spec, madeFor, nil)
@@ -339,6 +361,7 @@
 		}
 	})
 	t.Run("cold ramp", func(t *testing.T) {
+		t.Parallel()
 		spec := restSpec()
 		spec.Settings.Rules.RampTime = short
 		p := newRest(t, spec, madeFor, nil)
@@ -354,8 +377,9 @@
 		}
 	})
 	t.Run("tenant", func(t *testing.T) {
+		t.Parallel()
 		spec := restSpec()
-		spec.Settings.Tenants = clayladder.NewTenants([]clayladder.Tenant{{Name: "t", Quota: 2}})
+		spec.Settings.Tenants = clayladder.NewTenants([]clayladder.Tenant{{Name: "t", Quota: 0.5}})
 		p := newRest(t, spec, madeFor, nil)
 		p.Tell([]nodelist.Node{node("a", fast)})
 		r := &Request{Name: "1", At: p.Now(), Reply: make(chan Answer, 2)}
@@ -363,9 +387,14 @@
 		r.Message = upstream.Message{Line: "POST /checkin", Host: "x"}
 		p.Ask(r)
 		want(t, "status", (<-r.Reply).Status, http.StatusOK)
-		stays(t, p, true) // half a second
+		ended := time.Now()
+		stays(t, p, true)
+		if kept := time.Since(ended); kept < short-50*time.Millisecond {
+			t.Errorf("given back after %v", kept)
+		}
 	})
 	t.Run("connection", func(t *testing.T) {
+		t.Parallel()
 		spec := restSpec()
 		spec.Links.KeepAlive = 1200 * time.Millisecond
 		p := newRest(t, spec, madeFor, nil)
