--- a/internal/nodelist/watch_test.go
+++ b/internal/nodelist/watch_test.go
@@ -758,3 +758,45 @@
 		t.Fatal(err)
 	}
 }
+
+// BenchmarkAtRest follows 490 lists, by the system's word and by time, and shows what that costs in a second: run it with
+// -benchtime 1x, the seconds are fixed.
+func BenchmarkAtRest(b *testing.B) {
+	for _, polled := range []bool{false, true} {
+		b.Run(fmt.Sprint("polled=", polled), func(b *testing.B) {
+			folder := b.TempDir()
+			var told sync.WaitGroup
+			w := newWatcher(b.Context(), 5*time.Second, func(error) {})
+			if polled {
+				w.open = func() (notifier, error) { return nil, syscall.EMFILE }
+			}
+			go w.run(b.Context())
+			for i, n := range zipf(490, 18000) {
+				path := filepath.Join(folder, fmt.Sprint(i))
+				if err := os.WriteFile(path, []byte(sized(i, n, "")), 0o600); err != nil {
+					b.Fatal(err)
+				}
+				told.Add(1)
+				w.Follow(path, Reading{}, func(w Word) {
+					if w.List != nil {
+						told.Done()
+					}
+				})
+			}
+			told.Wait()
+			time.Sleep(time.Second) // each is read for the second time
+			before := cpu()
+			const length = 10 * time.Second
+			for b.Loop() {
+				time.Sleep(length)
+			}
+			b.ReportMetric(100*(cpu()-before).Seconds()/length.Seconds()/float64(b.N), "%core")
+		})
+	}
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/pool/directory_test.go
+++ b/internal/pool/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 
 	"clayladder"
@@ -273,3 +274,57 @@
 	d.turn()
 	want(t, "words at a drain", words, 1)
 }
+
+// BenchmarkDirectory claims 18,000 nodes in 490 pools, each listed by one, and then drains one of them. It shows what the
+// directory and the pools' ties keep for a node.
+func BenchmarkDirectory(b *testing.B) {
+	const pools, nodes = 490, 18000
+	addresses := make([][]string, pools)
+	for i := range nodes {
+		addresses[i%pools] = append(addresses[i%pools], fmt.Sprintf("10.%d.%d.7:8080", i/250, i%250))
+	}
+	claim := func(s *sharing, pool int, drains bool) {
+		m := make(map[string]bool, len(addresses[pool]))
+		for k, a := range addresses[pool] {
+			m[a] = drains && k == 0
+		}
+		s.claim(m)
+	}
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	start := func() (*Directory, *directory, []*sharing) {
+		d, state := &Directory{ctx: b.Context(), ready: make(chan struct{}, 1)}, newDirectory(40)
+		ties := make([]*sharing, pools)
+		for i := range ties {
+			var s *sharing
+			s = d.join(1, false, func(e event) { s.take(e.(sharesTold), func(string) {}) })
+			claim(s, i, false)
+			ties[i] = s
+		}
+		state.turn(d.take())
+		return d, state, ties
+	}
+	b.Run("start", func(b *testing.B) {
+		before := heap()
+		d, state, ties := start()
+		kept := float64(heap()-before) / nodes
+		runtime.KeepAlive(d)
+		runtime.KeepAlive(state)
+		runtime.KeepAlive(ties)
+		for b.Loop() {
+			start()
+		}
+		b.ReportMetric(kept, "B/node")
+	})
+	b.Run("drain", func(b *testing.B) {
+		d, state, ties := start()
+		for i := 0; b.Loop(); i++ {
+			claim(ties[7], 7, i%2 == 0)
+			state.turn(d.take())
+		}
+	})
+}
