--- a/tenants.go
+++ b/tenants.go
@@ -52,11 +52,25 @@
 				t.err = badTenant(shard[i].Name)
 			}
 		}
+		pack(shard)
 	}
 	t.n = len(list)
 	return t
 }
 
+// pack puts a shard's names into one string, so that the collector has one thing to look at and not one for each.
+func pack(shard []Tenant) {
+	var names strings.Builder
+	for i := range shard {
+		names.WriteString(shard[i].Name)
+	}
+	rest := names.String()
+	for i := range shard {
+		n := len(shard[i].Name)
+		shard[i].Name, rest = rest[:n], rest[n:]
+	}
+}
+
 func newTenants(n int) *Tenants {
 	high := bits.Len(uint(n / shardTenants))
 	return &Tenants{shards: make([][]Tenant, 1<<high), shift: 64 - high}
