--- a/tenants.go
+++ b/tenants.go
@@ -61,6 +61,11 @@
 // pack puts a shard's names into one string, so that the collector has one thing to look at and not one for each.
 func pack(shard []Tenant) {
 	var names strings.Builder
+	n := 0
+	for i := range shard {
+		n += len(shard[i].Name)
+	}
+	names.Grow(n)
 	for i := range shard {
 		names.WriteString(shard[i].Name)
 	}
