Capacity rig: hollow balancers collect where serve does, and are watched idle once calm

A reload collected once for all although serve's, which reads what differs, does not: 75 ms of CPU a hollow balancer against 29 of a real one.

--- a/internal/capacity/hollow/hollow.go
+++ b/internal/capacity/hollow/hollow.go
@@ -110,7 +110,9 @@
 	default:
 		r.Err = fmt.Sprintf("no verb %q", c.Do)
 	}
-	h.collect()
+	if c.Do == Start || c.Do == Reload && slices.ContainsFunc(h.all, (*balancer).readMuch) {
+		h.collect()
+	}
 	for _, b := range h.all {
 		if b.service != nil {
 			r.Addresses = append(r.Addresses, b.service.Address(Listen).String())
@@ -152,6 +154,11 @@
 	return took, ""
 }
 
+// large is from how many bytes of a configuration on service.AfterReading collects what reading it took.
+const large = 256 << 10
+
+func (b *balancer) readMuch() bool { return b.config != nil && b.config.Read() >= large }
+
 func (b *balancer) start() error {
 	c, err := config.Load(b.file)
 	if err != nil {
--- a/rigs/capacity/fleet.go
+++ b/rigs/capacity/fleet.go
@@ -267,7 +267,7 @@
 	}
 	s.StartCPUMS = ms(f.cpu()-used) / float64(more)
 	s.ReadyP50MS, s.ReadyP99MS = capacity.Quantile(reply.TookMS, 0.5), capacity.Quantile(reply.TookMS, 0.99)
-	if err := rest(ctx, time.Second); err != nil {
+	if err := calm(ctx, f.cpu, 0.01*float64(n)); err != nil {
 		return s, err
 	}
 	used, u, began := f.cpu(), f.usage(), time.Now()
--- a/rigs/capacity/hollow.go
+++ b/rigs/capacity/hollow.go
@@ -363,7 +363,7 @@
 	if err := s.start(); err != nil {
 		return p, err
 	}
-	if err := rest(ctx, time.Second); err != nil {
+	if err := calm(ctx, s.cpu, 0.01*n); err != nil {
 		return p, err
 	}
 	used, u, began := s.cpu(), s.usage(), time.Now()
