Capacity rig: figures are written after each part of a run

Capacity rig: figures are written after each part; a real balancer's own memory beside the factor.

A run that is ended from outside leaves what it has.

--- a/rigs/capacity/hollow.go
+++ b/rigs/capacity/hollow.go
@@ -214,6 +214,8 @@
 	Factors map[string]float64 `json:"factors"` // a real one's figure as a multiple of a hollow one's
 	Outside []string           `json:"outside_a_tenth,omitempty"`
 	BaseMB  float64            `json:"hollow_process_without_balancers_mb"`
+	// OwnMB is what a real one has more, of which most is its process's own: where balancers are small it is to be carried instead of a factor.
+	OwnMB float64 `json:"resident_difference_mb"`
 }
 
 // set is balancers that a load is put on.
@@ -333,6 +335,7 @@
 			x.Outside = append(x.Outside, f.name)
 		}
 	}
+	x.OwnMB = x.Real.ResidentMB - x.Hollow.ResidentMB
 	say("calibration, %d of each, %v:\n  real   %+v\n  hollow %+v\n  factors %v", n, x.Size, x.Real, x.Hollow, x.Factors)
 	return nil
 }
--- a/rigs/capacity/main.go
+++ b/rigs/capacity/main.go
@@ -136,6 +136,11 @@
 			if err != nil { // the figures of other parts are worth having
 				r.Broken = append(r.Broken, p.name+": "+err.Error())
 			}
+			if r.Seconds = time.Since(began).Seconds(); r.out != "" { // also if a later part is ended from outside
+				if err := r.write(); err != nil {
+					return err
+				}
+			}
 		}
 	}
 	r.Seconds = time.Since(began).Seconds()
--- a/rigs/capacity/tables.go
+++ b/rigs/capacity/tables.go
@@ -169,7 +169,7 @@
 	for _, name := range slices.Sorted(maps.Keys(x.Factors)) {
 		p.row(name, num(x.Factors[name]), map[bool]string{true: "over 10 %"}[slices.Contains(x.Outside, name)])
 	}
-	p.say("\nA process without balancers has %s MB, which is in a hollow one's figure by its part.", num(x.BaseMB))
+	p.say("\nA real one has %s MB more than a hollow one; a process without balancers has %s MB, which is in a hollow one's figure by its part.", num(x.OwnMB), num(x.BaseMB))
 }
 
 func (r *rig) fleetTables(p *page) {
