--- a/rigs/capacity/main.go
+++ b/rigs/capacity/main.go
@@ -86,10 +86,17 @@
 	flag.StringVar(&o.name, "name", "capacity", "what their files' names begin with")
 	flag.IntVar(&o.largest, "pools", 0, "leave out what has more pools; 0: nothing")
 	flag.StringVar(&o.folder, "folder", memory(), "where sites are written; on a disk a rename waits for it")
+	from := flag.String("from", "", "write the tables and plots of an earlier run's `FILE` of figures, and end")
 	site := flag.String("site", "", "write the planned size's configuration and lists into this `FOLDER`, and end")
 	flag.Parse()
-	if *site != "" {
-		if err := writeSite(*site, o.seed); err != nil {
+	if *site != "" || *from != "" {
+		err := error(nil)
+		if *site != "" {
+			err = writeSite(*site, o.seed)
+		} else {
+			err = again(*from, o)
+		}
+		if err != nil {
 			fmt.Fprintln(os.Stderr, "capacity:", err)
 			os.Exit(1)
 		}
@@ -187,6 +194,20 @@
 	return capacity.Replace(filepath.Join(folder, "olivearch.yaml"), s.Config(p, capacity.Edit{}))
 }
 
+// again writes an earlier run's tables and plots.
+func again(path string, o options) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	r := &rig{Figures: &Figures{}, options: o}
+	if err := json.Unmarshal(text, r.Figures); err != nil {
+		return err
+	}
+	r.full = r.Full
+	return r.write()
+}
+
 // commit names the code, with a plus if the working tree has other.
 func commit(ctx context.Context) string {
 	text, err := exec.CommandContext(ctx, "git", "describe", "--always", "--dirty=+", "--exclude=*").Output()
