--- a/internal/report/curves.go
+++ b/internal/report/curves.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"image/color"
+	"math"
 	"os"
 
 	"gonum.org/v1/plot"
@@ -23,7 +24,7 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
 	p.Legend.Top, p.Legend.Left, p.Legend.TextStyle.Font.Size = true, true, font.Length(9)
-	first, last, most, least := 0.0, 0.0, bound, bound
+	first, last, most, least := 0.0, 0.0, bound, math.Inf(1)
 	for i, c := range curves {
 		if err := line(p, i, c.Name, c.Points); err != nil {
 			return fmt.Errorf("plot %s: %w", path, err)
@@ -35,10 +36,7 @@
 		marks.Radius = vg.Points(2)
 		p.Add(marks)
 		for _, at := range c.Points {
-			last, most = max(last, at.X), max(most, at.Y)
-			if least == 0 || at.Y < least {
-				least = at.Y
-			}
+			last, most, least = max(last, at.X), max(most, at.Y), min(least, at.Y)
 		}
 	}
 	if bound > 0 {
@@ -52,6 +50,7 @@
 	}
 	p.Y.Max = most * 1.1
 	if p.Y.Min = 0; bound > 0 && most > 10*bound && least > 0 {
+		least = min(least, bound)
 		p.Y.Min, p.Y.Scale, p.Y.Tick.Marker = least/2, plot.LogScale{}, plot.LogTicks{Prec: -1}
 	}
 	text, err := drawing{plot: p}.svg()
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -108,21 +108,28 @@
 	}
 }
 
-// TestCurvesShowTheBound draws lines under their bound, and far over it on a logarithmic axis.
+// TestCurvesShowTheBound draws lines under their bound, and far over it on a logarithmic axis, which has no place for 0 and less.
 func TestCurvesShowTheBound(t *testing.T) {
 	for _, high := range []float64{4, 400} {
-		path := filepath.Join(t.TempDir(), "x.svg")
-		if err := Curves(path, "title", "x", "y", []Curve{{"one", plotter.XYs{{X: 0, Y: 1}, {X: 1, Y: high}}}, {"two", plotter.XYs{{X: 0, Y: 2}}}}, 5); err != nil {
-			t.Fatal(err)
-		}
-		text, err := os.ReadFile(path)
-		if err != nil {
-			t.Fatal(err)
+		for _, low := range []float64{1, 0, -1} {
+			bounded(t, low, high)
 		}
-		for _, want := range []string{"bound: 5", "one", "two", "</svg>"} {
-			if !strings.Contains(string(text), want) {
-				t.Errorf("%q is not in the plot up to %g", want, high)
-			}
+	}
+}
+
+func bounded(t *testing.T, low, high float64) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "x.svg")
+	if err := Curves(path, "title", "x", "y", []Curve{{"one", plotter.XYs{{X: 0, Y: low}, {X: 1, Y: high}}}, {"two", plotter.XYs{{X: 0, Y: 2}}}}, 5); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"bound: 5", "one", "two", "</svg>"} {
+		if !strings.Contains(string(text), want) {
+			t.Errorf("%q is not in the plot up to %g", want, high)
 		}
 	}
 }
