--- /dev/null
+++ b/decide_test.go
@@ -0,0 +1,34 @@
+package clayladder
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// BenchmarkDecide is a request with its outcome and its part of the ticks, at one a millisecond.
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := settings()
+			s.Balancers = 1
+			bal, err := New(s, 1, 0, &silentHost{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			bal.Members(0, ListCached, fleet(n))
+			now := time.Duration(0)
+			for i := range b.N {
+				now += ms
+				if i%20 == 0 {
+					bal.Timer(now, tickToken)
+				}
+				id := RequestID(i + 1)
+				bal.Request(now, Request{ID: id, Class: "read", Budget: time.Second})
+				if r := bal.requests[id]; r != nil && r.out > 0 {
+					bal.Outcome(now, Outcome{ID: id, Upstream: r.attempts[0].up.ID, Latency: 50 * ms, Status: OK, Closed: true})
+				}
+			}
+		})
+	}
+}
