--- a/balancer.go
+++ b/balancer.go
@@ -678,6 +678,9 @@
 	}
 	b.watchWait = 0
 	named := make(map[UpstreamID]bool, len(list))
+	if len(b.ups) == 0 {
+		b.makeRoom(len(list))
+	}
 	for _, e := range list {
 		named[e.ID] = true
 		b.member(e.clean(), now)
@@ -706,7 +709,8 @@
 	if u == nil && e.State == Gone {
 		return
 	} else if u == nil {
-		u = &upstream{weight: e.Weight, factor: 1, most: boundStart, wait: b.tick, spentAt: now, answeredAt: now,
+		u = b.newUpstream()
+		*u = upstream{weight: e.Weight, factor: 1, most: boundStart, wait: b.tick, spentAt: now, answeredAt: now,
 			cutAt: now, freeAt: now, place: mixed(uint64(e.ID))}
 		b.byID[e.ID], b.ups = u, append(b.ups, u)
 	}
@@ -762,7 +766,7 @@
 	}
 	left, least := want*total/max(n, 1), sliceLeast*total/max(n, 1)
 	few, good := left*(1-b.pace), left*b.pace // the stretch of few sharers ends there; so much is wanted warm
-	chosen, end := map[*upstream]float64{}, -left
+	chosen, end := make(map[*upstream]float64, int(want)+1), -left
 	b.warm = false
 	for i := 0; i < len(ring) && left > end && (max(left, good) > least/2 || i < subsetLeast); i++ {
 		u := ring[(first+i)%len(ring)]
--- a/internal/discovery/names.go
+++ b/internal/discovery/names.go
@@ -22,8 +22,11 @@
 }
 
 // NewNames returns a Names without ids.
-func NewNames() *Names {
-	return &Names{ids: map[string]clayladder.UpstreamID{}, taken: map[clayladder.UpstreamID]bool{}}
+func NewNames() *Names { return NewNamesFor(0) }
+
+// NewNamesFor returns a Names without ids, with room for n.
+func NewNamesFor(n int) *Names {
+	return &Names{ids: make(map[string]clayladder.UpstreamID, n), taken: make(map[clayladder.UpstreamID]bool, n)}
 }
 
 // ID returns an id's number.
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -82,6 +82,9 @@
 		l.due = append(l.due, owing{a, clayladder.Moot})
 		return
 	}
+	if p.out == nil {
+		p.out = map[*attempt]struct{}{}
+	}
 	p.out[a] = struct{}{}
 	if a.Conn = a.link.conn; a.Conn != nil {
 		a.Rest = l.rest(p) - (now - a.link.idleAt)
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -58,6 +58,7 @@
 	requests map[clayladder.RequestID]*Request
 	open     map[string]bool // the clients' ids of these
 	peers    map[clayladder.UpstreamID]*peer
+	room     []peer // for those of the list with which the module is made
 	tunnels  map[*attempt]struct{}
 	caps     TunnelCaps
 	conns    int     // connections to upstreams, open or opening
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -168,7 +168,12 @@
 			l.names.Forget(m.ID)
 			return nil
 		}
-		p = &peer{id: u.ID, name: m.ID, out: map[*attempt]struct{}{}}
+		if len(l.room) > 0 {
+			p, l.room = &l.room[0], l.room[1:]
+		} else {
+			p = new(peer)
+		}
+		p.id, p.name = u.ID, m.ID
 		l.peers[u.ID] = p
 	}
 	if u.State != clayladder.Gone {
--- a/internal/pool/rest.go
+++ b/internal/pool/rest.go
@@ -55,10 +55,13 @@
 		return err
 	}
 	held := l.unmade
+	n := len(held.members)
+	l.peers, l.names, l.room = make(map[clayladder.UpstreamID]*peer, n), discovery.NewNamesFor(n), make([]peer, n)
 	l.balancer, l.unmade, l.emptyAt = b, unmade{}, 0
 	if l.listed {
 		l.members(clayladder.ListCached, discovery.Listing{Revision: l.revision, Members: held.members})
 	}
+	l.room = nil
 	for name, m := range held.marks {
 		if p := l.named(name); p != nil {
 			p.strays, p.spoilt, p.why = m.strays, m.spoilt, m.why
--- a/state.go
+++ b/state.go
@@ -82,6 +82,7 @@
 	requests                map[RequestID]*request
 	byID                    map[UpstreamID]*upstream
 	ups                     []*upstream // in order of arrival
+	room                    []upstream  // for those of the first list
 	near                    []*upstream // the subset, and what left it with attempts still out
 	out                     int         // attempts out at all upstreams
 	held                    []*request  // in order of their turns
@@ -131,6 +132,21 @@
 	return shortest
 }
 
+// makeRoom makes room for the upstreams of a first list, all at once.
+func (b *Balancer) makeRoom(n int) {
+	b.byID, b.ups, b.room = make(map[UpstreamID]*upstream, n), make([]*upstream, 0, n), make([]upstream, n)
+}
+
+// newUpstream returns an upstream of which nothing is known.
+func (b *Balancer) newUpstream() *upstream {
+	if len(b.room) == 0 {
+		return new(upstream)
+	}
+	u := &b.room[0]
+	b.room = b.room[1:]
+	return u
+}
+
 // mixed is a fixed hash of x, so that neither numbering nor time of listing orders the ring.
 func mixed(x uint64) uint64 {
 	x = (x + 1) * 0x9e3779b97f4a7c15
