--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -508,6 +508,6 @@
 		}
 	}
 	if most := int64(baseMemory+queues*perRequest) + int64(k.Limits.Bodies); most > int64(k.Limits.Memory) {
-		k.Fail("limits.memory", "pools may hold %d requests, which can take %d MiB with the %d MiB of limits.bodies; lower their queues or give more", queues, most>>20, k.Limits.Bodies>>20)
+		k.Fail("limits.memory", "pools may hold %d requests, which can take %d MiB with the %d MiB of limits.bodies; lower their queues or give more", queues, (most+1<<20-1)>>20, k.Limits.Bodies>>20)
 	}
 }
