--- a/rigs/capacity/change.go
+++ b/rigs/capacity/change.go
@@ -40,27 +40,36 @@
 	return nil
 }
 
-// changes makes some changes of a kind, one after the other, and takes what a process costs without them off.
+// changes makes some changes of a kind, one after the other, and takes what a process costs without them off. A drain is seen by
+// requests, which cost too: the CPU is that of drains for which nobody asks, and the time that of others.
 func (r *rig) changes(ctx context.Context, b *balancer, row *Row, kind string) (c Change, err error) {
-	times := r.times(3, 1)
-	var took []float64
-	began, used, read := time.Now(), b.cpu(), usage(b).Read
-	for range times {
-		d, err := b.change(ctx, kind)
-		if err != nil {
-			return c, err
-		}
-		took = append(took, ms(d))
-		if err := calm(ctx, b.cpu, row.IdleCPU); err != nil {
-			return c, err
+	c.N = r.times(3, 1)
+	make := func(times int, change func() (time.Duration, error)) (took []float64, err error) {
+		began, used, read := time.Now(), b.cpu(), usage(b).Read
+		for range times {
+			d, err := change()
+			if err != nil {
+				return nil, err
+			}
+			took = append(took, ms(d))
+			if err := calm(ctx, b.cpu, row.IdleCPU); err != nil {
+				return nil, err
+			}
 		}
+		passed := time.Since(began).Seconds()
+		c.CPUMS = (ms(b.cpu()-used) - 1000*row.IdleCPU*passed) / float64(times)
+		c.Read = (float64(usage(b).Read-read) - row.IdleRead*passed) / float64(times)
+		return took, nil
+	}
+	took, err := make(c.N, func() (time.Duration, error) { return b.change(ctx, kind) })
+	if err != nil {
+		return c, err
 	}
-	passed := time.Since(began).Seconds()
-	c.N = times
-	c.CPUMS = (ms(b.cpu()-used) - 1000*row.IdleCPU*passed) / float64(times)
-	c.Read = (float64(usage(b).Read-read) - row.IdleRead*passed) / float64(times)
 	c.P50MS, c.P99MS = capacity.Quantile(took, 0.5), capacity.Quantile(took, 0.99)
-	return c, nil
+	if kind == drain {
+		_, err = make(c.N, func() (time.Duration, error) { return 0, b.turnOver() })
+	}
+	return c, err
 }
 
 // change makes one change and returns how long it took, from the first byte written, until it was in force.
@@ -94,15 +103,20 @@
 // drain lets the first service's node drain and the next be up, and asks until that one answers. A request that comes to it
 // after is the first word that anybody has of it, so what is measured is what a client sees.
 func (b *balancer) drain(ctx context.Context) (time.Duration, error) {
-	b.turn = (b.turn + 1) % b.site.Services[0].Nodes
 	began := time.Now()
-	if err := b.site.WriteList(&b.places, 0, b.word); err != nil {
+	if err := b.turnOver(); err != nil {
 		return 0, err
 	}
 	err := b.until(ctx, began, b.places.Node(b.turn))
 	return time.Since(began), err
 }
 
+// turnOver writes the first service's list with the next node up.
+func (b *balancer) turnOver() error {
+	b.turn = (b.turn + 1) % b.site.Services[0].Nodes
+	return b.site.WriteList(&b.places, 0, b.word)
+}
+
 // until asks the first service every millisecond until a node answers.
 func (b *balancer) until(ctx context.Context, began time.Time, node string) error {
 	for ctx.Err() == nil {
