Capacity rig: writing a list is no time in force; memory once all pools were asked

Capacity rig: writing the largest list is no time in force; memory once requests have come to all.

The largest list's time was that of its writing and stood among the bounds.

--- a/rigs/capacity/bounds.go
+++ b/rigs/capacity/bounds.go
@@ -90,11 +90,16 @@
 		case c.Why != "":
 			r.Broken = append(r.Broken, kind+": "+c.Why)
 		default:
-			r.most(kind+" in force, ms", c.P99MS, inForceMost)
+			if kind != largest { // its time is that of the writing alone
+				r.most(kind+" in force, ms", c.P99MS, inForceMost)
+			}
 			r.most(kind+", ms of CPU", c.CPUMS, changeMost)
 		}
 	}
 	if t := last.Traffic; t != nil {
+		if first.Traffic != nil {
+			r.plan("resident over the smallest once requests have come to all, MB", last.EndMB-first.EndMB, residentMost)
+		}
 		r.most("added to a request at p99 while changes come, ms", t.With.AddedP99, addedMost)
 		r.most("requests that were not answered 200", float64(t.Without.Wrong+t.With.Wrong), 0)
 	}
--- a/rigs/capacity/tables.go
+++ b/rigs/capacity/tables.go
@@ -78,14 +78,14 @@
 
 func (r *rig) slopeTables(p *page) {
 	p.say("\n## One process by size")
-	p.head("factor", "pools", "nodes", "routes", "tenants", "ready ms", "start CPU ms", "idle, of a core", "MB", "peak MB", "threads", "descriptors", "read idle B/s", "log lines")
+	p.head("factor", "pools", "nodes", "routes", "tenants", "ready ms", "start CPU ms", "idle, of a core", "MB", "peak MB", "MB at the end", "threads", "descriptors", "read idle B/s", "log lines")
 	for _, x := range r.Rows {
 		idle, threads := num(x.IdleCPU), fmt.Sprint(x.Threads)
 		if x.IdleS == 0 {
 			idle, threads = "-", "-"
 		}
 		p.row(x.Factor, fmt.Sprint(x.Pools), fmt.Sprint(x.Nodes), fmt.Sprint(x.Routes), fmt.Sprint(x.Tenants), num(x.ReadyMS), num(x.StartCPUMS), idle, num(x.ResidentMB),
-			num(x.PeakMB), threads, fmt.Sprint(x.Descriptors), num(x.IdleRead), fmt.Sprint(x.LogLines))
+			num(x.PeakMB), num(x.EndMB), threads, fmt.Sprint(x.Descriptors), num(x.IdleRead), fmt.Sprint(x.LogLines))
 	}
 	for _, x := range r.Rows {
 		if x.Why != "" {
