Reload: pools whose settings cannot differ are not compared; clock steps at rest tested

Change: a configuration made by what differs carries the identity of what pools are told; where it is that of the one before, only the table of tenants is looked at. The differential test checks it (without a new identity on a changed class, or on a changed pool, it fails). Test: the machine's clock is set by an hour either way while a pool rests (build tag ground); with the clock read anew each time it fails.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -47,8 +47,17 @@
 	size     int                       // of the file, bytes
 	memoryAt strictyaml.Error          // where it says what memory there is
 	used     map[string]map[string]int // by pool: how many of its routes have each class
+	told     *basis                    // of all that pools are told but the tenants
 }
 
+// basis is the identity of what pools are told: two configurations with one in common tell them the same. It has a size, or all would
+// have one address.
+type basis struct{ _ byte }
+
+// SamePools reports whether pools are told the same by c as by another, but for the tenants. It is certain where c was made of what
+// differs from the other; of configurations that were read apart it says no.
+func (c *Loaded) SamePools(other *Loaded) bool { return other != nil && c.told == other.told }
+
 // Target is what requests of a route meet beside its pools. Most routes have one in common with others.
 type Target struct {
 	Class     string
@@ -98,7 +107,7 @@
 
 // atOnce reads the whole text, and knows the place of each mistake.
 func atOnce(path string, text []byte) (*Loaded, error) {
-	c := &Loaded{targets: map[targetKey]int{}, read: len(text), size: len(text)}
+	c := &Loaded{targets: map[targetKey]int{}, read: len(text), size: len(text), told: new(basis)}
 	_, at := limit(path, text, strictyaml.Outline(text))
 	c.memoryAt = strictyaml.Error{File: path, Position: at}
 	d := strictyaml.Decode(path, text, &c.File)
--- a/internal/config/read.go
+++ b/internal/config/read.go
@@ -35,7 +35,7 @@
 	if h.parts == nil {
 		return nil, nil
 	}
-	c = &Loaded{targets: map[targetKey]int{}, read: len(text), size: len(text)}
+	c = &Loaded{targets: map[targetKey]int{}, read: len(text), size: len(text), told: new(basis)}
 	memory, at := limit(path, text, h.parts)
 	c.memoryAt = strictyaml.Error{File: path, Position: at}
 	if err := bears(path, at, memory, already, len(text), true, "the file"); err != nil {
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -317,7 +317,8 @@
 	if errs != nil || table.Len() == 0 {
 		return false
 	}
-	k.used = maps.Clone(k.used)
+	classes := k.used
+	k.used = maps.Clone(classes)
 	own := map[string]bool{}
 	for _, name := range gone {
 		k.use(before[name].Class, k.Table.Rule(name).Pools, -1, own)
@@ -325,6 +326,11 @@
 	for _, rule := range added {
 		k.use(k.Targets[rule.To].Class, rule.Pools, 1, own)
 	}
+	for pool := range own { // a pool is told its classes, however many routes have them
+		if !maps.EqualFunc(classes[pool], k.used[pool], func(int, int) bool { return true }) {
+			k.told = new(basis)
+		}
+	}
 	k.Table = table
 	return true
 }
@@ -334,7 +340,7 @@
 	if !few(k, path, was, is, &old, &next) || len(old) != len(next) { // what is left out depends on their number
 		return false
 	}
-	k.Pools = maps.Clone(k.Pools)
+	k.Pools, k.told = maps.Clone(k.Pools), new(basis)
 	for name, p := range next {
 		before, known := k.Pools[name]
 		if _, there := old[name]; !there || !known {
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -174,6 +175,21 @@
 	return fmt.Sprintf("%d lines, not %d", len(a), len(b))
 }
 
+// samePools fails if pools are told something else by one configuration than by another that says they are not.
+func samePools(t *testing.T, before, after *Loaded) {
+	t.Helper()
+	if len(before.Pools) != len(after.Pools) {
+		t.Fatalf("%d pools, %d before", len(after.Pools), len(before.Pools))
+	}
+	for name := range before.Pools {
+		was, is := before.Settings(name), after.Settings(name)
+		was.Tenants, is.Tenants = nil, nil
+		if !reflect.DeepEqual(was, is) || !reflect.DeepEqual(before.Pools[name], after.Pools[name]) {
+			t.Fatalf("pool %s is told something else:\n%+v\n%+v", name, was, is)
+		}
+	}
+}
+
 // agrees compares the small ways with reading the whole, and returns what holds then and whether a small way was taken.
 func agrees(t *testing.T, before *Loaded, text string) (next *Loaded, small bool) {
 	t.Helper()
@@ -186,6 +202,9 @@
 		if wrong != nil || told(changed) != told(want) {
 			t.Fatalf("by the difference another configuration than at once (%v): %s\n%s\n--- from\n%s", wrong, differ(changed, want), text, before.held.text)
 		}
+		if changed.SamePools(before) {
+			samePools(t, before, changed)
+		}
 		return changed, true
 	} else if mistaken && wrong == nil {
 		t.Logf("a mistake was seen where there is none, and the whole was read:\n%s", text)
--- /dev/null
+++ b/internal/pool/clock_ground_test.go
@@ -0,0 +1,52 @@
+//go:build ground
+
+package pool
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"clayladder/internal/clock"
+	"clayladder/internal/nodelist"
+)
+
+// The machine's clock is set by an hour, either way, while a pool rests: its time goes on by the monotonic clock, so what started just
+// now is cold, what drains gets nothing, and the first request is served. TestClockStepsWhileItRests runs it.
+func TestClockSteps(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "clock")
+	t.Setenv(clock.Variable, file)
+	set := func(by string) {
+		if err := os.WriteFile(file, []byte(by), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, by := range []string{"1h", "-1h"} {
+		t.Run(by, func(t *testing.T) {
+			set("0s")
+			a, drains, fresh := taking(t), taking(t), taking(t)
+			p := newRest(t, restSpec(), 10*time.Millisecond, nil)
+			p.Tell([]nodelist.Node{node("a", a)})
+			want(t, "status", p.ask("1").Status, http.StatusOK)
+			p.await("given back", func() bool { return !p.made() })
+			p.parked()
+			before := p.Now()
+			set(by)
+			d, f := node("d", drains), node("f", fresh)
+			d.Phase, f.Started = "draining", time.Now()
+			p.Tell([]nodelist.Node{node("a", a), d, f})
+			for _, name := range []string{"2", "3", "4"} {
+				want(t, "status", p.ask(name).Status, http.StatusOK)
+			}
+			if passed := p.Now() - before; passed < 0 || passed > time.Minute {
+				t.Errorf("%v have passed", passed)
+			}
+			for _, n := range p.View().Nodes {
+				want(t, n.ID+" is cold", n.Cold, n.ID == "f")
+			}
+			want(t, "sent to the one that drains", drains.Opened(), 0)
+		})
+	}
+}
--- a/internal/pool/rest_test.go
+++ b/internal/pool/rest_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os/exec"
 	"runtime"
 	"strings"
 	"sync"
@@ -489,3 +490,11 @@
 		})
 	}
 }
+
+// Clocks can be set in a build for the proving ground alone, so the test itself is in one.
+func TestClockStepsWhileItRests(t *testing.T) {
+	out, err := exec.CommandContext(t.Context(), "go", "test", "-count=1", "-v", "-tags", "ground", "-run", "^TestClockSteps$", ".").CombinedOutput()
+	if err != nil || strings.Count(string(out), "--- PASS: TestClockSteps/") != 2 {
+		t.Errorf("%v\n%s", err, out)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -168,10 +168,18 @@
 		nodes += len(l.nodes)
 	}
 	errs = append(errs, c.Bears(nodes))
+	told := c.SamePools(now.config)
 	for _, name := range slices.Sorted(maps.Keys(c.Pools)) {
-		x := spec(c, name)
+		old := now.pools[name]
+		var x pool.Spec
+		if told {
+			x = old.spec
+			x.Settings.Tenants = c.Tenants
+		} else {
+			x = spec(c, name)
+		}
 		p.specs[name] = x
-		if old := now.pools[name]; old != nil && same(&old.spec, &x) {
+		if old != nil && (told && x.Settings.Tenants == old.spec.Settings.Tenants || !told && same(&old.spec, &x)) {
 			p.stay[name] = true
 		} else if err := x.Settings.Validate(); err != nil {
 			errs = append(errs, fmt.Errorf("pool %s: %w", name, err))
