Pools: a short wait of a parked pool ends; figures that are read without waking it

Seen: a test that reads figures of pools at rest waited 10 s for one to be given back. The loop stays in its select where the next look is under 10 ms away (parkLeast), and with no alarm set nothing armed its clock for that look: an event within 10 ms before a connection's rest was over, or before a pool was to be given back, left its goroutine waiting until the next event, with connection, module and goroutine held (stillAt, run). A view every few seconds is such an event.

Change: what the goroutine stays for is a time that its clock is set to.

New: Pool.Stats, counters and levels in atomics that the goroutine leaves when it parks and each second while it runs; nodes are counted only when something about them has changed. Held requests by Balancer.Held.

--- /dev/null
+++ b/internal/live/part_test.go
@@ -0,0 +1,39 @@
+package live
+
+import (
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func TestParts(t *testing.T) {
+	for query, want := range map[string]Part{
+		"":                            {},
+		"pool=a&pool=b&pool=a":        {Pools: []string{"a", "b"}},
+		"nodes=used":                  {Nodes: UsedNodes},
+		"pool=x%26y&nodes=none":       {Pools: []string{"x&y"}, Nodes: NoNodes},
+		"nodes=all&pool=checkin-read": {Pools: []string{"checkin-read"}, Nodes: AllNodes},
+	} {
+		got, err := ParsePart(query)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s: %+v, %v", query, got, err)
+		}
+		if again, err := ParsePart(got.Query()); err != nil || !reflect.DeepEqual(again, got) {
+			t.Errorf("%s: said as %s and read as %+v, %v", query, got.Query(), again, err)
+		}
+	}
+	for query, want := range map[string]string{"nodes=some": "nodes is", "nodes=all&nodes=none": "nodes is", "pools=a": "no parameter \"pools\"", "pool=%zz": "escape"} {
+		if _, err := ParsePart(query); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", query, err)
+		}
+	}
+	x := Pool{Name: "p", Nodes: []Node{{ID: "idle", Phase: "up"}, {ID: "used", Phase: "up", Member: true}, {ID: "out", Phase: "up", Out: 1}, {ID: "cold", Phase: "up", Cold: true},
+		{ID: "silent", Phase: "up", Silent: true}, {ID: "leaving", Phase: "draining"}}}
+	for which, want := range map[string]int{"": 6, AllNodes: 6, UsedNodes: 5, NoNodes: 0} {
+		of := x
+		of.Nodes = append([]Node{}, x.Nodes...)
+		if got := (Part{Nodes: which}).Of(of); len(got.Nodes) != want || got.Nodes == nil || want == 5 && got.Nodes[0].ID != "used" {
+			t.Errorf("%q: %+v", which, got.Nodes)
+		}
+	}
+}
--- a/internal/pool/directory.go
+++ b/internal/pool/directory.go
@@ -269,6 +269,7 @@
 
 // reshare applies anew what the directory has told of nodes, by address; nil: of all.
 func (l *loop) reshare(nodes map[string]struct{}) {
+	l.counts.recount = true
 	var changed []clayladder.Upstream
 	for _, p := range l.peers {
 		if _, ok := nodes[p.address]; !ok && nodes != nil {
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -27,6 +27,7 @@
 	listed    bool          // a list has been told
 	madeFor   time.Duration // with no request and no connection
 	firstMost int           // with more nodes it is made before it is asked
+	lookAt    time.Duration // the goroutine stays for what is due then, soon; 0: for nothing
 	emptyAt   time.Duration // since when there is neither; 0: there is, or nobody has looked
 	waker     *time.Timer   // starts the goroutine of a parked pool; nil: none yet
 	parking   func()        // a test's, called between the last look and the end of the goroutine; else nil
@@ -67,7 +68,7 @@
 	due      []owing // outcomes that are known but not told: the module is not called while it calls
 	sweepAt  time.Duration
 
-	served, refused, failed uint64 // requests, by their final answer
+	counts counts
 }
 
 var _ clayladder.Host = (*loop)(nil)
@@ -161,7 +162,11 @@
 		if l.ctx.Err() != nil || l.park() {
 			return
 		}
-		if at, some := l.alarms.next(); some && (at < armed || armed <= l.now()) {
+		at, some := l.alarms.next()
+		if l.lookAt > 0 && (!some || l.lookAt < at) {
+			at, some = l.lookAt, true
+		}
+		if some && (at < armed || armed <= l.now()) {
 			armed = at
 			clock.Reset(max(0, at-l.now()))
 		}
@@ -200,5 +205,6 @@
 	if now := l.now(); now >= l.sweepAt {
 		l.sweepAt = now + sweepEvery
 		l.sweep(now)
+		l.publish()
 	}
 }
--- a/internal/pool/members.go
+++ b/internal/pool/members.go
@@ -155,6 +155,7 @@
 // forget drops an upstream that is gone and has nothing out.
 func (l *loop) forget(p *peer) {
 	if p.state == clayladder.Gone && len(p.out) == 0 && l.peers[p.id] == p {
+		l.counts.recount = true
 		delete(l.peers, p.id)
 		l.names.Forget(p.name)
 	}
@@ -191,6 +192,7 @@
 // place works out an upstream's state from its list, what the directory told, and what is out by hand. Until the directory has
 // answered for a node it gets nothing: other pools must have been told first that they share it.
 func (l *loop) place(p *peer) {
+	l.counts.recount = true
 	p.state, p.entry.Most = p.listed, 0
 	if l.shares != nil {
 		share, known := l.shares.share(p.address)
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -146,11 +146,12 @@
 	}
 	switch a.Status {
 	case http.StatusServiceUnavailable:
-		l.refused++
+		l.counts.refused.Add(1)
 	case http.StatusBadGateway, http.StatusGatewayTimeout:
-		l.failed++
+		l.counts.failed.Add(1)
 	default:
-		l.served++
+		l.counts.served.Add(1)
+		l.counts.servedFor.Add(int64(max(0, l.now()-r.At)))
 	}
 	a.Whole = l.whole
 	r.Reply <- a
--- a/internal/pool/rest.go
+++ b/internal/pool/rest.go
@@ -132,7 +132,7 @@
 	} else {
 		list = slices.DeleteFunc(slices.Clone(x.Members), gone)
 	}
-	l.unmade.members = slices.Clip(list)
+	l.unmade.members, l.counts.recount = slices.Clip(list), true
 	l.claim()
 	if len(list) > l.firstMost {
 		if err := l.make(); err != nil {
@@ -166,7 +166,7 @@
 	return slices.ContainsFunc(l.unmade.members, func(m discovery.Member) bool { return m.ID == name })
 }
 
-// stillAt is when the loop has to have its next turn, if no event comes: 0: never. false: it has to go on.
+// stillAt is when the loop has to have its next turn, if no event comes: 0: never, or by an alarm. false: it has to go on until then.
 func (l *loop) stillAt(now time.Duration) (at time.Duration, still bool) {
 	if !l.mayRest() || len(l.due) > 0 || (l.made() && !l.balancer.Resting()) {
 		return 0, false
@@ -205,9 +205,11 @@
 func (l *loop) park() bool {
 	now := l.now()
 	at, still := l.stillAt(now)
-	if !still {
+	if l.lookAt = 0; !still {
+		l.lookAt = at
 		return false
 	}
+	l.publish()
 	if at > 0 {
 		if l.waker == nil {
 			l.waker = time.AfterFunc(at-now, l.mail.rouse)
--- a/internal/pool/staff.go
+++ b/internal/pool/staff.go
@@ -154,6 +154,7 @@
 
 func (e governed) apply(l *loop) {
 	l.maint.Govern(maintenance.Shared(e), l.now())
+	l.counts.recount = true
 	var changed []clayladder.Upstream
 	for _, p := range l.peers {
 		before := p.entry
@@ -187,6 +188,7 @@
 
 // overlay applies anew to p what is out by hand. A nil one is not listed: what holds counts once it is.
 func (l *loop) overlay(p *peer) {
+	l.counts.recount = true
 	if p == nil {
 		return
 	}
--- a/internal/pool/view.go
+++ b/internal/pool/view.go
@@ -8,9 +8,12 @@
 )
 
 // View returns the pool's state at this moment.
-func (p *Pool) View() live.Pool {
+func (p *Pool) View() live.Pool { return p.ViewOf(live.Part{}) }
+
+// ViewOf returns a part of it.
+func (p *Pool) ViewOf(part live.Part) live.Pool {
 	got := make(chan live.Pool, 1)
-	p.loop.post(viewing{got})
+	p.loop.post(viewing{part, got})
 	select {
 	case v := <-got:
 		v.Name, v.TurnedAway, v.Queue = p.name, p.away.Load(), int(p.queue.Load())
@@ -21,7 +24,10 @@
 }
 
 // viewing asks for the state.
-type viewing struct{ got chan<- live.Pool }
+type viewing struct {
+	part live.Part
+	got  chan<- live.Pool
+}
 
 var phaseNames = map[clayladder.State]string{clayladder.Active: "up", clayladder.Draining: "draining", clayladder.Gone: "gone"}
 
@@ -30,9 +36,12 @@
 	var views []clayladder.UpstreamView
 	held := 0
 	if l.made() {
-		views, held = l.balancer.View(now)
+		held = l.balancer.Held()
 	}
-	v := live.Pool{Open: len(l.requests), Held: held, Connections: l.conns, Limit: l.maxConns, Tunnels: len(l.tunnels), Served: l.served, Refused: l.refused, Failed: l.failed,
+	if l.made() && e.part.Nodes != live.NoNodes {
+		views, _ = l.balancer.View(now)
+	}
+	v := live.Pool{Open: len(l.requests), Held: held, Connections: l.conns, Limit: l.maxConns, Tunnels: len(l.tunnels), Served: l.counts.served.Load(), Refused: l.counts.refused.Load(), Failed: l.counts.failed.Load(),
 		ListAgeMS: l.listAge(now).Milliseconds(), HoldMS: l.hold.Milliseconds(), Expired: l.expired(now), Trouble: l.trouble,
 		Nodes: []live.Node{}}
 	for _, u := range views {
@@ -44,16 +53,18 @@
 			Mean: u.Mean, Upper: u.Upper, Lower: u.Lower, Area: u.Area, Readings: u.Readings, Load: loadKind(u), Unreadable: p.spoilt, UnreadableWhy: p.why, Strays: p.strays, Cold: u.Cold, Silent: u.Silent, Out: u.Out, Bound: u.Bound,
 			LatencyMS: float64(u.Latency.Microseconds()) / 1000, Connections: p.conns, Part: cmp.Or(p.share.Part, 1), Limit: p.share.Connections})
 	}
-	for i := range l.unmade.members { // nobody has asked for it
-		m := &l.unmade.members[i]
-		u := m.Upstream(0)
-		p := &peer{name: m.ID, address: m.HostPort, listed: u.State, entry: u, weight: u.Weight}
-		l.place(p)
+	members := l.unmade.members
+	if e.part.Nodes == live.NoNodes {
+		members = nil
+	}
+	for i := range members { // nobody has asked for it
+		m := &members[i]
+		p := l.placed(m)
 		mark := l.unmade.marks[m.ID]
 		v.Nodes = append(v.Nodes, live.Node{ID: p.name, Address: p.address, Phase: phaseNames[p.state], Cut: 1, Load: live.Unknown,
 			Unreadable: mark.spoilt, UnreadableWhy: mark.why, Strays: mark.strays, Part: cmp.Or(p.share.Part, 1), Limit: p.share.Connections})
 	}
-	e.got <- v
+	e.got <- e.part.Of(v)
 }
 
 // loadKind tells where a node's readings come from.
--- a/view.go
+++ b/view.go
@@ -41,3 +41,6 @@
 	}
 	return views, len(b.held)
 }
+
+// Held is how many requests wait for a turn.
+func (b *Balancer) Held() int { return len(b.held) }
