Admin: metrics by service at /metrics, and parts of the live view

Change: GET /metrics in the formats of Prometheus and OpenMetrics by client_golang, from figures that pools leave (Pool.Stats), so no pool is asked or woken; only pools that have been asked or whose list has expired have series of their own. The rig measures a scrape and the views at each size with traffic, with bounds on bytes and CPU.

Measured in TestBytes: 490 pools in use are told packed in under 30 KB a scrape, a process that nobody has asked in under 8.

--- a/cmd/olivearch/serve.go
+++ b/cmd/olivearch/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"flag"
@@ -186,7 +187,13 @@
 	var address string
 	var every time.Duration
 	var once bool
-	f, err := flags("top", "[--admin ADDRESS] [--every TIME] [--once]", args, func(f *flag.FlagSet) {
+	var part live.Part
+	f, err := flags("top", "[--admin ADDRESS] [--every TIME] [--pool NAME]... [--nodes WHICH] [--once]", args, func(f *flag.FlagSet) {
+		f.Func("pool", "the pool of this `NAME`; more than once for several; all if left out", func(name string) error {
+			part.Pools = append(part.Pools, name)
+			return nil
+		})
+		f.StringVar(&part.Nodes, "nodes", live.AllNodes, "`WHICH` nodes: all, used or none")
 		f.StringVar(&address, "admin", "127.0.0.1:8081", "`ADDRESS` of the admin listener")
 		f.DurationVar(&every, "every", time.Second, "`TIME` between two looks")
 		f.BoolVar(&once, "once", false, "print one table and end")
@@ -199,7 +206,7 @@
 	}
 	client := &http.Client{Timeout: 5 * time.Second}
 	for {
-		v, err := look(client, address)
+		v, err := look(client, address, part)
 		if err != nil {
 			return err
 		}
@@ -214,14 +221,15 @@
 	}
 }
 
-func look(client *http.Client, address string) (v live.View, err error) {
-	resp, err := client.Get("http://" + address + "/v1/live")
+func look(client *http.Client, address string, part live.Part) (v live.View, err error) {
+	resp, err := client.Get("http://" + address + "/v1/live?" + part.Query())
 	if err != nil {
 		return v, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return v, fmt.Errorf("the admin listener at %s answers %s", address, resp.Status)
+		why, _ := io.ReadAll(io.LimitReader(resp.Body, 256))
+		return v, fmt.Errorf("the admin listener at %s answers %s: %s", address, resp.Status, bytes.TrimSpace(why))
 	}
 	return v, json.NewDecoder(resp.Body).Decode(&v)
 }
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,153 @@
+package metrics
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
+
+	"clayladder/internal/live"
+	"clayladder/internal/pool"
+)
+
+// read asks once, as something that gathers does.
+func read(t *testing.T, h http.Handler, header ...string) (status int, text string, size int) {
+	t.Helper()
+	w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/metrics", nil)
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	h.ServeHTTP(w, r)
+	size = w.Body.Len()
+	var body io.Reader = w.Body
+	if w.Header().Get("Content-Encoding") == "gzip" {
+		unpacked, err := gzip.NewReader(w.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body = unpacked
+	}
+	all, err := io.ReadAll(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w.Code, string(all), size
+}
+
+func sample() Snapshot {
+	return Snapshot{Version: "1.2", Reloads: 3, Listeners: []live.Listener{{Name: "in", Connections: 4, Limit: 500}}, Pools: []Pool{
+		{"checkin", pool.Stats{Served: 10, Refused: 2, Failed: 1, TurnedAway: 7, ServedFor: 2500 * time.Millisecond, Open: 3, Held: 1, Connections: 2, Tunnels: 1, Up: 5, Draining: 1, Made: true, ListAge: time.Second}},
+		{"never", pool.Stats{Up: 37}},
+		{"old", pool.Stats{Up: 2, Expired: true, ListAge: time.Minute}},
+		{`odd "name"` + "\n\\", pool.Stats{Served: 1, Up: 1, Made: true}},
+	}, Promises: &live.Promises{Voter: "v1", AgeMS: 250, Words: map[string]int{"out": 2}}}
+}
+
+func TestWhatIsTold(t *testing.T) {
+	h := Handler(sample)
+	status, text, _ := read(t, h)
+	if status != http.StatusOK {
+		t.Fatal(status)
+	}
+	for _, want := range []string{
+		`olivearch_info{version="1.2"} 1`, `olivearch_reloads_total 3`, `olivearch_listener_connections{listener="in"} 4`, `olivearch_listener_connections_limit{listener="in"} 500`,
+		`olivearch_pools{state="made"} 2`, `olivearch_pools{state="unmade"} 2`, `olivearch_pools_never_asked 2`, `olivearch_pools_expired 1`, `olivearch_nodes{phase="up"} 45`, `olivearch_nodes{phase="draining"} 1`,
+		`olivearch_requests_total{pool="checkin",result="served"} 10`, `olivearch_requests_total{pool="checkin",result="refused"} 2`, `olivearch_requests_total{pool="checkin",result="failed"} 1`,
+		`olivearch_requests_total{pool="checkin",result="turned_away"} 7`, `olivearch_served_seconds_total{pool="checkin"} 2.5`, `olivearch_requests_open{pool="checkin"} 3`,
+		`olivearch_requests_held{pool="checkin"} 1`, `olivearch_connections{pool="checkin"} 2`, `olivearch_tunnels{pool="checkin"} 1`, `olivearch_pool_nodes{phase="draining",pool="checkin"} 1`,
+		`olivearch_list_age_seconds{pool="checkin"} 1`, `olivearch_list_age_seconds{pool="old"} 60`, `olivearch_requests_total{pool="odd \"name\"\n\\",result="served"} 1`,
+		`olivearch_promises_voter_reached 1`, `olivearch_promises_age_seconds 0.25`, `olivearch_promises_words{kind="out"} 2`, "process_resident_memory_bytes",
+	} {
+		if !strings.Contains(text, want+"\n") && !strings.Contains(text, "\n"+want) {
+			t.Errorf("not told: %s", want)
+		}
+	}
+	if strings.Contains(text, `"never"`) {
+		t.Error("a pool that nobody has asked has series of its own")
+	}
+	problems, err := promlint.New(strings.NewReader(text)).Lint()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range problems {
+		if !strings.HasPrefix(p.Metric, "process_") {
+			t.Errorf("%s: %s", p.Metric, p.Text)
+		}
+	}
+	if _, open, _ := read(t, h, "Accept", "application/openmetrics-text; version=1.0.0"); !strings.HasSuffix(open, "# EOF\n") {
+		t.Error("no OpenMetrics for one who asks for it")
+	}
+}
+
+// TestBytes: 490 pools that are all used are told in 2 KB a second at one reading each 15 s, of the 29 KB that a balancer may spend; pools that nobody
+// asks cost nothing.
+func TestBytes(t *testing.T) {
+	var s Snapshot
+	for i := range 490 {
+		s.Pools = append(s.Pools, Pool{fmt.Sprintf("service-%03d", i), pool.Stats{Served: uint64(i*i*7919 + 1), Refused: uint64(i % 7), ServedFor: time.Duration(i*i*104729 + 1), Connections: i % 40, Up: 37, Made: true,
+			ListAge: time.Duration(i) * 7 * time.Millisecond}})
+	}
+	h := Handler(func() Snapshot { return s })
+	_, _, packed := read(t, h, "Accept-Encoding", "gzip")
+	if most := 15 * 2048; packed > most {
+		t.Errorf("%d bytes packed, want at most %d", packed, most)
+	}
+	_, _, plain := read(t, h)
+	for i := range s.Pools {
+		s.Pools[i].Stats = pool.Stats{Up: 37}
+	}
+	if _, _, quiet := read(t, h); quiet > 8192 {
+		t.Errorf("%d bytes though nobody has asked", quiet)
+	} else {
+		t.Logf("%d bytes plain, %d packed; %d plain with no pool asked", plain, packed, quiet)
+	}
+}
+
+// TestTooManyReaders: while two are answered a third is told to come back, and they are answered.
+func TestTooManyReaders(t *testing.T) {
+	come, goOn := make(chan struct{}), make(chan struct{})
+	h := Handler(func() Snapshot { come <- struct{}{}; <-goOn; return Snapshot{} })
+	done := make(chan int, atOnce)
+	for range atOnce {
+		go func() {
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+			done <- w.Code
+		}()
+	}
+	for range atOnce {
+		<-come
+	}
+	if status, _, _ := read(t, h); status != http.StatusServiceUnavailable {
+		t.Errorf("one more is answered %d", status)
+	}
+	close(goOn)
+	for range atOnce {
+		if status := <-done; status != http.StatusOK {
+			t.Errorf("answered %d", status)
+		}
+	}
+}
+
+// TestPageNamesAll: the operators' page has each family.
+func TestPageNamesAll(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operate/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, _ := read(t, Handler(sample))
+	for _, m := range regexp.MustCompile(`(?m)^# TYPE (olivearch_\w+) `).FindAllStringSubmatch(text, -1) {
+		if !bytes.Contains(page, []byte("`"+m[1]+"`")) {
+			t.Errorf("%s is not on the page", m[1])
+		}
+	}
+}
--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clayladder/internal/live"
+	"clayladder/internal/metrics"
 )
 
 // admin is the listener for operators.
@@ -18,21 +19,32 @@
 	server     *http.Server
 }
 
-// newAdmin starts it. GET /v1/live answers the live view as JSON.
-func newAdmin(address string, view func() live.View) (*admin, error) {
+// newAdmin starts it. GET /v1/live answers the live view as JSON, all of it or a part; GET /metrics counters and levels, for what gathers them.
+func newAdmin(address string, view func(live.Part) (live.View, error), snapshot func() metrics.Snapshot) (*admin, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/live", func(w http.ResponseWriter, r *http.Request) {
+		part, err := live.ParsePart(r.URL.RawQuery)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		v, err := view(part)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+			return
+		}
 		w.Header().Set("Content-Type", "application/json")
 		out := json.NewEncoder(w)
 		out.SetIndent("", "  ")
-		if err := out.Encode(view()); err != nil {
+		if err := out.Encode(v); err != nil {
 			slog.Debug("live view", "err", err) // the reader has gone
 		}
 	})
+	mux.Handle("GET /metrics", metrics.Handler(snapshot))
 	a := &admin{configured: address, address: l.Addr(), server: &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second,
 		WriteTimeout: 10 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10}}
 	go func() {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -22,6 +22,7 @@
 	"clayladder/internal/edge"
 	"clayladder/internal/keep"
 	"clayladder/internal/live"
+	"clayladder/internal/metrics"
 	"clayladder/internal/nodelist"
 	"clayladder/internal/pool"
 	"clayladder/internal/proxy"
@@ -207,7 +208,7 @@
 	case now.admin != nil && now.admin.configured == c.Admin.Address:
 		p.next.admin = now.admin
 	default:
-		x, err := newAdmin(c.Admin.Address, s.View)
+		x, err := newAdmin(c.Admin.Address, s.Part, s.Metrics)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("admin: %w", err))
 		}
@@ -393,16 +394,47 @@
 
 // View returns the state of the whole.
 func (s *Service) View() live.View {
+	v, _ := s.Part(live.Part{})
+	return v
+}
+
+// Part returns the state of a part: a pool that is not asked for is not disturbed. An error names a pool that there is not.
+func (s *Service) Part(part live.Part) (live.View, error) {
 	now := s.state.Load()
-	v := live.View{Version: s.version, UptimeMS: time.Since(s.started).Milliseconds(), Reloads: now.reloads, Listeners: []live.Listener{}, Pools: []live.Pool{}}
-	for _, f := range now.fronts {
-		open, limit := f.Connections()
-		v.Listeners = append(v.Listeners, live.Listener{Name: f.name, Address: f.address.String(), Connections: open, Limit: limit})
+	v := live.View{Version: s.version, UptimeMS: time.Since(s.started).Milliseconds(), Reloads: now.reloads, Pools: []live.Pool{}}
+	v.Listeners = now.listeners()
+	names := part.Pools
+	if len(names) == 0 {
+		names = slices.Sorted(maps.Keys(now.pools))
+	}
+	for _, name := range names {
+		p := now.pools[name]
+		if p == nil {
+			return v, fmt.Errorf("there is no pool %.64q", name)
+		}
+		v.Pools = append(v.Pools, p.ViewOf(part))
 	}
-	slices.SortFunc(v.Listeners, func(a, b live.Listener) int { return cmp.Compare(a.Name, b.Name) })
+	v.Promises = s.promises.view()
+	return v, nil
+}
+
+// Metrics are the process's counters and levels. No pool's goroutine is asked for them.
+func (s *Service) Metrics() metrics.Snapshot {
+	now := s.state.Load()
+	m := metrics.Snapshot{Version: s.version, Reloads: now.reloads, Listeners: now.listeners(), Promises: s.promises.view()}
 	for _, name := range slices.Sorted(maps.Keys(now.pools)) {
-		v.Pools = append(v.Pools, now.pools[name].View())
+		m.Pools = append(m.Pools, metrics.Pool{Name: name, Stats: now.pools[name].Stats()})
 	}
-	v.Promises = s.promises.view()
-	return v
+	return m
+}
+
+// listeners are those for clients, by name.
+func (now *state) listeners() []live.Listener {
+	list := []live.Listener{}
+	for _, f := range now.fronts {
+		open, limit := f.Connections()
+		list = append(list, live.Listener{Name: f.name, Address: f.address.String(), Connections: open, Limit: limit})
+	}
+	slices.SortFunc(list, func(a, b live.Listener) int { return cmp.Compare(a.Name, b.Name) })
+	return list
 }
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/http"
@@ -596,6 +597,78 @@
 	}
 }
 
+// TestMetricsAndParts: counters by service are told without asking any pool, one that nobody asked has no series; a part of the live view has what was
+// asked for and names what there is not.
+func TestMetricsAndParts(t *testing.T) {
+	j, folder := fleet.NewJudge(time.Second), t.TempDir()
+	all := nodes(t, j, 2, fleet.Spec{})
+	write(t, j, folder, "a.yaml", all[0].Entry("up"), all[1].Entry("draining"))
+	write(t, j, folder, "b.yaml", all[0].Entry("up"))
+	x := begin(t, j, folder, twoPools)
+	x.until("lists and shares are told", func(live.View) bool {
+		p := x.pool("a")
+		return len(p.Nodes) == 2 && p.Nodes[0].Phase == "up" && len(x.pool("b").Nodes) == 1
+	})
+	get := func(path string) (int, string) {
+		t.Helper()
+		resp, err := http.Get("http://" + x.AdminAddress().String() + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return resp.StatusCode, string(text)
+	}
+	if status := x.clients("a.example.org", "/", "x", fleet.Unsafe, 1).Ask("1"); status != 200 {
+		t.Fatal(status)
+	}
+	var text string
+	for end := time.Now().Add(5 * time.Second); !strings.Contains(text, `olivearch_pools{state="made"} 1`); time.Sleep(10 * time.Millisecond) { // levels are up to a second old
+		if _, text = get("/metrics"); time.Now().After(end) {
+			break
+		}
+	}
+	for _, want := range []string{`olivearch_requests_total{pool="a",result="served"} 1`, `olivearch_pool_nodes{phase="up",pool="a"} 1`, `olivearch_pool_nodes{phase="draining",pool="a"} 1`,
+		`olivearch_nodes{phase="up"} 2`, `olivearch_pools_never_asked 1`, `olivearch_pools{state="made"} 1`, `olivearch_pools{state="unmade"} 1`, `olivearch_listener_connections_limit{`} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%s is not in\n%s", want, text)
+		}
+	}
+	if strings.Contains(text, `pool="b"`) {
+		t.Error("pool b, which nobody has asked, has series of its own")
+	}
+	part := func(query string) (v live.View) {
+		t.Helper()
+		status, text := get("/v1/live?" + query)
+		if err := json.Unmarshal([]byte(text), &v); err != nil || status != http.StatusOK {
+			t.Fatalf("%s: %d, %v\n%s", query, status, err, text)
+		}
+		return v
+	}
+	if v := part("pool=b&pool=a"); len(v.Pools) != 2 || v.Pools[0].Name != "b" || len(v.Pools[1].Nodes) != 2 {
+		t.Errorf("%+v", v.Pools)
+	}
+	if v := part("pool=a&nodes=none"); len(v.Pools) != 1 || len(v.Pools[0].Nodes) != 0 || v.Pools[0].Served != 1 || len(v.Listeners) != 1 {
+		t.Errorf("%+v", v)
+	}
+	if v := part("nodes=used"); len(v.Pools[0].Nodes) != 2 || len(v.Pools[1].Nodes) != 0 { // nothing of b is used
+		t.Errorf("%+v", v.Pools)
+	}
+	if status, text := get("/v1/live?pool=c"); status != http.StatusNotFound || !strings.Contains(text, `no pool "c"`) {
+		t.Errorf("%d, %s", status, text)
+	}
+	if status, text := get("/v1/live?nodes=some"); status != http.StatusBadRequest || !strings.Contains(text, "used") {
+		t.Errorf("%d, %s", status, text)
+	}
+	x.apply(strings.Replace(twoPools, "queue: 100}\n  b", "queue: 101}\n  b", 1))
+	if _, text := get("/metrics"); !strings.Contains(text, `olivearch_requests_total{pool="a",result="served"} 1`) || !strings.Contains(text, "olivearch_reloads_total 1") {
+		t.Errorf("a reload begins counters anew:\n%s", text)
+	}
+}
+
 // TestDiscoverySource: a pool's list comes from a discovery service, and a reload moves it to a file and back.
 func TestDiscoverySource(t *testing.T) {
 	j, folder := fleet.NewJudge(time.Second), t.TempDir()
--- a/rigs/capacity/bounds.go
+++ b/rigs/capacity/bounds.go
@@ -97,6 +97,12 @@
 			r.most(kind+", ms of CPU", c.CPUMS, changeMost)
 		}
 	}
+	if last.Scrape != nil {
+		r.judgeScrape(last.Scrape)
+		if first.Scrape != nil {
+			r.plan("the same once metrics have been read, MB", last.Scrape.MB-first.Scrape.MB, residentMost)
+		}
+	}
 	if t := last.Traffic; t != nil {
 		if first.Traffic != nil {
 			r.plan("resident over the smallest once requests have come to all, MB", last.EndMB-first.EndMB, residentMost)
--- a/rigs/capacity/rig_test.go
+++ b/rigs/capacity/rig_test.go
@@ -165,6 +165,8 @@
 		"added":      func(r *Row) { r.Traffic = &Traffic{With: Seen{AddedP99: 1.2}} },
 		"noise":      func(r *Row) { r.Traffic = &Traffic{With: Seen{AddedP99: 0.5, Relay99: 1.2}} },
 		"one round":  func(r *Row) { r.Traffic = &Traffic{Rounds: []Seen{{Wrong: 1}, {}}} },
+		"scrape":     func(r *Row) { r.Scrape = &Scrape{Packed: 44_000} },
+		"scrape CPU": func(r *Row) { r.Scrape = &Scrape{CPUMS: 20.1} },
 		"unanswered": func(r *Row) { r.Traffic = &Traffic{With: Seen{Wrong: 1}} },
 	} {
 		if got := broken(change); len(got) != 1 {
@@ -182,7 +184,7 @@
 		var rows []*Row
 		for i := range 3 {
 			rows = append(rows, &Row{Factor: f.name, Size: capacity.Size{Pools: 2 + 10*i, Nodes: 40 + 100*i, Routes: 10, Tenants: i}, ReadyMS: float64(100 * i), IdleS: 5, IdleCPU: 0.1, ResidentMB: 10,
-				Changes: map[string]Change{comment: {N: 2, CPUMS: float64(i), P50MS: 3, P99MS: 4}}, Traffic: &Traffic{}})
+				Changes: map[string]Change{comment: {N: 2, CPUMS: float64(i), P50MS: 3, P99MS: 4}}, Traffic: &Traffic{}, Scrape: &Scrape{Series: 4711}})
 		}
 		rows[2].Why = "it does not answer"
 		r.Rows = append(r.Rows, rows...)
@@ -195,7 +197,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"it does not answer", "| nodes | ready |", "over 10 %", "A fleet of hollow", "**broken**"} {
+	for _, want := range []string{"it does not answer", "| nodes | ready |", "over 10 %", "A fleet of hollow", "**broken**", "| 4711 |"} {
 		if !strings.Contains(string(text), want) {
 			t.Errorf("%q is not in the page", want)
 		}
--- a/rigs/capacity/slopes.go
+++ b/rigs/capacity/slopes.go
@@ -29,6 +29,7 @@
 	LogLines    int               `json:"log_lines"` // until the end of the idle window
 	Changes     map[string]Change `json:"changes,omitempty"`
 	Traffic     *Traffic          `json:"traffic,omitempty"`
+	Scrape      *Scrape           `json:"scrape,omitempty"` // after all else
 }
 
 // Change is what one change of a kind cost, the mean of N.
@@ -209,6 +210,11 @@
 	}
 	u = usage(b)
 	row.EndMB, row.EndPeakMB = u.ResidentMB, u.PeakMB
+	if traffic {
+		if row.Scrape, err = r.scrape(ctx, b, row.IdleCPU); err != nil {
+			return fmt.Errorf("metrics: %w", err)
+		}
+	}
 	return nil
 }
 
