Capacity rig: real balancers of the calibration have no admin listener in common

All twenty read one configuration, which named one admin address since metrics are measured: none but the first started, and the rig said so. The address is there for the processes that are asked for metrics alone. The time of a scrape, which had the wait before it in it, is not told any more.

--- a/rigs/capacity/slopes.go
+++ b/rigs/capacity/slopes.go
@@ -163,6 +163,14 @@
 		return err
 	}
 	defer b.stop()
+	if traffic { // it is asked for its metrics
+		if b.places.Admin, err = free(); err != nil {
+			return err
+		}
+		if err := b.write(); err != nil {
+			return err
+		}
+	}
 	ready, err := b.start(ctx, r, r.startWithin())
 	if err != nil {
 		row.ReadyMS = ms(r.startWithin())
--- a/rigs/capacity/tables.go
+++ b/rigs/capacity/tables.go
@@ -128,11 +128,11 @@
 		}
 	}
 	p.say("\n## Metrics, and the live view")
-	p.say("\nOnce requests have come to all services. A scrape is the mean of %d, packed with gzip.", scrapes)
-	p.head("size", "series", "bytes", "packed", "ms of CPU", "ms", "MB then", "view without nodes, bytes", "ms of CPU", "view of the largest pool, nodes used", "ms of CPU", "whole view", "ms of CPU", "MB then")
+	p.say("\nOnce requests have come to all services. A scrape is the mean of twelve (four in a default run), packed with gzip.")
+	p.head("size", "series", "bytes", "packed", "ms of CPU", "MB then", "view without nodes, bytes", "ms of CPU", "view of the largest pool, nodes used", "ms of CPU", "whole view", "ms of CPU", "MB then")
 	for _, x := range r.Rows {
 		if s := x.Scrape; s != nil {
-			p.row(x.Size.String(), fmt.Sprint(s.Series), num(s.Plain), num(s.Packed), num(s.CPUMS), num(s.TookMS), num(s.MB), num(s.NoNodes), num(s.NoNodesCPU), num(s.OnePool), num(s.OnePoolCPU),
+			p.row(x.Size.String(), fmt.Sprint(s.Series), num(s.Plain), num(s.Packed), num(s.CPUMS), num(s.MB), num(s.NoNodes), num(s.NoNodesCPU), num(s.OnePool), num(s.OnePoolCPU),
 				num(s.Whole), num(s.WholeCPU), num(s.WholeMB))
 		}
 	}
