Experiments: two modes are compared when the machine lets sleeps end in time

Ruled out: the balancer, since a plain picker moved as far.

Change: a control of the machine, sleeps of a millisecond beside the play; where the 95th percentile of what they take longer is over 2 ms the scene is played again, six times at most, and then the test fails as one that can't be judged. Tolerances and scene are as they were.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -6,8 +6,10 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"clayladder/internal/figures"
 	"clayladder/internal/picker"
@@ -115,8 +117,33 @@
 	}
 }
 
+// oversleep is by how much sleeps of a millisecond took longer while f ran, the 95th percentile: what the machine adds to whatever waits.
+func oversleep(f func()) time.Duration {
+	done, late := make(chan struct{}), make(chan []time.Duration)
+	go func() {
+		var all []time.Duration
+		for {
+			began := time.Now()
+			time.Sleep(time.Millisecond)
+			all = append(all, time.Since(began)-time.Millisecond)
+			select {
+			case <-done:
+				late <- all
+				return
+			default:
+			}
+		}
+	}()
+	f()
+	close(done)
+	all := <-late
+	slices.Sort(all)
+	return all[len(all)*95/100]
+}
+
 // Sockets and simulated time agree on a scene that both can play. The tolerance is stated in docs/design/experiments.md: the
-// part in time within 0.05, the median within a half and 3 ms. A machine that is busy with other tests stays within it.
+// part in time within 0.05, the median within a half and 3 ms. A machine that is busy with other tests stays within it; one on which sleeps take
+// longer by more than 2 ms is looked at by neither, and the scene is played again: a picker that has nothing of ours, least, then stands at 40 ms in place of 15.
 func TestModesAgree(t *testing.T) {
 	f := parse(t, `
 name: t
@@ -127,7 +154,17 @@
 fleet: [{name: n, count: 2, cores: 4, service: 20ms}]
 load: [{name: maps, rate: 250, repeat: safe, sizes: {kind: exponential}, aim: 100ms, deadline: 2s}]
 `)
-	real, simulated := run(t, f, Options{Mode: Sockets}), run(t, f, Options{Mode: Simulated})
+	simulated := run(t, f, Options{Mode: Simulated})
+	var real *figures.Result
+	for try := 1; ; try++ {
+		late := oversleep(func() { real = run(t, f, Options{Mode: Sockets}) })
+		t.Logf("try %d: sleeps took longer by %v", try, late)
+		if late <= 2*time.Millisecond {
+			break
+		} else if try == 6 {
+			t.Fatal("the machine is too busy to judge by")
+		}
+	}
 	for _, c := range f.Contenders {
 		a, b := real.Figure(c, "p50"), simulated.Figure(c, "p50")
 		if a < b*0.8 || a > b*1.5+3 {
