Log: attempts, retries, rejections and closed connections with their reasons and ids

An attempt without a response that could be passed on, or with unsolicited bytes on its connection, is now logged with the client's request id, the endpoint, the outcome, the error, and the connection's number, use, idle time and the request before on it; so are retries, abandoned attempts, final rejections and failures, and connections that the pool closes. Decisions are not touched (balancer.Status only gains String).

--- a/balancer/outcomes.go
+++ b/balancer/outcomes.go
@@ -58,3 +58,15 @@
 	}
 	upstream.outlier.backoff = min(upstream.outlier.backoff, b.settings.Rules.SlowStartDuration)
 }
+
+// String returns the name of a status in logs.
+func (s Status) String() string {
+	names := [...]string{
+		OK: "ok", Error: "error", Rejected: "rejected", Timeout: "timeout", ConnectFailed: "connect failed",
+		Reset: "reset", Cancelled: "cancelled", NotSent: "not sent",
+	}
+	if int(s) >= len(names) {
+		return "unknown"
+	}
+	return names[s]
+}
--- a/internal/conventions/logs_test.go
+++ b/internal/conventions/logs_test.go
@@ -19,9 +19,11 @@
 
 // logKeys are the keys of log attributes. docs/operate/on-call.md describes them.
 var logKeys = []string{
-	"address", "answer", "classes", "cluster", "config", "endpoints", "err", "event", "failed_reads", "id", "kind",
-	"line", "listen", "name", "newest", "overrides", "path", "pool", "pools", "previous", "reason", "replaced",
-	"request", "revision", "routes", "signal", "stack", "term", "type", "upstream", "voters",
+	"address", "after", "age", "answer", "attempt", "attempts", "class", "classes", "cluster", "code", "config",
+	"connection", "count", "endpoint", "endpoints", "err", "event", "failed_reads", "id", "idle", "kept", "kind",
+	"line", "lingers", "listen", "name", "newest", "overrides", "path", "pool", "pools", "previous", "reason",
+	"replaced", "reported", "request", "revision", "routes", "signal", "stack", "status", "term", "type",
+	"unsolicited", "upstream", "use", "voters",
 }
 
 // uncheckedFolders are the folders whose log messages do not have this form yet. Folders are only removed from this
@@ -31,7 +33,7 @@
 }
 
 // logWriter is the file that writes the log lines which a pool's event loop has queued. It is not checked, as the calls
-// of logInfo that queue these lines are.
+// of logInfo and trace that queue these lines are.
 const logWriter = "internal/pool/log.go"
 
 // logCalls are the functions of log/slog that write a log line.
@@ -47,9 +49,13 @@
 			}
 			constants := stringConstants(file)
 			ast.Inspect(file, func(node ast.Node) bool {
-				if call, ok := node.(*ast.CallExpr); ok && isLogCall(call) {
+				call, ok := node.(*ast.CallExpr)
+				if !ok {
+					return true
+				}
+				if arguments, ok := logArguments(call); ok {
 					checked++
-					checkLogCall(t, path, call, constants)
+					checkLogCall(t, path, arguments, constants)
 				}
 				return true
 			})
@@ -112,24 +118,28 @@
 	return text, err == nil
 }
 
-// isLogCall reports whether a call writes a log line with a function of slog, or queues one with logInfo.
-func isLogCall(call *ast.CallExpr) bool {
+// logArguments returns the message and the attributes of a call that writes a log line with a function of slog, or
+// queues one with logInfo or trace; ok is false for any other call.
+func logArguments(call *ast.CallExpr) (arguments []ast.Expr, ok bool) {
 	selector, ok := call.Fun.(*ast.SelectorExpr)
 	if !ok {
-		return false
+		return nil, false
 	}
-	if selector.Sel.Name == "logInfo" {
-		return true
+	switch selector.Sel.Name {
+	case "logInfo":
+		return call.Args, true
+	case "trace":
+		return call.Args[1:], true // after the limit
 	}
 	receiver, ok := selector.X.(*ast.Ident)
-	return ok && receiver.Name == "slog" && slices.Contains(logCalls, selector.Sel.Name)
+	return call.Args, ok && receiver.Name == "slog" && slices.Contains(logCalls, selector.Sel.Name)
 }
 
-// checkLogCall checks the message and the keys of a call. A message may be a constant of the file.
-func checkLogCall(t *testing.T, path string, call *ast.CallExpr, constants map[string]string) {
+// checkLogCall checks the message and the keys of a log call. A message may be a constant of the file.
+func checkLogCall(t *testing.T, path string, arguments []ast.Expr, constants map[string]string) {
 	t.Helper()
-	message, ok := literal(call.Args[0])
-	if name, isName := call.Args[0].(*ast.Ident); isName {
+	message, ok := literal(arguments[0])
+	if name, isName := arguments[0].(*ast.Ident); isName {
 		message, ok = constants[name.Name]
 	}
 	if !ok {
@@ -139,8 +149,8 @@
 	if !logMessage.MatchString(message) {
 		t.Errorf("%s: log message %q is not of the form %s", path, message, logMessage)
 	}
-	for i := 1; i < len(call.Args); i += 2 {
-		key, ok := literal(call.Args[i])
+	for i := 1; i < len(arguments); i += 2 {
+		key, ok := literal(arguments[i])
 		if !ok {
 			t.Errorf("%s: log message %q: a key is not a string literal", path, message)
 		} else if !slices.Contains(logKeys, key) {
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -77,6 +77,8 @@
 		return
 	}
 	endpoint.addOpenAttempt(attempt)
+	attempt.connection.noteUse(request.ClientRequestID, now)
+	l.traceRetry(attempt)
 	attempt.Conn = attempt.connection.transportConn
 	if attempt.Conn != nil {
 		idleFor := now - attempt.connection.idleSince
@@ -193,6 +195,7 @@
 // finishAttempt takes back an attempt's connection and reports the attempt's outcome unless it has been reported.
 func (l *loop) finishAttempt(attempt *attempt, result upstream.Result) {
 	endpoint := attempt.endpoint
+	l.traceAttempt(attempt, &result)
 	delete(endpoint.openAttempts, attempt)
 	if attempt.tunnel != nil {
 		delete(l.tunnels, attempt)
@@ -322,6 +325,8 @@
 	if linger {
 		until = time.Now().Add(lingerTimeout)
 	}
+	l.trace(&l.tracing.attempts, "attempt abandoned", "request", attempt.request.ClientRequestID,
+		"attempt", attempt.number, "endpoint", endpoint.name, "after", l.now()-attempt.sentAt, "lingers", linger)
 	if attempt.GiveUp(until) && linger {
 		attempt.lingering = true
 		endpoint.lingeringAttempts++
--- a/internal/pool/connection.go
+++ b/internal/pool/connection.go
@@ -17,10 +17,31 @@
 	transportConn upstream.Conn // as the last attempt or health check returned it; nil: not opened yet
 	idleSince     time.Duration // on the loop's clock
 	attempts      chan *attempt // input of the goroutine; closed with the connection
-	hasGoroutine  bool          // false as long as only health checks have used the connection
+
+	// The fields below are for the log.
+	number          uint64        // of the connection, in the pool
+	uses            int           // attempts so far
+	lastIdle        time.Duration // how long it was unused before its last use
+	currentRequest  string        // id that the client gave to the request of the last attempt
+	previousRequest string        // and of the one before
+
+	hasGoroutine bool // false as long as only health checks have used the connection
 }
 
-func newConnection() *connection { return &connection{attempts: make(chan *attempt, 1)} }
+func newConnection(number uint64) *connection {
+	return &connection{attempts: make(chan *attempt, 1), number: number}
+}
+
+// noteUse records for the log that an attempt uses the connection from now on.
+func (c *connection) noteUse(clientRequestID string, now time.Duration) {
+	c.uses++
+	c.previousRequest = c.currentRequest
+	c.currentRequest = clientRequestID
+	c.lastIdle = 0
+	if c.transportConn != nil {
+		c.lastIdle = now - c.idleSince
+	}
+}
 
 // start starts an attempt on a connection that is new or was idle.
 func (c *connection) start(l *loop, first *attempt) {
@@ -75,6 +96,23 @@
 	connectionBroken
 )
 
+// String returns the reason in logs why a connection is not kept.
+func (d connectionDisposition) String() string {
+	switch d {
+	case connectionIdle:
+		return "kept"
+	case connectionLost:
+		return "closed by the transport"
+	case connectionSurplus:
+		return "more than allotted"
+	case connectionOutdated:
+		return "endpoint not active, or moved"
+	case connectionBroken:
+		return "can't be reused"
+	}
+	return "unknown"
+}
+
 // afterUse decides what to do with a connection to the endpoint that carries no attempt any more. conn is nil if the
 // transport has closed the connection.
 func (e *endpoint) afterUse(conn upstream.Conn) connectionDisposition {
--- a/internal/pool/connection_pool.go
+++ b/internal/pool/connection_pool.go
@@ -23,6 +23,7 @@
 type connectionPool struct {
 	transport   upstream.Transport
 	open        int           // number of connections that are open or being opened
+	opened      uint64        // number of connections that were opened since the start
 	max         int           // Spec.MaxConnections
 	idleTimeout time.Duration // after which an idle connection is closed
 	nextSweepAt time.Duration // when fireTimers next closes expired idle connections
@@ -55,8 +56,9 @@
 		return nil
 	}
 	l.connections.open++
+	l.connections.opened++
 	endpoint.connections++
-	return newConnection()
+	return newConnection(l.connections.opened)
 }
 
 // evictLongestIdle closes the connection that has been idle longest, to whichever endpoint. It returns false if none is
@@ -81,7 +83,7 @@
 	if oldest == nil {
 		return false
 	}
-	l.closeConnections(endpoint, oldest)
+	l.closeConnections(endpoint, "room for another", oldest)
 	return true
 }
 
@@ -89,23 +91,24 @@
 // transport has closed it.
 func (l *loop) returnConnection(endpoint *endpoint, used *connection, conn upstream.Conn) {
 	used.transportConn = conn
-	switch endpoint.afterUse(conn) {
+	switch disposition := endpoint.afterUse(conn); disposition {
 	case connectionIdle:
 		endpoint.idle.add(used, l.now())
 	case connectionLost:
 		l.connections.open--
 		endpoint.connections--
 	default:
-		l.closeConnections(endpoint, used)
+		l.closeConnections(endpoint, disposition.String(), used)
 	}
 }
 
 // closeConnections closes connections to an endpoint that carry no attempt, in another goroutine because closing may
-// block.
-func (l *loop) closeConnections(endpoint *endpoint, connections ...*connection) {
+// block. reason is for the log.
+func (l *loop) closeConnections(endpoint *endpoint, reason string, connections ...*connection) {
 	if len(connections) == 0 {
 		return
 	}
+	l.traceClose(endpoint, len(connections), reason)
 	l.connections.open -= len(connections)
 	endpoint.connections -= len(connections)
 	go func() {
@@ -119,7 +122,7 @@
 func (l *loop) closeExpiredConnections(now time.Duration) {
 	for _, endpoint := range l.endpoints {
 		expired := endpoint.idle.takeExpired(now, l.connections.idleTimeout)
-		l.closeConnections(endpoint, expired...)
+		l.closeConnections(endpoint, "idle time-out", expired...)
 	}
 }
 
@@ -141,6 +144,6 @@
 func (l *loop) CloseIdle(id balancer.UpstreamID) {
 	endpoint := l.endpoints[id]
 	if endpoint != nil {
-		l.closeConnections(endpoint, endpoint.idle.takeAll()...)
+		l.closeConnections(endpoint, "endpoint not active, or not used", endpoint.idle.takeAll()...)
 	}
 }
--- a/internal/pool/log.go
+++ b/internal/pool/log.go
@@ -16,6 +16,18 @@
 	l.log.add(logLine{message: message, attributes: attributes})
 }
 
+// trace logs a line if the limit of its kind allows it.
+func (l *loop) trace(limit *traceLimit, message string, attributes ...any) {
+	suppressed, ok := limit.admit(l.now())
+	if !ok {
+		return
+	}
+	if suppressed > 0 {
+		attributes = append(attributes, "suppressed", suppressed)
+	}
+	l.logInfo(message, attributes...)
+}
+
 // logLine is a line that waits to be written.
 type logLine struct {
 	message    string
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -42,6 +42,7 @@
 	pendingOutcomes []pendingOutcome // reported once the balancer has returned from its call
 	suspension      suspension
 	counters        counters
+	tracing         tracing
 
 	source         listSource
 	endpointStore  EndpointStore // nil: lists are not stored
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -207,6 +207,7 @@
 		l.counters.served.Add(1)
 		l.counters.servedFor.Add(int64(max(0, l.now()-request.ReceivedAt)))
 	}
+	l.traceResponse(request, &response, l.now())
 	response.RetryAfterInSeconds = l.fullResponses
 	request.Responses <- response // does not block: see Request.Responses
 	l.closeRequest(request, finalResponseSent)
--- a/internal/pool/states_test.go
+++ b/internal/pool/states_test.go
@@ -212,7 +212,7 @@
 	const delay, timeout = 2 * time.Millisecond, 10 * time.Millisecond
 	connectionsSince := func(times ...time.Duration) (idle idleConnections, added []*connection) {
 		for _, since := range times {
-			c := newConnection()
+			c := newConnection(0)
 			idle.add(c, since)
 			added = append(added, c)
 		}
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -39,7 +39,7 @@
 	idle, _ := a.Conn.(*conn)
 	c, unsolicited, err := d.connect(idle, a.Address)
 	if err != nil {
-		return Result{Status: balancer.ConnectFailed, Unsolicited: unsolicited}
+		return Result{Status: balancer.ConnectFailed, Unsolicited: unsolicited, Err: err}
 	}
 	result := d.send(a, c)
 	result.Unsolicited = result.Unsolicited || unsolicited
@@ -80,9 +80,9 @@
 	if err != nil {
 		connection.Close()
 		if complete && upload == nil {
-			return Result{Status: balancer.Reset}
+			return Result{Status: balancer.Reset, Err: err}
 		}
-		return Result{Status: balancer.ConnectFailed} // not run: the last byte was never written
+		return Result{Status: balancer.ConnectFailed, Err: err} // not run: the last byte was never written
 	}
 	response := responseReader{
 		conn:          connection,
@@ -137,7 +137,7 @@
 		result.Conn = nil
 	}
 	if result.Status == balancer.Reset {
-		return Result{Status: balancer.ConnectFailed}
+		return Result{Status: balancer.ConnectFailed, Err: sendErr}
 	}
 	return result
 }
@@ -147,7 +147,7 @@
 	idle, _ := p.Conn.(*conn)
 	c, unsolicited, err := d.connect(idle, p.Address)
 	if err != nil {
-		return Result{Status: balancer.ConnectFailed, Unsolicited: unsolicited}
+		return Result{Status: balancer.ConnectFailed, Unsolicited: unsolicited, Err: err}
 	}
 	result := d.sendProbe(p, c)
 	result.Unsolicited = result.Unsolicited || unsolicited
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -68,9 +68,9 @@
 func (r responseReader) fail(err error) Result {
 	r.conn.Close()
 	if isMalformed(err) {
-		return Result{Status: balancer.Error}
+		return Result{Status: balancer.Error, Err: err}
 	}
-	return Result{Status: balancer.Reset}
+	return Result{Status: balancer.Reset, Err: err}
 }
 
 // isMalformed reports whether the upstream sent bytes that are not a valid response, or a response over the limits.
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -80,6 +80,7 @@
 	Tunnel          *body.Tunnel   // for ResponseStarted, if the connection has switched protocols; nil: no tunnel
 	Conn            Conn           // reusable connection; nil: closed
 	Unsolicited     bool           // whether unsolicited bytes arrived before the request or after the response
+	Err             error          // why there is no response that could be passed on; nil: there is one, or unknown
 	LoadReportError string         // reason why the load report is malformed; empty: it is valid, or there is none
 }
 
