Upstreams: a second response decides about no other request on its connection

Cause: the response to a request was whatever arrived next on its connection. A connection was reused 1 ms after its last response, and HTTP/1.1 responses name no request, so a second copy that came later was credited to the next request; the real response then to the one after it. A copy of a rejection (X-Not-Run) made a request that was running be sent again or be rejected. A health check took a resting connection without any pause where the allotment was used up.

Evidence: TestSecondAnswers and TestSecondRejections failed at every delay from 2 ms on; with connections not reused within 300 ms they passed up to that delay only.

Change: responses are told apart by identity where they have one. A service whose last 16 bodies all differed has its copies recognised on their connection and skipped, whatever their delay; a wrong guess ends as 'may have run' and makes the next harder. Where there is no identity the connection is not reused for 500 ms, and once unsolicited bytes were seen in the pool, never after a rejection, an error or an abandoned attempt. Where the limits allow no further connection, a resting one is replaced instead of waited for.

--- a/internal/faulttest/second_answer_test.go
+++ b/internal/faulttest/second_answer_test.go
@@ -27,7 +27,10 @@
   - {at: 200ms, kind: second-answer, share: 0.2, delay: %v, jitter: %v, of: [nodes]}
 `
 
-var secondAnswerDelays = []struct{ delay, jitter time.Duration }{
+// secondAnswerDelay is how long after an answer it comes again.
+type secondAnswerDelay struct{ delay, jitter time.Duration }
+
+var secondAnswerDelays = []secondAnswerDelay{
 	{300 * time.Microsecond, 0},
 	{2 * time.Millisecond, 0},
 	{7 * time.Millisecond, 0},
@@ -39,21 +42,22 @@
 
 // TestSecondAnswersAreNotTakenForOtherRequests: a response that an upstream sends twice serves no other request.
 func TestSecondAnswersAreNotTakenForOtherRequests(t *testing.T) {
-	playSecondAnswers(t, secondAnswerScript)
+	longerThanAnyRest := secondAnswerDelay{700 * time.Millisecond, 0}
+	playSecondAnswers(t, secondAnswerScript, append(secondAnswerDelays, longerThanAnyRest))
 }
 
 // TestSecondRejectionsDoNotRejectOtherRequests: a rejection that an upstream sends twice says of no other request that it has not run.
 func TestSecondRejectionsDoNotRejectOtherRequests(t *testing.T) {
-	playSecondAnswers(t, secondRejectionScript)
+	playSecondAnswers(t, secondRejectionScript, secondAnswerDelays)
 }
 
-func playSecondAnswers(t *testing.T, text string) {
+func playSecondAnswers(t *testing.T, text string, delays []secondAnswerDelay) {
 	t.Helper()
 	var results []func(*testing.T) *Result
-	for _, d := range secondAnswerDelays {
+	for _, d := range delays {
 		results = append(results, play(t, program, parsed(t, fmt.Sprintf(text, d.delay, d.jitter))))
 	}
-	for i, d := range secondAnswerDelays {
+	for i, d := range delays {
 		t.Run(fmt.Sprintf("%v to %v", d.delay, d.delay+d.jitter), func(t *testing.T) {
 			r := results[i](t)
 			if !r.Holds {
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -66,7 +66,7 @@
 	now := l.now()
 	attempt := l.newAttempt(request, endpoint, timeout, now)
 	if l.mayConnect(attempt) {
-		attempt.connection = l.acquireConnection(endpoint, now)
+		attempt.connection, attempt.ReplaceConn = l.acquireConnection(endpoint, now)
 	}
 	if request.Message.Upload.Streaming() {
 		attempt.Timeout = min(attempt.Timeout, request.Budget) // counted from the body's last byte
@@ -80,10 +80,6 @@
 	attempt.connection.noteUse(request.ClientRequestID, now)
 	l.traceRetry(attempt)
 	attempt.Conn = attempt.connection.transportConn
-	if attempt.Conn != nil {
-		idleFor := now - attempt.connection.idleSince
-		attempt.ReuseDelay = l.connections.reuseDelay(endpoint) - idleFor
-	}
 	attempt.connection.start(l, attempt)
 }
 
@@ -203,8 +199,9 @@
 	}
 	if attempt.lingering {
 		endpoint.lingeringAttempts--
+		result.Status = balancer.Timeout // whatever came, the attempt was abandoned before
 	}
-	l.returnConnection(endpoint, attempt.connection, result.Conn)
+	l.returnConnection(endpoint, attempt.connection, &result)
 	endpoint.countFaults(&result)
 	if attempt.state.reported() {
 		l.adjustAbandoned(endpoint, -1)
--- a/internal/pool/connection.go
+++ b/internal/pool/connection.go
@@ -16,6 +16,7 @@
 type connection struct {
 	transportConn upstream.Conn // as the last attempt or health check returned it; nil: not opened yet
 	idleSince     time.Duration // on the loop's clock
+	last          responseKind  // of the last response on it
 	attempts      chan *attempt // input of the goroutine; closed with the connection
 
 	// The fields below are for the log.
@@ -94,6 +95,8 @@
 	connectionOutdated
 	// connectionBroken: close it, since it can't be reused.
 	connectionBroken
+	// connectionUntrusted: close it, since a second copy of its last response could decide about another request.
+	connectionUntrusted
 )
 
 // String returns the reason in logs why a connection is not kept.
@@ -109,6 +112,8 @@
 		return "endpoint not active, or moved"
 	case connectionBroken:
 		return "can't be reused"
+	case connectionUntrusted:
+		return "a second response is possible"
 	}
 	return "unknown"
 }
--- a/internal/pool/connection_pool.go
+++ b/internal/pool/connection_pool.go
@@ -11,11 +11,6 @@
 	// idleMargin is how long before the endpoint's keep-alive time the pool closes an idle connection: a request
 	// that is written just after the endpoint has closed the connection fails with a reset.
 	idleMargin = 5 * time.Second
-	// connectionReuseDelay is the minimum time between two requests on a connection. HTTP/1.1 responses don't
-	// identify their request: a late second response to one request that arrives after the next request has been
-	// written would be taken for that request's response. While the connection is unused, such bytes are recognised
-	// as unsolicited.
-	connectionReuseDelay = time.Millisecond
 )
 
 // connectionPool counts the connections to all endpoints and holds the limits that apply to them. The idle connections
@@ -27,38 +22,28 @@
 	max         int           // Spec.MaxConnections
 	idleTimeout time.Duration // after which an idle connection is closed
 	nextSweepAt time.Duration // when fireTimers next closes expired idle connections
-	// delayOnlyAfterUnsolicited is Spec.ReuseDelayOnlyAfterUnsolicited.
-	delayOnlyAfterUnsolicited bool
+	reuse       reusePolicy
 }
 
-// reuseDelay returns the minimum time between two requests on a connection to an endpoint.
-func (p *connectionPool) reuseDelay(endpoint *endpoint) time.Duration {
-	if p.delayOnlyAfterUnsolicited && endpoint.faults.unsolicited == 0 {
-		return 0
-	}
-	return connectionReuseDelay
-}
-
-// acquireConnection returns an idle connection whose reuse delay is over, or a new one that the first attempt opens;
-// nil: the limits allow none. If the endpoint's allotment is used up, it returns an idle connection whose reuse delay
-// is not over, and the attempt waits for the rest of the delay. If the pool's limit is reached, the connection that has
-// been idle longest, to any endpoint, is closed first.
-func (l *loop) acquireConnection(endpoint *endpoint, now time.Duration) *connection {
-	if ready := endpoint.idle.takeReady(now, l.connections.reuseDelay(endpoint)); ready != nil {
-		return ready
+// acquireConnection returns an idle connection that may be reused, or a new one that the first attempt opens; nil: the
+// limits allow none. If the endpoint's allotment is used up, it returns an idle connection that may not be reused yet,
+// with replace set: the transport closes it and opens another in its place, so that the allotment is never exceeded. If
+// the pool's limit is reached, the connection that has been idle longest, to any endpoint, is closed first.
+func (l *loop) acquireConnection(endpoint *endpoint, now time.Duration) (acquired *connection, replace bool) {
+	if ready := endpoint.idle.takeReady(now, l.connections.reuse.restTimes(now)); ready != nil {
+		return ready, false
 	}
 	allowed := endpoint.allotment.Connections
 	if allowed > 0 && endpoint.connections >= allowed {
-		// Closing an idle connection and opening another would exceed the allotment for a moment.
-		return endpoint.idle.takeOldest()
+		return endpoint.idle.takeOldest(), true
 	}
 	if l.connections.open >= l.connections.max && !l.evictLongestIdle() {
-		return nil
+		return nil, false
 	}
 	l.connections.open++
 	l.connections.opened++
 	endpoint.connections++
-	return newConnection(l.connections.opened)
+	return newConnection(l.connections.opened), false
 }
 
 // evictLongestIdle closes the connection that has been idle longest, to whichever endpoint. It returns false if none is
@@ -87,13 +72,21 @@
 	return true
 }
 
-// returnConnection takes back a connection after use. conn is the connection that the transport returned, nil if the
-// transport has closed it.
-func (l *loop) returnConnection(endpoint *endpoint, used *connection, conn upstream.Conn) {
-	used.transportConn = conn
-	switch disposition := endpoint.afterUse(conn); disposition {
+// returnConnection takes back a connection after use. result.Conn is nil if the transport has closed it.
+func (l *loop) returnConnection(endpoint *endpoint, used *connection, result *upstream.Result) {
+	now := l.now()
+	used.transportConn = result.Conn
+	used.last = used.last.after(result)
+	if result.Unsolicited {
+		l.connections.reuse.sawUnsolicited(now)
+	}
+	disposition := endpoint.afterUse(result.Conn)
+	if disposition == connectionIdle && !l.connections.reuse.mayReuse(used.last, now) {
+		disposition = connectionUntrusted
+	}
+	switch disposition {
 	case connectionIdle:
-		endpoint.idle.add(used, l.now())
+		endpoint.idle.add(used, now)
 	case connectionLost:
 		l.connections.open--
 		endpoint.connections--
--- a/internal/pool/health_check.go
+++ b/internal/pool/health_check.go
@@ -15,14 +15,15 @@
 		return
 	}
 	sentAt := l.now()
-	acquired := l.acquireConnection(endpoint, sentAt)
+	acquired, replace := l.acquireConnection(endpoint, sentAt)
 	if acquired == nil {
 		return
 	}
 	probe := upstream.Probe{
-		Address: endpoint.address,
-		Load:    l.settings.Reports != balancer.ReportNone,
-		Conn:    acquired.transportConn,
+		Address:     endpoint.address,
+		Load:        l.settings.Reports != balancer.ReportNone,
+		Conn:        acquired.transportConn,
+		ReplaceConn: replace,
 	}
 	transport := l.connections.transport
 	go func() {
@@ -40,7 +41,7 @@
 }
 
 func (e healthCheckFinished) apply(l *loop) {
-	l.returnConnection(e.endpoint, e.connection, e.result.Conn)
+	l.returnConnection(e.endpoint, e.connection, &e.result)
 	e.endpoint.countFaults(&e.result)
 	now := l.now()
 	l.balancer.HealthCheckFinished(now, balancer.HealthCheckResult{
--- a/internal/pool/idle_connections.go
+++ b/internal/pool/idle_connections.go
@@ -34,12 +34,12 @@
 	return oldest
 }
 
-// takeReady removes and returns the most recently used of the connections that have been idle for at least delay, nil
-// if there is none.
-func (i *idleConnections) takeReady(now, delay time.Duration) *connection {
+// takeReady removes and returns the most recently used of the connections that have been idle for long enough, nil if
+// there is none.
+func (i *idleConnections) takeReady(now time.Duration, minimum restTimes) *connection {
 	for index := len(i.list) - 1; index >= 0; index-- {
 		candidate := i.list[index]
-		if now-candidate.idleSince >= delay {
+		if now-candidate.idleSince >= minimum[candidate.last] {
 			i.list = slices.Delete(i.list, index, index+1)
 			return candidate
 		}
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -75,6 +75,7 @@
 		endpoints:        map[balancer.UpstreamID]*endpoint{},
 		tunnels:          map[*attempt]struct{}{},
 	}
+	created.connections.reuse.recognition = upstream.NewRecognition()
 	created.applyLimits(spec)
 	created.endpointStore = spec.EndpointStore
 	// The clock is Unix time at the start, advanced by the monotonic clock. Timestamps from discovery therefore
@@ -94,10 +95,11 @@
 	l.connections.transport = upstream.HTTP1{
 		ConnectTimeout: spec.ConnectionSettings.ConnectTimeout,
 		FullResponses:  spec.FullResponses,
+		Recognition:    l.connections.reuse.recognition,
 	}
 	l.connections.max = spec.MaxConnections
 	l.connections.idleTimeout = max(spec.ConnectionSettings.KeepAlive-idleMargin, spec.ConnectionSettings.KeepAlive/2)
-	l.connections.delayOnlyAfterUnsolicited = spec.ReuseDelayOnlyAfterUnsolicited
+	l.connections.reuse.onlyAfterUnsolicited = spec.ReuseDelayOnlyAfterUnsolicited
 }
 
 // now returns the time on the loop's clock. Any goroutine may call it.
--- a/internal/pool/loop_test.go
+++ b/internal/pool/loop_test.go
@@ -72,7 +72,7 @@
 	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
 		scripted.OK(c, requestID(r))
 		if requestID(r) == "1" {
-			time.Sleep(connectionReuseDelay / 2) // after the response, before the connection is reused
+			time.Sleep(distinctiveRest / 2) // after the response
 			scripted.OK(c, "1")
 			copied <- struct{}{}
 		}
@@ -86,9 +86,9 @@
 	want(t, "connections opened", s.Opened(), 2)
 }
 
-// TestReuseDelayAfterUnsolicitedBytes: with delayOnlyAfterUnsolicited there is no reuse delay until an endpoint has
+// TestRestAfterUnsolicitedBytes: with onlyAfterUnsolicited a served connection is reused at once until an endpoint has
 // sent unsolicited bytes. After that, a late second response is not taken for the response to the next request.
-func TestReuseDelayAfterUnsolicitedBytes(t *testing.T) {
+func TestRestAfterUnsolicitedBytes(t *testing.T) {
 	copied := make(chan struct{}, 2)
 	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
 		id := requestID(r)
@@ -98,17 +98,17 @@
 			copied <- struct{}{}
 		}
 		if id == "3" {
-			time.Sleep(connectionReuseDelay / 2)
+			time.Sleep(distinctiveRest / 2)
 			scripted.OK(c, id)
 			copied <- struct{}{}
 		}
 		return true
 	})
 	h := newManualLoop(t, testSpec())
-	h.connections.delayOnlyAfterUnsolicited = true
+	h.connections.reuse.onlyAfterUnsolicited = true
 	h.updateEndpoints(20, upMember("s-00000001", s))
 	target := h.endpointByName("s-00000001")
-	want(t, "reuse delay before unsolicited bytes", h.connections.reuseDelay(target), time.Duration(0))
+	want(t, "rest before unsolicited bytes", h.connections.reuse.restTimes(h.now())[anonymous], time.Duration(0))
 	for i := 1; i <= 4; i++ {
 		id := fmt.Sprint(i)
 		want(t, "response", string(h.request(id, time.Second).Body), id)
@@ -116,7 +116,7 @@
 			<-copied
 		}
 	}
-	want(t, "reuse delay after unsolicited bytes", h.connections.reuseDelay(target), connectionReuseDelay)
+	want(t, "rest after unsolicited bytes", h.connections.reuse.restTimes(h.now())[anonymous], anonymousRest)
 	want(t, "unsolicited bytes were counted", target.faults.unsolicited > 0, true)
 }
 
--- a/internal/pool/spec.go
+++ b/internal/pool/spec.go
@@ -32,8 +32,8 @@
 	SharedWeight float64
 	// IgnoreDrainsOfOthers makes the pool ignore that endpoints are draining in other pools' lists.
 	IgnoreDrainsOfOthers bool
-	// ReuseDelayOnlyAfterUnsolicited allows reusing a connection without delay, unless its endpoint has sent
-	// unsolicited bytes. Otherwise every connection stays unused for connectionReuseDelay between two requests.
+	// ReuseDelayOnlyAfterUnsolicited allows reusing connections without delay, unless an endpoint of the pool has
+	// recently sent unsolicited bytes. Otherwise a connection stays unused for a while between two requests.
 	ReuseDelayOnlyAfterUnsolicited bool
 	Tunnels                        TunnelLimits
 	// FullResponses passes on all of an endpoint's response, instead of status 200 and the body only.
--- a/internal/pool/states_test.go
+++ b/internal/pool/states_test.go
@@ -209,10 +209,12 @@
 
 // TestIdleConnections checks which connections are taken, and which are left.
 func TestIdleConnections(t *testing.T) {
-	const delay, timeout = 2 * time.Millisecond, 10 * time.Millisecond
+	const timeout = 10 * time.Millisecond
+	delay := restTimes{anonymous: 2 * time.Millisecond}
 	connectionsSince := func(times ...time.Duration) (idle idleConnections, added []*connection) {
 		for _, since := range times {
 			c := newConnection(0)
+			c.last = anonymous
 			idle.add(c, since)
 			added = append(added, c)
 		}
@@ -221,7 +223,7 @@
 	idle, added := connectionsSince(1*time.Millisecond, 3*time.Millisecond, 5*time.Millisecond)
 	want(t, "ready at 6 ms: the last used before 4 ms", idle.takeReady(6*time.Millisecond, delay), added[1])
 	want(t, "ready at 2 ms: none", idle.takeReady(2*time.Millisecond, delay), (*connection)(nil))
-	want(t, "ready with no delay: the last used", idle.takeReady(5*time.Millisecond, 0), added[2])
+	want(t, "ready with no delay: the last used", idle.takeReady(5*time.Millisecond, restTimes{}), added[2])
 	want(t, "oldest", idle.oldest(), added[0])
 	want(t, "oldest taken", idle.takeOldest(), added[0])
 	want(t, "oldest of an empty list", idle.oldest(), (*connection)(nil))
--- a/internal/pool/trace_test.go
+++ b/internal/pool/trace_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// TestTraceLimitCountsSuppressedLines: overload logs at most maxTraceLines of a kind in a second, and says how many it left out.
+// TestTraceLimitCountsSuppressedLines: overload logs maxTraceLines of a kind in a second, and counts the others.
 func TestTraceLimitCountsSuppressedLines(t *testing.T) {
 	const left = 7
 	var limit traceLimit
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -25,8 +25,8 @@
 	Message       *Message
 	Address       string        // host:port of the upstream
 	Timeout       time.Duration // sent to the upstream as its time limit; also bounds the writing of the request
-	ReuseDelay    time.Duration // delay before the connection is reused
 	Conn          Conn          // idle connection to reuse; nil: a new one is opened
+	ReplaceConn   bool          // Conn is closed, and a new connection is opened in its place
 	WriteDeadline time.Time     // time by which the request must be written; zero: only Timeout bounds the writing
 	Gate          Gate          // nil: always open
 	Observer      Observer      // nil: responses are not streamed
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -31,6 +31,7 @@
 	readDeadlineSet atomic.Bool
 	writeClosed     atomic.Bool // giveUp has closed the write side
 	writeDeadline   time.Time
+	responses       history // read on this connection
 
 	readByte  func(fd uintptr) bool // reads a byte without waiting; sets readCount and readErr
 	readCount int
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -27,17 +27,15 @@
 type HTTP1 struct {
 	ConnectTimeout time.Duration // for opening a connection, and for a health check
 	FullResponses  bool          // passes on responses under 500 with their fields, not only the body of a 200
+	Recognition    *Recognition  // of the service's responses; nil: second responses are not recognised
 }
 
 var _ Transport = HTTP1{}
 
 // Do implements Transport.
 func (d HTTP1) Do(a *Attempt) Result {
-	if a.ReuseDelay > 0 {
-		time.Sleep(a.ReuseDelay)
-	}
 	idle, _ := a.Conn.(*conn)
-	c, unsolicited, err := d.connect(idle, a.Address)
+	c, unsolicited, err := d.connect(idle, a.Address, a.ReplaceConn)
 	if err != nil {
 		return Result{Status: balancer.ConnectFailed, Unsolicited: unsolicited, Err: err}
 	}
@@ -46,11 +44,11 @@
 	return result
 }
 
-// connect returns the idle connection if it is still usable, or a new one. unsolicited reports whether there were
-// unsolicited bytes on the idle one.
-func (d HTTP1) connect(idle *conn, address string) (c *conn, unsolicited bool, err error) {
+// connect returns the idle connection if it is still usable and is not to be replaced, or a new one. unsolicited
+// reports whether there were unsolicited bytes on the idle one.
+func (d HTTP1) connect(idle *conn, address string, replace bool) (c *conn, unsolicited bool, err error) {
 	if idle != nil {
-		if idle.checkIdle() == nil {
+		if idle.checkIdle() == nil && !replace {
 			return idle, false, nil
 		}
 		unsolicited = idle.hasUnsolicited()
@@ -88,6 +86,7 @@
 		conn:          connection,
 		message:       attempt.Message,
 		fullResponses: d.FullResponses,
+		recognition:   d.Recognition,
 		observer:      attempt.Observer,
 	}
 	if upload == nil {
@@ -145,7 +144,7 @@
 // Probe implements Transport.
 func (d HTTP1) Probe(p Probe) Result {
 	idle, _ := p.Conn.(*conn)
-	c, unsolicited, err := d.connect(idle, p.Address)
+	c, unsolicited, err := d.connect(idle, p.Address, p.ReplaceConn)
 	if err != nil {
 		return Result{Status: balancer.ConnectFailed, Unsolicited: unsolicited, Err: err}
 	}
@@ -166,7 +165,7 @@
 		c.Close()
 		return Result{Status: balancer.ConnectFailed}
 	}
-	result := responseReader{conn: c, message: &Message{}}.read()
+	result := responseReader{conn: c, message: &Message{}, recognition: d.Recognition}.read()
 	if !probe.Load || result.Status != balancer.OK {
 		return result
 	}
--- a/internal/upstream/http1_test.go
+++ b/internal/upstream/http1_test.go
@@ -61,7 +61,7 @@
 		return false
 	})
 	transport := HTTP1{ConnectTimeout: time.Second}
-	connection, _, err := transport.connect(nil, server.Addr)
+	connection, _, err := transport.connect(nil, server.Addr, false)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/upstream/recognition_test.go
@@ -0,0 +1,120 @@
+package upstream
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"olivearch/balancer"
+	"olivearch/internal/standin/scripted"
+)
+
+// distinctiveBody returns the body of the response to a request, which no other response has.
+func distinctiveBody(r *http.Request) string { return "the response to request " + r.URL.Path }
+
+func newNumberedAttempt(address string, number int, idle Conn) *Attempt {
+	return &Attempt{
+		Message: &Message{RequestLine: fmt.Sprintf("POST /%d", number), Host: "x"},
+		Address: address,
+		Timeout: time.Minute,
+		Conn:    idle,
+	}
+}
+
+// serveDistinct makes attempts on one connection until bodies are known to differ, and returns the connection.
+func serveDistinct(t *testing.T, transport HTTP1, server *scripted.Node) Conn {
+	t.Helper()
+	var connection Conn
+	for number := range minDistinctResponses {
+		result := transport.Do(newNumberedAttempt(server.Addr, number, connection))
+		want(t, "distinctive", result.Distinctive, true)
+		connection = result.Conn
+	}
+	want(t, "bodies differ", transport.Recognition.Distinguishes(), true)
+	return connection
+}
+
+// TestSecondResponseIsSkippedForTheRequestsOwn: copies of earlier responses arrive after the next request.
+func TestSecondResponseIsSkippedForTheRequestsOwn(t *testing.T) {
+	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/100" { // the copies arrive once the request has been written
+			scripted.OK(c, "the response to request /3")
+			scripted.OK(c, fmt.Sprintf("the response to request /%d", minDistinctResponses-1))
+		}
+		return scripted.OK(c, distinctiveBody(r))
+	})
+	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
+	connection := serveDistinct(t, transport, server)
+	result := transport.Do(newNumberedAttempt(server.Addr, 100, connection))
+	want(t, "status", result.Status, balancer.OK)
+	want(t, "body", string(result.Body), "the response to request /100")
+	want(t, "unsolicited bytes noticed", result.Unsolicited, true)
+	want(t, "connection closed", result.Conn, nil)
+}
+
+// TestCopiesWithoutEndFailTheAttempt: an upstream that sends nothing but copies can't hold an attempt.
+func TestCopiesWithoutEndFailTheAttempt(t *testing.T) {
+	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path != "/100" {
+			return scripted.OK(c, distinctiveBody(r))
+		}
+		for range 2 * maxSkippedResponses {
+			scripted.OK(c, "the response to request /3")
+		}
+		return true
+	})
+	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
+	connection := serveDistinct(t, transport, server)
+	result := transport.Do(newNumberedAttempt(server.Addr, 100, connection))
+	want(t, "status", result.Status, balancer.Reset)
+	want(t, "connection closed", result.Conn, nil)
+}
+
+// TestEqualResponsesAreServed: where responses to different requests are alike none of them is skipped.
+func TestEqualResponsesAreServed(t *testing.T) {
+	server := scripted.Start(t, func(c net.Conn, _ *http.Request) bool {
+		return scripted.OK(c, strings.Repeat("same", 8))
+	})
+	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
+	var connection Conn
+	for number := range 3 * minDistinctResponses {
+		result := transport.Do(newNumberedAttempt(server.Addr, number, connection))
+		want(t, "status", result.Status, balancer.OK)
+		connection = result.Conn
+	}
+	want(t, "bodies differ", transport.Recognition.Distinguishes(), false)
+	want(t, "connections", server.Opened(), 1)
+}
+
+// TestResponseWronglySkippedIsLearnt: after a request's own response was skipped, equal bodies are served.
+func TestResponseWronglySkippedIsLearnt(t *testing.T) {
+	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/100" {
+			scripted.OK(c, "the response to request /3")
+			return false // nothing else comes
+		}
+		return scripted.OK(c, distinctiveBody(r))
+	})
+	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
+	connection := serveDistinct(t, transport, server)
+	result := transport.Do(newNumberedAttempt(server.Addr, 100, connection))
+	want(t, "may have run", result.Status, balancer.Reset)
+	want(t, "bodies differ", transport.Recognition.Distinguishes(), false)
+	want(t, "required", transport.Recognition.required, minDistinctResponses*mistakeFactor)
+}
+
+// TestHistoryForgetsTheOldest: a connection's memory is bounded.
+func TestHistoryForgetsTheOldest(t *testing.T) {
+	var h history
+	for i := range connectionHistory + 1 {
+		h.add(fingerprint(i+1), connectionHistory)
+	}
+	want(t, "oldest", h.contains(1), false)
+	want(t, "second", h.contains(2), true)
+	want(t, "newest", h.contains(connectionHistory+1), true)
+	want(t, "entries", len(h.ring), connectionHistory)
+	want(t, "short bodies", h.contains(fingerprintOf([]byte("short"))), false)
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -17,29 +17,68 @@
 	notRun       = "1"
 )
 
+// maxSkippedResponses bounds the second responses to earlier requests that are skipped before a request's own.
+const maxSkippedResponses = 8
+
 // responseReader reads the response to one attempt from its connection.
 type responseReader struct {
 	conn          *conn
 	message       *Message
-	fullResponses bool     // HTTP1.FullResponses
-	observer      Observer // nil: responses are not streamed, and a long one is an error
+	fullResponses bool         // HTTP1.FullResponses
+	recognition   *Recognition // HTTP1.Recognition
+	observer      Observer     // nil: responses are not streamed, and a long one is an error
 }
 
-// read reads the response and returns the result of the attempt. A malformed response means that the request may have
-// run, and the connection is closed. A response that is long or of unknown length is streamed: the observer gets its
-// start, and read returns the result at its end.
+// read reads the response and returns the result of the attempt. It skips second responses to earlier requests on the
+// connection, as far as they are recognised. A malformed response means that the request may have run, and the
+// connection is closed. A response that is long or of unknown length is streamed: the observer gets its start, and read
+// returns the result at its end.
 func (r responseReader) read() Result {
+	for skipped := 0; ; skipped++ {
+		result, repeated := r.readNext()
+		if !repeated {
+			return r.afterSkipping(skipped, result)
+		}
+		if skipped == maxSkippedResponses {
+			return r.afterSkipping(skipped, r.fail(errTooManyResponses))
+		}
+	}
+}
+
+// afterSkipping returns the result of an attempt before whose response others were skipped. The connection is not
+// reused, since the upstream sends responses that no request has asked for.
+func (r responseReader) afterSkipping(skipped int, result Result) Result {
+	if skipped == 0 {
+		return result
+	}
+	result.Unsolicited = true
+	if result.Conn != nil {
+		result.Conn.Close()
+		result.Conn = nil
+	}
+	if result.Status == balancer.Reset {
+		r.recognition.mistaken()
+	}
+	return result
+}
+
+// readNext reads the next response on the connection. repeated reports whether it is a second response to an earlier
+// request, so that the attempt's own response is still to come.
+func (r responseReader) readNext() (result Result, repeated bool) {
 	status, header, framing, err := r.conn.ReadResponseHead(r.requestInfo())
 	if err != nil {
-		return r.fail(err)
+		return r.fail(err), false
 	}
 	if status == http.StatusSwitchingProtocols {
-		return r.tunnel(header)
+		return r.tunnel(header), false
 	}
 	closing := http1.ClosesConnection(header) || framing.UntilClose
-	result := r.classify(status, header)
+	result = r.classify(status, header)
 	if err := r.readBody(&result, framing); err != nil {
-		return r.fail(err)
+		return r.fail(err), false
+	}
+	if !closing && r.isRepeated(&result) {
+		return Result{}, true
 	}
 	// Unsolicited bytes after this response would be taken for the response to the next request.
 	result.Unsolicited = r.conn.Buffered() > 0
@@ -48,7 +87,23 @@
 	} else {
 		result.Conn = r.conn
 	}
-	return result
+	return result, false
+}
+
+// isRepeated reports whether a response is a second one to an earlier request on the connection. Otherwise it adds the
+// response to those that will be recognised.
+func (r responseReader) isRepeated(result *Result) bool {
+	if result.Status != balancer.OK {
+		return false
+	}
+	identity := fingerprintOf(result.Body)
+	if r.conn.responses.contains(identity) && r.recognition.Distinguishes() {
+		return true
+	}
+	r.recognition.observe(identity)
+	r.conn.responses.add(identity, connectionHistory)
+	result.Distinctive = identity != 0
+	return false
 }
 
 // requestInfo returns the properties of the request that determine how the head of the response is read.
@@ -73,6 +128,9 @@
 	return Result{Status: balancer.Reset, Err: err}
 }
 
+// errTooManyResponses is the error of an attempt whose upstream sends only responses to earlier requests.
+var errTooManyResponses = errors.New("too many second responses to earlier requests")
+
 // isMalformed reports whether the upstream sent bytes that are not a valid response, or a response over the limits.
 func isMalformed(err error) bool {
 	for _, malformed := range []error{
