Sockets: what a failed peek says of a client is decided in one place

Evidence: with the old readings put into Peek on a scratch copy, TestPeekSeesBrokenConnections fails for five errors and TestPeekAfterInterruption in both cases; they pass now, as do the hard cases of the fault tests.

--- a/internal/body/upload_send.go
+++ b/internal/body/upload_send.go
@@ -132,7 +132,7 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return false
 	}
-	return errors.Is(err, io.ErrUnexpectedEOF) || http1.PeerClosed(u.conn)
+	return errors.Is(err, io.ErrUnexpectedEOF) || http1.Peek(u.conn).Gone()
 }
 
 // copyNext moves a part of a body of unknown length.
--- a/internal/http1/socket.go
+++ b/internal/http1/socket.go
@@ -3,27 +3,81 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 )
 
-// PeerClosed reports, without waiting and without consuming a byte, whether the other side has closed or reset the
-// connection. A connection that is not a socket counts as open.
-func PeerClosed(c net.Conn) bool {
+// maxInterruptedPeeks bounds the calls of Peek that a signal interrupts, one after another.
+const maxInterruptedPeeks = 100
+
+// PeerState is what a socket tells of the other side.
+type PeerState uint8
+
+const (
+	// PeerSilent means that nothing is known: no byte, end or error has arrived.
+	PeerSilent PeerState = iota
+	// PeerSent means that bytes are ready to be read.
+	PeerSent
+	// PeerEnded means that the other side sends nothing more.
+	PeerEnded
+	// PeerBroken means that the connection is broken, or closed on this side.
+	PeerBroken
+)
+
+// Gone reports whether the other side can't be reached any more, or has ended the connection.
+func (s PeerState) Gone() bool { return s == PeerEnded || s == PeerBroken }
+
+// inconclusiveErrors are errors of a read that say nothing of the connection.
+var inconclusiveErrors = []error{syscall.EAGAIN, syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS}
+
+// receive is syscall.Recvfrom; tests replace it.
+var receive = syscall.Recvfrom
+
+// Peek returns the state of the other side of a connection, without waiting and without consuming a byte. A connection
+// that is not a socket is PeerSilent.
+func Peek(c net.Conn) PeerState {
 	socket, ok := Innermost(c).(syscall.Conn)
 	if !ok {
-		return false
+		return PeerSilent
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return PeerBroken
 	}
-	var received int
-	var recvErr error
+	state := PeerBroken
 	err = raw.Control(func(descriptor uintptr) { // unlike Read, Control works after a deadline has passed
-		var next [1]byte
-		received, _, recvErr = syscall.Recvfrom(int(descriptor), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		state = peekDescriptor(int(descriptor))
 	})
-	return err == nil && received <= 0 && !errors.Is(recvErr, syscall.EAGAIN)
+	if err != nil {
+		return PeerBroken
+	}
+	return state
+}
+
+func peekDescriptor(descriptor int) PeerState {
+	var next [1]byte
+	for range maxInterruptedPeeks {
+		received, _, err := receive(descriptor, next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return peerState(received, err)
+		}
+	}
+	return PeerSilent
+}
+
+// peerState returns what the result of a read says of the other side.
+func peerState(received int, err error) PeerState {
+	isInconclusive := func(inconclusive error) bool { return errors.Is(err, inconclusive) }
+	switch {
+	case err == nil && received > 0:
+		return PeerSent
+	case err == nil:
+		return PeerEnded
+	case slices.ContainsFunc(inconclusiveErrors, isInconclusive):
+		return PeerSilent
+	default:
+		return PeerBroken
+	}
 }
 
 // Innermost returns the innermost connection that c wraps. Between two sockets io.Copy can use splice(2).
--- a/internal/standin/fleetsim/clients.go
+++ b/internal/standin/fleetsim/clients.go
@@ -207,7 +207,7 @@
 		x := f.idle[n-1]
 		f.idle = f.idle[:n-1]
 		f.mu.Unlock()
-		if !http1.PeerClosed(x.Conn) {
+		if !http1.Peek(x.Conn).Gone() {
 			return x, nil
 		}
 		x.Close()
