Fault tests: the relay resets no connection that came up before a service went down

Cause: not the balancer, which never saw the request. 0.3 s after SIGTERM the fault test takes the balancer out of its relay (Service.Point with no target).

Change: connections that came up reach the process that listened then; the queue is accepted to its end before the listener is closed.

--- a/internal/faulttest/relay/relay.go
+++ b/internal/faulttest/relay/relay.go
@@ -129,9 +129,10 @@
 	relay  *Relay
 	port   int
 	keeper int          // descriptor of the socket that keeps the port
-	target atomic.Value // string: host and port; empty: nobody listens
+	target atomic.Value // string: host and port where the service listens, or listened last
 	mu     sync.Mutex
-	l      net.Listener
+	l      *net.TCPListener // nil: connections are refused
+	ended  chan struct{}    // closed when l has been closed
 	byPort sync.Map // the relay's port towards the service -> *Conn
 	opened int      // connections that have come up
 	open   int      // of these, still open
@@ -164,18 +165,18 @@
 	return netip.AddrPortFrom(Address(caller), uint16(s.port)).String()
 }
 
-// Point says where the service listens now; empty: nobody does, and connections are refused.
+// lastAccepts is how long a service that goes down still accepts connections, so that those that have come up are not reset.
+const lastAccepts = 5 * time.Millisecond
+
+// Point says where the service listens now; empty: nobody does, and connections are refused. Connections that came up before reach
+// the process that listened then.
 func (s *Service) Point(target string) error {
-	s.target.Store(target)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if target == "" {
-		if s.l != nil {
-			s.l.Close()
-			s.l = nil
-		}
-		return nil
+		return s.refuse()
 	}
+	s.target.Store(target)
 	if s.l != nil {
 		return nil
 	}
@@ -183,12 +184,29 @@
 	if err != nil {
 		return fmt.Errorf("relay: %s: %w", s.Name, err)
 	}
-	s.l = l
-	go s.accept(l)
+	s.l = l.(*net.TCPListener)
+	s.ended = make(chan struct{})
+	go s.accept(s.l, s.ended)
+	return nil
+}
+
+// refuse accepts the connections that have come up and closes the listener. The caller holds the lock.
+func (s *Service) refuse() error {
+	if s.l == nil {
+		return nil
+	}
+	if err := s.l.SetDeadline(time.Now().Add(lastAccepts)); err != nil {
+		return fmt.Errorf("relay: %s: %w", s.Name, err)
+	}
+	<-s.ended
+	s.l = nil
 	return nil
 }
 
-func (s *Service) accept(l net.Listener) {
+// accept takes connections until the listener's deadline has passed, and closes it.
+func (s *Service) accept(l *net.TCPListener, ended chan<- struct{}) {
+	defer close(ended)
+	defer l.Close()
 	for {
 		c, err := l.Accept()
 		switch {
--- a/internal/faulttest/relay/relay_test.go
+++ b/internal/faulttest/relay/relay_test.go
@@ -308,3 +308,32 @@
 		t.Errorf("cut: %d came", came)
 	}
 }
+
+// TestServiceThatGoesDownKeepsAcceptedConnections: a connection that came up before the service went down is not reset by the relay.
+func TestServiceThatGoesDownKeepsAcceptedConnections(t *testing.T) {
+	_, s, came := start(t)
+	target := s.target.Load().(string)
+	const rounds, callers = 10, 20
+	for range rounds {
+		var accepted []net.Conn
+		for range callers {
+			accepted = append(accepted, dial(t, s, 3))
+		}
+		if err := s.Point(""); err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range accepted {
+			if answer, err := ask(c, "x", 5*time.Second); answer != "x" {
+				t.Fatalf("an accepted connection got %q, %v", answer, err)
+			}
+			<-came
+		}
+		if c, err := net.DialTimeout("tcp", s.At(3), time.Second); err == nil {
+			c.Close()
+			t.Fatal("a new connection came up")
+		}
+		if err := s.Point(target); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
