HTTP/1.1: an empty line before a response is malformed, not skipped

A caller could be served a response that follows bytes which no request had asked for.

Cause: requests and responses were read by the same function, and RFC 9112, section 2.2 lets an empty line stand before a request only. Change: a response's head begins with its status line, interim ones too; such an attempt ends as an error that may have run.

--- a/internal/faulttest/relay/relay.go
+++ b/internal/faulttest/relay/relay.go
@@ -133,10 +133,10 @@
 	mu     sync.Mutex
 	l      *net.TCPListener // nil: connections are refused
 	ended  chan struct{}    // closed when l has been closed
-	byPort sync.Map // the relay's port towards the service -> *Conn
-	opened int      // connections that have come up
-	open   int      // of these, still open
-	most   int      // at once
+	byPort sync.Map         // the relay's port towards the service -> *Conn
+	opened int              // connections that have come up
+	open   int              // of these, still open
+	most   int              // at once
 }
 
 // Serve adds a service, which is down until it has a target.
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -21,12 +21,25 @@
 // notInTrailer holds the names of the fields that frame or route a message.
 var notInTrailer = []string{"Transfer-Encoding", "Content-Length", "Host", "Trailer", "TE", "Connection"}
 
+// emptyLine says what is done with an empty line before a head.
+type emptyLine bool
+
+const (
+	noEmptyLine   emptyLine = false // it ends the head, which is then malformed
+	skipEmptyLine emptyLine = true  // it is skipped
+)
+
 // ReadHead reads a start line and the fields that follow it, up to the limit that the caller has set. It is strict: a
 // line ends in CRLF, a name is a token directly followed by the colon, no line is folded, and no value has a control
 // character other than the tab (RFC 9112, sections 2.2 and 5). Anything that another recipient might parse differently
 // yields ErrMalformedHead.
 func (s *Stream) ReadHead() (line string, header Fields, err error) {
-	text, err := s.readLines(true)
+	return s.readHead(skipEmptyLine)
+}
+
+// readHead reads a head as ReadHead does. before says whether an empty line may stand before it.
+func (s *Stream) readHead(before emptyLine) (line string, header Fields, err error) {
+	text, err := s.readLines(before == skipEmptyLine)
 	if err != nil {
 		return "", nil, err
 	}
@@ -58,7 +71,7 @@
 }
 
 // readLines reads lines up to an empty one and returns them as one string, of which all names and values of a head are
-// substrings. One empty line before a start line is skipped (RFC 9112, section 2.2).
+// substrings. One empty line before the start line of a request is skipped (RFC 9112, section 2.2).
 func (s *Stream) readLines(startLine bool) (string, error) {
 	s.head = s.head[:0]
 	for {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -20,7 +20,7 @@
 func (s *Stream) ReadResponseHead(request RequestInfo) (status int, header Fields, framing Framing, err error) {
 	s.limited.N = MaxHead
 	for range MaxInterim + 1 {
-		line, header, err := s.ReadHead()
+		line, header, err := s.readHead(noEmptyLine)
 		if err != nil {
 			return 0, nil, Framing{}, err
 		}
--- a/internal/http1/stream_test.go
+++ b/internal/http1/stream_test.go
@@ -21,6 +21,7 @@
 		"HTTP/1.1 200\nTransfer-Encoding: chunked\n\n0\r\n\n", // cut inside its last line end
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Load: util=1\r\n\r\n",
 		"HTTP/1.1 200 OK\nContent-Length: 2\n\nab", "ICY 200 OK\r\n\r\n", "",
+		"\r\nHTTP/1.1 200\r\n\r\n",
 	} {
 		f.Add([]byte(text))
 	}
