--- a/internal/coordination/state/codec_state.go
+++ b/internal/coordination/state/codec_state.go
@@ -84,7 +84,7 @@
 	case fieldStateRevision:
 		s.revision = field.Uint
 	case fieldStateFeatureLevel:
-		s.featureLevel = decodeFeatureLevel(field)
+		s.featureLevel = max(initialFeatureLevel, decodeFeatureLevel(field))
 	case fieldStateOverride:
 		return s.decodeOverride(field.Raw)
 	case fieldStateResource:
--- a/internal/coordination/state/codec_test.go
+++ b/internal/coordination/state/codec_test.go
@@ -22,6 +22,7 @@
 		}
 	}
 	f.Add(s.Encode())
+	f.Add([]byte("\b\x01\x100\"\x12000000000000000000 \x00")) // feature level 0
 	f.Add(Envelope{1, 2, &Reserve{"b", "x", 1, 2, 3, 4}}.Encode())
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		checkEnvelopeRoundTrip(t, encoded)
