Upstreams: a rejection soon after another proves nothing; shorter pauses

Change: bodies are told apart after 4 different responses, and after 16 once a body was repeated. A rejection or an error within a second after another one on the same connection may be its copy, whatever the pause: the connection is closed, and a rejection counts as 'may have run'. The pause after a rejection is therefore 100 ms, which only keeps such a succession rare. A late response to an abandoned attempt is recognised as any other.

--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -146,9 +146,9 @@
 	Drains string `yaml:"drains,omitempty" jsonschema:"enum=any,enum=own"`
 	// When a connection stays unused for a while between two requests. HTTP/1.1 responses do not name their request, so a
 	// late duplicate of a response would pass for the response to the next request; in the pause it is detected as
-	// unsolicited bytes. The pause is 1ms after a response that would be recognised if it came again, 500ms after any
-	// other. always, or after_stray: after responses that were passed on, only in the minute after an endpoint of the pool
-	// has sent unsolicited bytes. after_stray if left out.
+	// unsolicited bytes. The pause is 1ms after a response that would be recognised if it came again, 100ms after a
+	// rejection or an error, 500ms after any other. always, or after_stray: after responses that were passed on, only in
+	// the minute after an endpoint of the pool has sent unsolicited bytes. after_stray if left out.
 	Rest string `yaml:"rest,omitempty" jsonschema:"enum=always,enum=after_stray"`
 	// How endpoints report their load: answers (an X-Load field in responses), probes (GET /load) or none. answers if left
 	// out.
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -199,7 +199,6 @@
 	}
 	if attempt.lingering {
 		endpoint.lingeringAttempts--
-		result.Status = balancer.Timeout // whatever came, the attempt was abandoned before
 	}
 	l.returnConnection(endpoint, attempt.connection, &result)
 	endpoint.countFaults(&result)
--- a/internal/pool/reuse_policy.go
+++ b/internal/pool/reuse_policy.go
@@ -15,6 +15,9 @@
 	// response that arrives after the next request has been written would be taken for that request's response.
 	// While the connection is unused, it is known to be unsolicited.
 	anonymousRest = 500 * time.Millisecond
+	// refusalRest is the same after a rejection or an error. The transport concludes nothing from two of them in quick
+	// succession; the rest makes such a succession rare.
+	refusalRest = 100 * time.Millisecond
 	// unsolicitedMemory is how long the pool takes into account that an endpoint has sent unsolicited bytes.
 	unsolicitedMemory = time.Minute
 )
@@ -25,8 +28,8 @@
 const (
 	// noResponse: none yet.
 	noResponse responseKind = iota
-	// notServed: a rejection, an error, or the late response to an abandoned attempt. Taken for the response to another
-	// request, it would decide whether that request is sent again.
+	// notServed: a rejection, an error or none. Taken for the response to another request, it would decide whether
+	// that request is sent again.
 	notServed
 	// anonymous: a response that can't be told from others by its body.
 	anonymous
@@ -72,7 +75,7 @@
 
 // restTimes returns the times that apply now.
 func (p *reusePolicy) restTimes(now time.Duration) restTimes {
-	times := restTimes{notServed: anonymousRest, anonymous: anonymousRest, distinctive: anonymousRest}
+	times := restTimes{notServed: refusalRest, anonymous: anonymousRest, distinctive: anonymousRest}
 	switch {
 	case p.onlyAfterUnsolicited && !p.expectsUnsolicited(now):
 		times[anonymous] = 0
--- a/internal/pool/reuse_policy_test.go
+++ b/internal/pool/reuse_policy_test.go
@@ -36,9 +36,9 @@
 	times := policy.restTimes(0)
 	want(t, "served, bodies not known to differ", times[distinctive], anonymousRest)
 	want(t, "no body", times[anonymous], anonymousRest)
-	want(t, "rejected", times[notServed], anonymousRest)
+	want(t, "rejected", times[notServed], refusalRest)
 	policy.onlyAfterUnsolicited = true
-	want(t, "rejected, otherwise only after unsolicited bytes", policy.restTimes(0)[notServed], anonymousRest)
+	want(t, "rejected, otherwise only after unsolicited bytes", policy.restTimes(0)[notServed], refusalRest)
 }
 
 // TestConnectionIsClosedAfterRejectionOnceSecondResponsesCome: a copy of a rejection can never reject another request.
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -10,6 +10,10 @@
 	"olivearch/internal/http1"
 )
 
+// copyWindow is how long after a rejection or an error another one on the same connection may be a copy of it, since
+// neither has a body that tells them apart.
+const copyWindow = time.Second
+
 // readBufferSize is the size in bytes of a connection's read buffer.
 const readBufferSize = 2 << 10
 
@@ -31,7 +35,8 @@
 	readDeadlineSet atomic.Bool
 	writeClosed     atomic.Bool // giveUp has closed the write side
 	writeDeadline   time.Time
-	responses       history // read on this connection
+	responses       history   // read on this connection
+	refusedAt       time.Time // when the last rejection or error was read on it; zero: none was
 
 	readByte  func(fd uintptr) bool // reads a byte without waiting; sets readCount and readErr
 	readCount int
@@ -101,6 +106,15 @@
 	}
 }
 
+// noteRefusal records that a rejection or an error has been read. It reports whether that may be a second copy of an
+// earlier one.
+func (c *conn) noteRefusal() (mayBeCopy bool) {
+	now := time.Now()
+	mayBeCopy = !c.refusedAt.IsZero() && now.Sub(c.refusedAt) < copyWindow
+	c.refusedAt = now
+	return mayBeCopy
+}
+
 // checkIdle returns an error if an idle connection can't be reused. It does not wait.
 func (c *conn) checkIdle() error {
 	if c.rawConn == nil {
--- a/internal/upstream/recognition.go
+++ b/internal/upstream/recognition.go
@@ -13,9 +13,10 @@
 	// remembered.
 	connectionHistory = 32
 	serviceHistory    = 64
-	// minDistinctResponses is how many responses in a row must have different bodies before a repeated body counts
-	// as a second response to the same request.
-	minDistinctResponses = 16
+	// firstDistinctResponses is how many responses in a row must have different bodies before a repeated body counts
+	// as a second response to the same request. Once a body has been repeated it is minDistinctResponses.
+	firstDistinctResponses = 4
+	minDistinctResponses   = 16
 	// mistakeFactor is how many times more responses must differ after a repeated body was no second response.
 	mistakeFactor = 8
 	// maxDistinctResponses bounds the growth by mistakeFactor.
@@ -66,7 +67,7 @@
 }
 
 // NewRecognition returns a Recognition for a service without known responses.
-func NewRecognition() *Recognition { return &Recognition{required: minDistinctResponses} }
+func NewRecognition() *Recognition { return &Recognition{required: firstDistinctResponses} }
 
 // Distinguishes reports whether bodies tell the service's responses apart.
 func (r *Recognition) Distinguishes() bool {
@@ -87,6 +88,7 @@
 	defer r.mu.Unlock()
 	if r.recent.contains(f) {
 		r.distinct = 0
+		r.required = max(r.required, minDistinctResponses)
 	} else {
 		r.distinct = min(r.distinct+1, maxDistinctResponses)
 	}
@@ -99,5 +101,5 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.distinct = 0
-	r.required = min(r.required*mistakeFactor, maxDistinctResponses)
+	r.required = min(max(r.required, minDistinctResponses)*mistakeFactor, maxDistinctResponses)
 }
--- a/internal/upstream/recognition_test.go
+++ b/internal/upstream/recognition_test.go
@@ -28,7 +28,7 @@
 func serveDistinct(t *testing.T, transport HTTP1, server *scripted.Node) Conn {
 	t.Helper()
 	var connection Conn
-	for number := range minDistinctResponses {
+	for number := range firstDistinctResponses {
 		result := transport.Do(newNumberedAttempt(server.Addr, number, connection))
 		want(t, "distinctive", result.Distinctive, true)
 		connection = result.Conn
@@ -42,7 +42,7 @@
 	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
 		if r.URL.Path == "/100" { // the copies arrive once the request has been written
 			scripted.OK(c, "the response to request /3")
-			scripted.OK(c, fmt.Sprintf("the response to request /%d", minDistinctResponses-1))
+			scripted.OK(c, fmt.Sprintf("the response to request /%d", firstDistinctResponses-1))
 		}
 		return scripted.OK(c, distinctiveBody(r))
 	})
@@ -118,3 +118,32 @@
 	want(t, "entries", len(h.ring), connectionHistory)
 	want(t, "short bodies", h.contains(fingerprintOf([]byte("short"))), false)
 }
+
+// TestRejectionAfterRejectionProvesNothing: the second one on a connection may be a copy of the first.
+func TestRejectionAfterRejectionProvesNothing(t *testing.T) {
+	const rejection = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/2" {
+			return scripted.OK(c, distinctiveBody(r))
+		}
+		_, err := c.Write([]byte(rejection))
+		return err == nil
+	})
+	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
+	first := transport.Do(newNumberedAttempt(server.Addr, 1, nil))
+	want(t, "on a new connection", first.Status, balancer.Rejected)
+	second := transport.Do(newNumberedAttempt(server.Addr, 2, first.Conn))
+	want(t, "served in between", second.Status, balancer.OK)
+	third := transport.Do(newNumberedAttempt(server.Addr, 3, second.Conn))
+	want(t, "may have run", third.Status, balancer.Reset)
+	want(t, "connection closed", third.Conn, nil)
+}
+
+// TestRejectionLongAfterRejectionIsBelieved: copies don't come that late.
+func TestRejectionLongAfterRejectionIsBelieved(t *testing.T) {
+	c := &conn{}
+	want(t, "first", c.noteRefusal(), false)
+	want(t, "at once", c.noteRefusal(), true)
+	c.refusedAt = c.refusedAt.Add(-copyWindow)
+	want(t, "later", c.noteRefusal(), false)
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -80,6 +80,9 @@
 	if !closing && r.isRepeated(&result) {
 		return Result{}, true
 	}
+	if result.Status != balancer.OK && r.conn.noteRefusal() {
+		return r.refusedTwice(result), false
+	}
 	// Unsolicited bytes after this response would be taken for the response to the next request.
 	result.Unsolicited = r.conn.Buffered() > 0
 	if closing || result.Unsolicited {
@@ -90,6 +93,17 @@
 	return result, false
 }
 
+// refusedTwice returns the result of an attempt whose rejection or error may be a copy of the one before on the
+// connection, so that the attempt may have run. The connection is closed, which ends the attempt for the upstream.
+func (r responseReader) refusedTwice(result Result) Result {
+	r.conn.Close()
+	if result.Status == balancer.Rejected {
+		result.Status = balancer.Reset
+		result.Err = errRefusedTwice
+	}
+	return result
+}
+
 // isRepeated reports whether a response is a second one to an earlier request on the connection. Otherwise it adds the
 // response to those that will be recognised.
 func (r responseReader) isRepeated(result *Result) bool {
@@ -128,6 +142,9 @@
 	return Result{Status: balancer.Reset, Err: err}
 }
 
+// errRefusedTwice is the error of an attempt whose rejection may be a copy of an earlier one.
+var errRefusedTwice = errors.New("rejection may be a second copy of the one before")
+
 // errTooManyResponses is the error of an attempt whose upstream sends only responses to earlier requests.
 var errTooManyResponses = errors.New("too many second responses to earlier requests")
 
