--- a/internal/faulttest/schedule/draw.go
+++ b/internal/faulttest/schedule/draw.go
@@ -102,6 +102,15 @@
 	func(rng *rand.Rand, f *script.File) script.Fault {
 		return script.Fault{Kind: "slow-node", Of: part(rng, script.Node), Factor: 1.5 + 4*rng.Float64()}
 	},
+	func(rng *rand.Rand, f *script.File) script.Fault {
+		return script.Fault{
+			Kind:   "second-answer",
+			Of:     part(rng, script.Node),
+			Share:  0.05 + 0.2*rng.Float64(),
+			Delay:  some(rng, 0, 300*time.Millisecond),
+			Jitter: some(rng, 0, 60*time.Millisecond),
+		}
+	},
 	func(rng *rand.Rand, f *script.File) script.Fault { return script.Fault{Kind: "list-old"} },
 	func(rng *rand.Rand, f *script.File) script.Fault { return script.Fault{Kind: "list-down"} },
 	func(rng *rand.Rand, f *script.File) script.Fault {
