Fault tests: the relay accepts what waits in its queue before it closes

Cause: the relay accepted until a deadline of 5 ms; where its goroutine got no turn within them, Go's Accept returns the deadline's error without a look at the queue, and the close reset what waited there.

Change: the package acceptqueue takes the queue without waiting, right before the close.

--- a/internal/faulttest/relay/relay.go
+++ b/internal/faulttest/relay/relay.go
@@ -21,7 +21,9 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
 	"golang.org/x/time/rate"
+	"olivearch/internal/acceptqueue"
 )
 
 const (
@@ -207,6 +209,7 @@
 func (s *Service) accept(l *net.TCPListener, ended chan<- struct{}) {
 	defer close(ended)
 	defer l.Close()
+	defer acceptqueue.Drain(l, func(c net.Conn) { go s.connect(c) })
 	for {
 		c, err := l.Accept()
 		switch {
