Shutdown: requests in the accept queue are answered before the listener is closed

Cause: Stop closed the listener on a timer, whether or not the accept loop had come to the queue; the system resets what is still there.

Change: Stop serves what waits in the queue right before the close (acceptqueue.Drain).

--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -2,7 +2,10 @@
 
 import (
 	"log/slog"
+	"net"
 	"time"
+
+	"olivearch/internal/acceptqueue"
 )
 
 // Drained reports whether an operator has drained the balancer.
@@ -42,6 +45,7 @@
 func (s *Server) Stop() {
 	s.beginStop()
 	time.Sleep(lameDuckPeriod)
+	acceptqueue.Drain(s.listener, func(conn net.Conn) { s.connections.Go(func() { s.ServeConn(conn) }) })
 	s.closeListener()
 	time.Sleep(firstByteGrace)
 	s.retireUnused()
