Proxy tests: wait as long as a connection rests before its reuse is expected

Its upstream answers 'done' to all, which can't be told apart, so the connection rests for 500 ms now.

--- a/internal/proxy/balancer_test.go
+++ b/internal/proxy/balancer_test.go
@@ -13,11 +13,14 @@
 	"olivearch/internal/standin/scripted"
 )
 
+// connectionRest is longer than a connection stays unused after a response that can't be told from others.
+const connectionRest = 600 * time.Millisecond
+
 func TestRequestsAreForwardedUnchanged(t *testing.T) {
 	s := scripted.Start(t, scripted.Done)
 	b := startBalancer(t, upMember("s-00000001", s))
 	for _, class := range []string{"pay", "checkin"} {
-		time.Sleep(2 * time.Millisecond) // otherwise the second request would not reuse the connection
+		time.Sleep(connectionRest) // otherwise the second request would not reuse the connection
 		sent := b.newRequest(class, "body", "Connection", "X-Hop", "X-Hop", "1", "X-Extras", "a=1")
 		status, body := b.do(t, sent)
 		want(t, "status", status, 200)
