--- a/internal/faulttest/faults.go
+++ b/internal/faulttest/faults.go
@@ -54,8 +54,9 @@
 	do, ok := map[string]func() error{
 		"cut": x.onLinks, "slow": x.onLinks, "throttle": x.onLinks, "reset": x.onLinks, "half-close": x.onLinks, "lossy": x.onLinks,
 		"break": x.breakAll, "kill": x.kill, "kill-on-send": x.killOnSend, "stop": x.stop, "terminate": x.terminate, "lose": x.lose,
-		"clock": x.clock, "disk": x.disk, "word": x.word, "flip": x.flip, "power": x.power, "twin": x.twin, "crash": x.crash, "drain": x.drain, "stall": x.stall, "slow-node": x.slowNode, "second-answer": x.secondAnswer,
-		"list-old": x.listOld, "list-down": x.listDown, "list-answers": x.listAnswers, "list-split": x.listSplit, "list-silent": x.onList(x.list.silence), "list-reset": x.onList(x.list.reset),
+		"clock": x.clock, "disk": x.disk, "word": x.word, "flip": x.flip, "power": x.power, "twin": x.twin, "crash": x.crash, "drain": x.drain, "stall": x.stall, "slow-node": x.slowNode,
+		"second-answer": x.secondAnswer,
+		"list-old":      x.listOld, "list-down": x.listDown, "list-answers": x.listAnswers, "list-split": x.listSplit, "list-silent": x.onList(x.list.silence), "list-reset": x.onList(x.list.reset),
 	}[x.Kind]
 	if !ok {
 		return nil, fmt.Errorf("fault %d: nothing is known of %q", i, x.Kind)
--- a/internal/faulttest/relay/relay.go
+++ b/internal/faulttest/relay/relay.go
@@ -167,11 +167,12 @@
 	return netip.AddrPortFrom(Address(caller), uint16(s.port)).String()
 }
 
-// lastAccepts is how long a service that goes down still accepts connections, so that those that have come up are not reset.
+// lastAccepts is how long a service that goes down still accepts connections, so that those that have come up are not
+// reset.
 const lastAccepts = 5 * time.Millisecond
 
-// Point says where the service listens now; empty: nobody does, and connections are refused. Connections that came up before reach
-// the process that listened then.
+// Point says where the service listens now; empty: nobody does, and connections are refused. Connections that came up
+// before reach the process that listened then.
 func (s *Service) Point(target string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/faulttest/relay/relay_test.go
+++ b/internal/faulttest/relay/relay_test.go
@@ -309,7 +309,7 @@
 	}
 }
 
-// TestServiceThatGoesDownKeepsAcceptedConnections: a connection that came up before the service went down is not reset by the relay.
+// TestServiceThatGoesDownKeepsAcceptedConnections: the relay resets no connection that came up before.
 func TestServiceThatGoesDownKeepsAcceptedConnections(t *testing.T) {
 	_, s, came := start(t)
 	target := s.target.Load().(string)
--- a/internal/faulttest/script/types.go
+++ b/internal/faulttest/script/types.go
@@ -164,8 +164,8 @@
 	// so long) [count], stop (SIGSTOP), terminate (SIGTERM, and started again), lose (killed, its folder removed), clock [offset],
 	// disk [disk, delay].
 	// To nodes [of]: word (staff take them out through the ledger: no balancer may send anything new there from a second after the yes on),
-	// crash (comes back cold), drain (comes back restarted), stall (takes requests and answers none), slow-node [factor], second-answer (a
-	// share of responses comes a second time on the same connection) [share, delay, jitter].
+	// crash (comes back cold), drain (comes back restarted), stall (takes requests and answers none), slow-node [factor],
+	// second-answer (a share of responses comes a second time on the same connection) [share, delay, jitter].
 	// To the list service: list-old (tells nothing new), list-down, list-answers [share], list-split (half of the balancers, or those in
 	// from, are told that the nodes in of are gone), list-silent (the watches that are open say nothing more), list-reset (they are reset).
 	Kind string `yaml:"kind"`
@@ -184,8 +184,8 @@
 	Jitter config.Duration `yaml:"jitter,omitempty"`
 	// For throttle: bytes a second.
 	Rate int `yaml:"rate,omitempty" jsonschema:"minimum=1"`
-	// For reset and half-close: share of pieces at which it happens. For list-answers: share of calls that are answered. For
-	// second-answer: share of responses that come twice.
+	// For reset and half-close: share of pieces at which it happens. For list-answers: share of calls that are
+	// answered. For second-answer: share of responses that come twice.
 	Share float64 `yaml:"share,omitempty" jsonschema:"maximum=1"`
 	// For reset and half-close: whether the piece at which it happens comes through first.
 	Deliver bool `yaml:"deliver,omitempty"`
--- a/internal/faulttest/second_answer_test.go
+++ b/internal/faulttest/second_answer_test.go
@@ -46,7 +46,7 @@
 	playSecondAnswers(t, secondAnswerScript, append(secondAnswerDelays, longerThanAnyRest))
 }
 
-// TestSecondRejectionsDoNotRejectOtherRequests: a rejection that an upstream sends twice says of no other request that it has not run.
+// TestSecondRejectionsDoNotRejectOtherRequests: a rejection that is sent twice says nothing of another request.
 func TestSecondRejectionsDoNotRejectOtherRequests(t *testing.T) {
 	playSecondAnswers(t, secondRejectionScript, secondAnswerDelays)
 }
