Review: an answer whose server stands still in the middle of it has no end

Cause (as read): the body of an answer of unknown length is read without a deadline until a first part has been streamed (internal/body/download.go, Receive), the request's deadline no longer applies once its head has come, and copyParts waits for the next part without a limit. The stand-in server can answer in two parts. Nothing is fixed.

--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -147,7 +148,7 @@
 
 // Config writes a balancer's configuration file and returns its path. The settings are those of a small deployment:
 // one class, unsafe to repeat, wanted within 250 ms and given up after 750 ms.
-func (p *Platform) Config(name, listen, discovery string, known List) (string, error) {
+func (p *Platform) Config(name, listen, discovery string, known List, changes ...func(settings map[string]any)) (string, error) {
 	config := map[string]any{
 		"name": name, "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
@@ -168,6 +169,9 @@
 			"reporting": map[string]any{"via": "piggyback"},
 		},
 	}
+	for _, change := range changes {
+		change(config["settings"].(map[string]any))
+	}
 	text, err := json.MarshalIndent(config, "", " ")
 	if err != nil {
 		return "", err
@@ -194,10 +198,25 @@
 
 // AwaitStatus waits until a balancer's management address answers status with +OK.
 func AwaitStatus(address string, within time.Duration) bool {
-	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		if strings.HasPrefix(Command(address, "status"), "+OK") {
 			return true
 		}
 	}
 	return false
 }
+
+// AwaitHealthy waits until a balancer answers GET /healthz with 200.
+func AwaitHealthy(address string, within time.Duration) error {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		response, err := http.Get("http://" + address + "/healthz")
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("no balancer at %s is ready", address)
+}
--- a/review/stand/upstream.go
+++ b/review/stand/upstream.go
@@ -24,6 +24,8 @@
 	ID, Address string
 	Work        time.Duration
 	Draining    atomic.Bool
+	InParts     bool   // the answer is sent in two parts, in chunks, with the work between them
+	Pause       func() // called before the second part; nil: no pause. Set before the first request, as InParts is
 
 	record   *Record
 	mu       sync.Mutex
@@ -66,9 +68,16 @@
 		return
 	}
 	u.record.Line("%s: request %s began to run", u.ID, id)
+	w.Header().Set("X-Load", "util=0.2,eps=0,latency_ms=20")
+	if u.InParts {
+		fmt.Fprintf(w, "%s runs the request %s, ", u.ID, id)
+		http.NewResponseController(w).Flush()
+	}
 	time.Sleep(u.Work)
+	if u.Pause != nil {
+		u.Pause()
+	}
 	u.record.Line("%s: request %s has run", u.ID, id)
-	w.Header().Set("X-Load", "util=0.2,eps=0,latency_ms=20")
 	fmt.Fprintf(w, "%s ran the request %s", u.ID, id)
 }
 
