--- a/review/stand/coordination.go
+++ b/review/stand/coordination.go
@@ -19,11 +19,15 @@
 type Cluster struct {
 	Addresses map[string]string // by name
 	world     *World
+	servers   map[string]*Process
 }
 
+// Server returns the newest process of a server.
+func (c *Cluster) Server(name string) *Process { return c.servers[name] }
+
 // StartCluster starts servers k1, k2 and so on, and waits until one leads.
 func (w *World) StartCluster(names ...string) (*Cluster, error) {
-	c := &Cluster{Addresses: map[string]string{}, world: w}
+	c := &Cluster{Addresses: map[string]string{}, world: w, servers: map[string]*Process{}}
 	for _, name := range names {
 		c.Addresses[name] = FreeAddress()
 	}
@@ -35,7 +39,7 @@
 	return c, c.AwaitMembers(len(names), 30*time.Second)
 }
 
-// StartServer starts a server with an empty folder.
+// StartServer starts a server with its folder, which is empty at first.
 func (c *Cluster) StartServer(name string) error {
 	folder := filepath.Join(c.world.Folder, "data-"+name)
 	if err := os.MkdirAll(folder, 0o700); err != nil {
@@ -46,7 +50,8 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	_, err := c.world.Start(name, "exec bin/olivearch-coordinator run "+path)
+	started, err := c.world.Start(name, "exec bin/olivearch-coordinator run "+path)
+	c.servers[name] = started
 	return err
 }
 
