--- a/review/known/coordinator-killed/main.go
+++ b/review/known/coordinator-killed/main.go
@@ -1,7 +1,7 @@
 //go:build review
 
 // Command coordinator-killed: a coordination server that is killed right after it has stored the leader's snapshot panics at
-// every later start.
+// its next start.
 package main
 
 import (
