Review: cases of the earlier review move to review/known

Cause: the three cases of a new review take the folders review/1 to 3. The earlier three still show what they did. Result: review/build.sh builds all of them.

--- a/review/build.sh
+++ b/review/build.sh
@@ -6,9 +6,10 @@
 cd "$(dirname "$0")/.."
 mkdir -p review/bin
 export GOTOOLCHAIN=local
-for number in 1 2 3; do
-  go build -tags review -o "review/bin/case$number" "./review/$number"
+for folder in review/[1-3]/; do
+  go build -tags review -o "review/bin/case$(basename "$folder")" "./$folder"
 done
-for name in upgrade-slow-clients upgrade-drain upgrade-again serve-sigterm coordinator-killed; do
+for folder in review/known/*/; do
+  name=$(basename "$folder")
   go build -tags review -o "review/bin/$name" "./review/known/$name"
 done
--- a/review/2/main.go
+++ b/review/known/answers-sent-twice/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case2 has upstreams that send one answer in ten twice, the second copy 10 ms after the first, and looks
+// Command answers-sent-twice has upstreams that send one answer in ten twice, the second copy 10 ms after the first, and looks
 // whether a client gets an answer that was made for another client's request.
 package main
 
--- a/review/1/main.go
+++ b/review/known/answers-without-end/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case1: an answer whose server stands still in the middle of it never ends for the client, neither on a
+// Command answers-without-end: an answer whose server stands still in the middle of it never ends for the client, neither on a
 // platform's balancer nor under the limit answer.idle of olivearch serve.
 package main
 
--- a/review/3/main.go
+++ b/review/known/removed-server/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command case3: a balancer that follows a coordination server which operators have removed from the cluster never
+// Command removed-server: a balancer that follows a coordination server which operators have removed from the cluster never
 // learns of an override that the cluster has confirmed.
 package main
 
