--- a/review/stand/platform.go
+++ b/review/stand/platform.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -136,14 +138,30 @@
 	}
 }
 
-// FreeAddress returns a loopback address with a free port.
+// Ports of processes: below those that systems usually give to outgoing connections, so that none of these takes one
+// while its process is down.
+const (
+	firstPort = 12000
+	ports     = 18000
+)
+
+var givenPorts sync.Map
+
+// FreeAddress returns a loopback address with a free port, and each only once.
 func FreeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for range 1000 {
+		port := firstPort + rand.IntN(ports)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		if _, given := givenPorts.LoadOrStore(port, true); !given {
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
+	panic("no port is free")
 }
 
 // Config writes a balancer's configuration file and returns its path. The settings are those of a small deployment:
