--- a/review/known/cap-forgotten/main.go
+++ b/review/known/cap-forgotten/main.go
@@ -75,7 +75,7 @@
 	}
 	page := "/plain"
 	if w.Trouble {
-		page = "/slow-answer" // in two parts, 50 ms apart
+		page = "/slow-answer" // in two parts, one at once and one after the work
 	}
 	if _, err := get("http://" + listen + page); err != nil {
 		return 0, err
