--- a/review/stand2/keyed_upload.go
+++ b/review/stand2/keyed_upload.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -46,6 +47,7 @@
 	began int                  // upstreams that have had its first bytes
 	// written is what the balancer had written of the second attempt at the end of the window, of all that it wrote.
 	written, all int
+	failed       error // of the look at the system's buffers
 }
 
 // begin counts an upstream that gets the first bytes of the request, and returns how many were there before.
@@ -70,7 +72,7 @@
 	held, err := heldBySystem(conn)
 	read := int(counted.read.Load())
 	k.mu.Lock()
-	k.written = read + held
+	k.written, k.failed = read+held, err
 	k.mu.Unlock()
 	k.stage.note("end of the window: %d bytes of the second attempt read, %d held by the system, %v", read, held, err)
 }
@@ -143,6 +145,7 @@
 	if err != nil {
 		return 0, err
 	}
+	found := false
 	port := func(address net.Addr) string { return fmt.Sprintf(":%04X", address.(*net.TCPAddr).Port) }
 	here, there := port(conn.LocalAddr()), port(conn.RemoteAddr())
 	for _, line := range strings.Split(string(table), "\n") {
@@ -157,10 +160,14 @@
 		switch {
 		case strings.HasSuffix(fields[1], here) && strings.HasSuffix(fields[2], there):
 			held += receiving
+			found = true
 		case strings.HasSuffix(fields[1], there) && strings.HasSuffix(fields[2], here):
 			held += sending
 		}
 	}
+	if !found {
+		return 0, errors.New("the connection is not in /proc/net/tcp")
+	}
 	return held, nil
 }
 
@@ -242,17 +249,17 @@
 	status, err := caller.answer(keyedTime + time.Second)
 	set.note("client: request keyed-0001 answered %d, %v", status, err)
 	time.Sleep(time.Second)
-	return memory.judge(), nil
+	return memory.judge()
 }
 
 // judge returns a break if the key ran twice, and the balancer had not written all of the second attempt at the end of
 // the window.
-func (k *keyMemory) judge() []string {
+func (k *keyMemory) judge() ([]string, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if len(k.runs) < 2 || k.written >= k.all {
-		return nil
+	if k.failed != nil || len(k.runs) < 2 || k.written >= k.all {
+		return nil, k.failed
 	}
 	return []string{fmt.Sprintf("key-0001 ran %d times, %v apart; %d of the %d bytes of the second attempt were written "+
-		"after the window of %v", len(k.runs), k.runs[1].Sub(k.runs[0]), k.all-k.written, k.all, keyWindow)}
+		"after the window of %v", len(k.runs), k.runs[1].Sub(k.runs[0]), k.all-k.written, k.all, keyWindow)}, nil
 }
