--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -61,7 +61,10 @@
 	address string
 	answers sync.Map // status -> *atomic.Int64
 	quit    chan struct{}
-	lanes   sync.WaitGroup
+
+	mu     sync.Mutex
+	served []time.Time // when clients got a 200
+	lanes  sync.WaitGroup
 }
 
 // trafficLanes and trafficPause give some 100 requests a second.
@@ -91,6 +94,11 @@
 			c.close()
 		}
 		t.stage.log("client: request %s answered %d", id, status)
+		if status == http.StatusOK {
+			t.mu.Lock()
+			t.served = append(t.served, time.Now())
+			t.mu.Unlock()
+		}
 		counter, _ := t.answers.LoadOrStore(status, new(atomic.Int64))
 		counter.(*atomic.Int64).Add(1)
 	}
@@ -107,3 +115,15 @@
 	})
 	return text
 }
+
+// firstServedSince returns when a client first got a 200 after a time; the zero time: none has.
+func (t *traffic) firstServedSince(at time.Time) (first time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, served := range t.served {
+		if served.After(at) && (first.IsZero() || served.Before(first)) {
+			first = served
+		}
+	}
+	return first
+}
--- a/review/stand2/restart_override.go
+++ b/review/stand2/restart_override.go
@@ -4,17 +4,31 @@
 
 import (
 	"fmt"
+	"net"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	coordination "olivearch/internal/coordination/client"
+	"olivearch/internal/coordination/state"
 )
 
 func init() { plays["restart-override"] = playRestartOverride }
 
-// playRestartOverride: operators have taken an upstream out of service, and the cluster holds the override. One of its
-// three servers stands still, and the balancer is killed and started again.
+const (
+	// overrideWithin is the time within which all connected balancers have an override that is held.
+	overrideWithin = time.Second
+	// stillBefore is how long two servers have stood still when the balancer is killed, and stillFor how long they
+	// stand still in all.
+	stillBefore = 500 * time.Millisecond
+	stillFor    = 3500 * time.Millisecond
+)
+
+// playRestartOverride: operators have taken an upstream out of service, and the cluster holds the override. Two of its
+// five servers stand still, and the balancer is killed and started again.
 func playRestartOverride(set *stage) ([]string, error) {
-	servers, err := set.cluster("k1", "k2", "k3")
+	servers, err := set.cluster("k1", "k2", "k3", "k4", "k5")
 	if err != nil {
 		return nil, err
 	}
@@ -22,6 +36,10 @@
 	if err != nil {
 		return nil, err
 	}
+	order, err := servers.followOrder("n0")
+	if err != nil {
+		return nil, err
+	}
 	site, err := set.site(20*time.Millisecond, "RELAY_PROMISES="+promises)
 	if err != nil {
 		return nil, err
@@ -38,35 +56,80 @@
 	if sent := out.since(taken.Add(50 * time.Millisecond)); sent > 0 {
 		return nil, fmt.Errorf("%d requests went to %s before the restart", sent, out.id)
 	}
-	if err := servers.stopFollowed(set.trouble); err != nil {
-		return nil, err
+	if set.trouble {
+		servers.standStill(order[:2])
 	}
-	time.Sleep(time.Second)
+	time.Sleep(stillBefore)
 	set.note("SIGKILL to the balancer, and a new start")
 	site.balancer.signal(syscall.SIGKILL)
 	<-site.balancer.ended
 	killed := time.Now()
-	if _, err := set.balancer("restarted", site.config, "RELAY_PROMISES="+promises); err != nil {
+	if _, err := set.newProcess("restarted", site.config, "RELAY_PROMISES="+promises); err != nil {
 		return nil, err
 	}
-	time.Sleep(5 * time.Second)
-	set.note("clients: answers by status:%s", load.stop())
-	if sent := out.since(killed); sent > 0 {
-		return []string{fmt.Sprintf("%d new requests went to %s, which is out of service", sent, out.id)}, nil
+	time.Sleep(6 * time.Second)
+	first := load.firstServedSince(killed)
+	set.note("clients: first answer %.3f s after the kill; answers by status:%s", first.Sub(killed).Seconds(), load.stop())
+	if first.IsZero() {
+		return nil, fmt.Errorf("no client was served after the restart")
+	}
+	set.note("requests at %s in the first second: %d", out.id, out.since(killed)-out.since(first.Add(overrideWithin)))
+	if sent := out.since(first.Add(overrideWithin)); sent > 0 {
+		return []string{fmt.Sprintf("%d new requests went to %s, which is out of service, later than 1 s after the balancer "+
+			"had served again", sent, out.id)}, nil
 	}
 	return nil, nil
 }
 
-// stopFollowed finds the server that the balancer follows, and makes it stand still if stop is set.
-func (c *cluster) stopFollowed(stop bool) error {
-	followed, err := c.followed()
-	if err != nil {
-		return err
+// standStill makes servers stand still for stillFor.
+func (c *cluster) standStill(names []string) {
+	for _, name := range names {
+		c.stage.note("%s stands still (SIGSTOP)", name)
+		c.servers[name].signal(syscall.SIGSTOP)
+	}
+	time.AfterFunc(stillFor, func() {
+		for _, name := range names {
+			c.stage.note("%s goes on (SIGCONT)", name)
+			c.servers[name].signal(syscall.SIGCONT)
+		}
+	})
+}
+
+// followOrder returns the order in which a balancer of that name tries the servers, as the project's follower shows it
+// to listeners that close every connection.
+func (c *cluster) followOrder(balancer string) (order []string, err error) {
+	tried := make(chan string, 1000)
+	addresses := map[string]string{}
+	var ended atomic.Bool
+	for _, name := range c.names {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses[name] = listener.Addr().String()
+		go func() {
+			for !ended.Load() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				tried <- name
+				conn.Close()
+			}
+		}()
 	}
-	c.stage.note("the balancer follows %s", followed)
-	if stop {
-		c.stage.note("%s stands still (SIGSTOP)", followed)
-		c.servers[followed].signal(syscall.SIGSTOP)
+	follower := coordination.StartFollower(balancer, addresses, "", func([]state.Override) {})
+	defer follower.Close()
+	defer ended.Store(true)
+	for range c.names {
+		select {
+		case name := <-tried:
+			order = append(order, name)
+		case <-time.After(10 * time.Second):
+			return nil, fmt.Errorf("the follower tried %d servers", len(order))
+		}
 	}
-	return nil
+	c.stage.note("balancer %s tries the servers in the order %v", balancer, order)
+	return order, nil
 }
