A long body is not written on after the end of its attempt's writing

What callers saw: a request with an idempotency key and a body of 1.1 MB ran twice.

Cause: the time by which an attempt must be written was one deadline of the connection, set before the head. Each block of a body that was read ahead, each forwarded or copied part, and the last chunk replaced it by "now and 5 s". Neither the end of the window nor the attempt's time-out held for any byte behind the first 64 KiB.

Change: http1.WriteLimit holds the timeout of a part and the end of the whole, and is the only way to write a part; no part extends the end. An attempt computes the end once: its write deadline, and its time-out too unless the body is streamed, which counts from the client's last byte. Whether moving a part timed out at its reader or its writer is told by the deadline that was set, no longer by one computed beside it. All writers on an attempt's connection were looked at: head and short body, blocks, last chunk and trailer, parts of known length, parts of unknown length. Health checks write one short message under one deadline.

An attempt that ends in this way counts as not run (connect failed): its last byte was never handed to the system.

--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -46,7 +46,7 @@
 		if err := d.setReadTimeout(partTimeout); err != nil {
 			return err
 		}
-		_, err := forwardPart(d.body, client, downloadWriteTimeout)
+		_, err := forwardPart(d.body, client, http1.WriteLimit{Part: downloadWriteTimeout})
 		switch {
 		case errors.Is(err, io.EOF):
 			return nil
@@ -60,13 +60,13 @@
 
 // copyParts writes the buffered bytes, and then the parts that Receive reads.
 func (d *Download) copyParts(client net.Conn, chunked bool) error {
-	if err := http1.SendPart(client, d.buffered, chunked, downloadWriteTimeout); err != nil {
+	if err := http1.SendPart(client, d.buffered, chunked, http1.WriteLimit{Part: downloadWriteTimeout}); err != nil {
 		return err
 	}
 	started := time.Now()
 	for {
 		next := <-d.parts
-		err := http1.SendPart(client, next.block[:next.n], chunked, downloadWriteTimeout)
+		err := http1.SendPart(client, next.block[:next.n], chunked, http1.WriteLimit{Part: downloadWriteTimeout})
 		blocks.Put(next.block)
 		switch {
 		case err != nil:
@@ -91,7 +91,7 @@
 	if !chunked {
 		return nil
 	}
-	return http1.SendLastChunk(client, d.Trailer(), downloadWriteTimeout)
+	return http1.SendLastChunk(client, d.Trailer(), http1.WriteLimit{Part: downloadWriteTimeout})
 }
 
 // exceedsTotal reports whether the response takes longer than its route allows.
--- a/internal/body/transfer.go
+++ b/internal/body/transfer.go
@@ -25,9 +25,8 @@
 // forwardPart moves the bytes of a body of known length that arrive before the read deadline of the source, at most
 // maxPartBytes. It returns io.EOF at the end of the body. A read that times out is not an error. A write that times out
 // is one, since splice(2) loses the bytes that are then in its pipe.
-func forwardPart(src *http1.Body, to net.Conn, writeTimeout time.Duration) (moved int64, err error) {
-	writeDeadline := time.Now().Add(writeTimeout)
-	_ = to.SetWriteDeadline(writeDeadline) // if it fails, so does the write
+func forwardPart(src *http1.Body, to net.Conn, limit http1.WriteLimit) (moved int64, err error) {
+	writeDeadline := limit.StartPart(to)
 	moved, err = src.Forward(to, maxPartBytes)
 	if errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(writeDeadline) {
 		err = nil
--- a/internal/body/upload_send.go
+++ b/internal/body/upload_send.go
@@ -16,22 +16,24 @@
 	uploadWriteTimeout = 5 * time.Second
 )
 
-// Send writes the blocks and the rest of the body to an upstream. The last byte has been written only if Send returns
-// nil. The error is a ClientError if the client is the cause or the upload was stopped.
-func (u *Upload) Send(upstream net.Conn) (err error) {
+// Send writes the blocks and the rest of the body to an upstream. It writes nothing after end, unless that is zero. The
+// last byte has been written only if Send returns nil. The error is a ClientError if the client is the cause or the
+// upload was stopped.
+func (u *Upload) Send(upstream net.Conn, end time.Time) (err error) {
+	limit := http1.WriteLimit{Part: uploadWriteTimeout, End: end}
 	for _, block := range u.blocks {
-		if err := http1.SendPart(upstream, block, !u.lengthKnown, uploadWriteTimeout); err != nil {
+		if err := http1.SendPart(upstream, block, !u.lengthKnown, limit); err != nil {
 			return err
 		}
 	}
 	if !u.Streaming() {
-		return u.sendEnd(upstream, u.trailer)
+		return u.sendEnd(upstream, u.trailer, limit)
 	}
 	if !u.beginReading() {
 		return ClientError{errStopped}
 	}
 	defer func() { u.endReading(err) }()
-	return u.sendFromClient(upstream)
+	return u.sendFromClient(upstream, limit)
 }
 
 // beginReading reports whether an attempt may read from the client. It returns true once at most, and never after Stop.
@@ -56,7 +58,7 @@
 }
 
 // sendFromClient reads the rest of the body from the client and writes it to the upstream.
-func (u *Upload) sendFromClient(upstream net.Conn) error {
+func (u *Upload) sendFromClient(upstream net.Conn, limit http1.WriteLimit) error {
 	started := time.Now()
 	var sent int64
 	var waited time.Duration // spent waiting for the client
@@ -64,9 +66,9 @@
 		if time.Since(started) > u.limits.UploadTimeout || u.tooSlow(sent, waited) {
 			return ClientError{ErrClientTooSlow}
 		}
-		partSent, partWaited, err := u.sendPart(upstream)
+		partSent, partWaited, err := u.sendPart(upstream, limit)
 		if errors.Is(err, io.EOF) {
-			return u.sendEnd(upstream, u.limits.Trailer(u.src))
+			return u.sendEnd(upstream, u.limits.Trailer(u.src), limit)
 		}
 		if err != nil {
 			return err
@@ -77,11 +79,11 @@
 }
 
 // sendEnd writes the last chunk and the trailer, if the body is sent in chunks.
-func (u *Upload) sendEnd(upstream net.Conn, trailer http1.Fields) error {
+func (u *Upload) sendEnd(upstream net.Conn, trailer http1.Fields, limit http1.WriteLimit) error {
 	if u.lengthKnown {
 		return nil
 	}
-	return http1.SendLastChunk(upstream, trailer, uploadWriteTimeout)
+	return http1.SendLastChunk(upstream, trailer, limit)
 }
 
 // tooSlow reports whether the client sends below the minimum rate: sent is in bytes, waited is the time spent waiting
@@ -96,15 +98,17 @@
 
 // sendPart moves a part of the body. It returns the bytes moved, the time spent waiting for the client, and io.EOF at
 // the end of the body.
-func (u *Upload) sendPart(upstream net.Conn) (sent int64, waited time.Duration, err error) {
+func (u *Upload) sendPart(upstream net.Conn, limit http1.WriteLimit) (sent int64, waited time.Duration, err error) {
 	if u.lengthKnown {
-		return u.forwardNext(upstream)
+		return u.forwardNext(upstream, limit)
 	}
-	return u.copyNext(upstream)
+	return u.copyNext(upstream, limit)
 }
 
 // forwardNext waits for the next byte of a body of known length and then moves a part of the body.
-func (u *Upload) forwardNext(upstream net.Conn) (sent int64, waited time.Duration, err error) {
+func (u *Upload) forwardNext(
+	upstream net.Conn, limit http1.WriteLimit,
+) (sent int64, waited time.Duration, err error) {
 	if err := u.setReadTimeout(uploadReadTimeout); err != nil {
 		return 0, 0, err
 	}
@@ -117,7 +121,7 @@
 		return 0, waited, err
 	}
 	forwardStart := time.Now()
-	sent, err = forwardPart(u.src, upstream, uploadWriteTimeout)
+	sent, err = forwardPart(u.src, upstream, limit)
 	if err == nil && sent < maxPartBytes { // more bytes did not arrive within partTimeout
 		waited += time.Since(forwardStart)
 	}
@@ -136,7 +140,7 @@
 }
 
 // copyNext moves a part of a body of unknown length.
-func (u *Upload) copyNext(upstream net.Conn) (sent int64, waited time.Duration, err error) {
+func (u *Upload) copyNext(upstream net.Conn, limit http1.WriteLimit) (sent int64, waited time.Duration, err error) {
 	if err := u.setReadTimeout(uploadReadTimeout); err != nil {
 		return 0, 0, err
 	}
@@ -145,7 +149,7 @@
 	waitStart := time.Now()
 	n, err := u.src.Read(block[:])
 	waited = time.Since(waitStart)
-	if writeErr := http1.SendPart(upstream, block[:n], true, uploadWriteTimeout); writeErr != nil {
+	if writeErr := http1.SendPart(upstream, block[:n], true, limit); writeErr != nil {
 		return 0, waited, writeErr
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -11,12 +11,29 @@
 // LastChunk ends a chunked body that has no trailer (RFC 9112, section 7.1).
 const LastChunk = "0\r\n\r\n"
 
-// SendPart sends a part of a body within a timeout, as a chunk if the body is chunked.
-func SendPart(c net.Conn, part []byte, chunked bool, timeout time.Duration) error {
+// WriteLimit limits the writing of a message that is sent in parts. Each part has its own timeout, but none extends the
+// time by which the whole message must be written.
+type WriteLimit struct {
+	Part time.Duration // longest time for the writing of one part
+	End  time.Time     // time by which the last byte must be written; zero: only Part limits the writing
+}
+
+// StartPart sets the write deadline of a connection for the next part and returns it.
+func (l WriteLimit) StartPart(c net.Conn) (deadline time.Time) {
+	deadline = time.Now().Add(l.Part)
+	if !l.End.IsZero() && l.End.Before(deadline) {
+		deadline = l.End
+	}
+	_ = c.SetWriteDeadline(deadline) // if it fails, so does the write
+	return deadline
+}
+
+// SendPart sends a part of a body within a limit, as a chunk if the body is chunked.
+func SendPart(c net.Conn, part []byte, chunked bool, limit WriteLimit) error {
 	if len(part) == 0 { // an empty chunk would be the last
 		return nil
 	}
-	setWriteTimeout(c, timeout)
+	limit.StartPart(c)
 	if !chunked {
 		_, err := c.Write(part)
 		return err
@@ -26,21 +43,16 @@
 	return err
 }
 
-// SendLastChunk sends the last chunk of a chunked body and its trailer within a timeout.
-func SendLastChunk(c net.Conn, trailer Fields, timeout time.Duration) error {
+// SendLastChunk sends the last chunk of a chunked body and its trailer within a limit.
+func SendLastChunk(c net.Conn, trailer Fields, limit WriteLimit) error {
 	b := GetBuffer()
 	defer PutBuffer(b)
 	WriteLastChunk(b, trailer)
-	setWriteTimeout(c, timeout)
+	limit.StartPart(c)
 	_, err := c.Write(b.Bytes())
 	return err
 }
 
-// setWriteTimeout sets the deadline of the next write. If setting it fails, so does the write.
-func setWriteTimeout(c net.Conn, timeout time.Duration) {
-	_ = c.SetWriteDeadline(time.Now().Add(timeout))
-}
-
 // WriteLastChunk writes the last chunk of a chunked body and its trailer (RFC 9112, sections 7.1 and 7.1.2).
 func WriteLastChunk(b *bytes.Buffer, trailer Fields) {
 	b.WriteString("0\r\n")
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -27,7 +27,7 @@
 	Timeout       time.Duration // sent to the upstream as its time limit; also bounds the writing of the request
 	Conn          Conn          // idle connection to reuse; nil: a new one is opened
 	ReplaceConn   bool          // Conn is closed, and a new connection is opened in its place
-	WriteDeadline time.Time     // time by which the request must be written; zero: only Timeout bounds the writing
+	WriteDeadline time.Time     // time by which the last byte must be written; zero: only Timeout bounds the writing
 	Gate          Gate          // nil: always open
 	Observer      Observer      // nil: responses are not streamed
 
@@ -58,6 +58,21 @@
 	return a.Gate == nil || a.Gate.Open()
 }
 
+// writeEnd returns the time by which the last byte must be written if the writing starts now; zero: there is none. The
+// parts of a long body may not extend it. Timeout does not limit the writing of a streamed body, since it counts from
+// the client's last byte.
+func (a *Attempt) writeEnd() time.Time {
+	upload := a.Message.Upload
+	if upload == nil || upload.Streaming() {
+		return a.WriteDeadline
+	}
+	end := time.Now().Add(a.Timeout)
+	if !a.WriteDeadline.IsZero() && a.WriteDeadline.Before(end) {
+		return a.WriteDeadline
+	}
+	return end
+}
+
 // GiveUp limits the wait of a claimed attempt for its response to the time at. It returns false if the attempt has not
 // been claimed.
 func (a *Attempt) GiveUp(at time.Time) bool {
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -66,7 +66,8 @@
 	if !attempt.MaySend() || !attempt.Claim(connection.giveUp) {
 		return Result{Status: balancer.NotSent, Conn: connection}
 	}
-	connection.limitAttemptWrites(attempt)
+	writeEnd := attempt.writeEnd()
+	connection.limitAttemptWrites(attempt.Timeout, writeEnd)
 	upload := attempt.Message.Upload
 	if upload != nil {
 		if !upload.Retain() { // the client's exchange has ended
@@ -92,7 +93,7 @@
 	if upload == nil {
 		return response.read()
 	}
-	if err := upload.Send(connection); err != nil {
+	if err := upload.Send(connection, writeEnd); err != nil {
 		return response.readEarly(err)
 	}
 	if upload.Streaming() && attempt.Observer != nil {
@@ -103,10 +104,10 @@
 
 // limitAttemptWrites sets the deadline for writing the request. Without it the write to a machine that stops responding
 // would block indefinitely once the buffers are full.
-func (c *conn) limitAttemptWrites(a *Attempt) {
-	c.limitWrites(a.Timeout)
-	if !a.WriteDeadline.IsZero() && a.WriteDeadline.Before(c.writeDeadline) {
-		_ = c.SetWriteDeadline(a.WriteDeadline) // if it fails, so does the write
+func (c *conn) limitAttemptWrites(timeout time.Duration, end time.Time) {
+	c.limitWrites(timeout)
+	if !end.IsZero() && end.Before(c.writeDeadline) {
+		_ = c.SetWriteDeadline(end) // if it fails, so does the write
 	}
 }
 
--- /dev/null
+++ b/internal/upstream/write_end_test.go
@@ -0,0 +1,177 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"olivearch/balancer"
+	"olivearch/internal/body"
+	"olivearch/internal/http1"
+)
+
+const (
+	// ethernetSegment and smallReceiveBuffer, in bytes, keep the system from accepting a whole body at once where
+	// nothing is read. Segments of the loopback interface have 64 KiB.
+	ethernetSegment    = 1460
+	smallReceiveBuffer = 16 << 10
+
+	longBodyBytes = 4 << 20
+	// writeEnd is how long after its start a request must be written.
+	writeEnd = 300 * time.Millisecond
+	// readLate is how long after writeEnd the upstream reads on if the attempt has not ended by then.
+	readLate = time.Second
+)
+
+// stalledUpstream reads the head of a request, and the rest only once it is told to.
+type stalledUpstream struct {
+	address  string
+	readOn   chan struct{}
+	received chan error // why the request is not complete; nil: its last byte was read
+}
+
+func startStalledUpstream(t *testing.T) *stalledUpstream {
+	t.Helper()
+	var optionErr error
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) {
+			fd := int(descriptor)
+			optionErr = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment)
+			if optionErr == nil {
+				optionErr = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
+			}
+		})
+	}}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil || optionErr != nil {
+		t.Fatal(err, optionErr)
+	}
+	t.Cleanup(func() { listener.Close() })
+	upstream := &stalledUpstream{
+		address:  listener.Addr().String(),
+		readOn:   make(chan struct{}),
+		received: make(chan error, 1),
+	}
+	go func() { upstream.received <- upstream.serve(listener) }()
+	return upstream
+}
+
+// serve reads one request and returns an error if it does not arrive completely.
+func (s *stalledUpstream) serve(listener net.Listener) error {
+	connection, err := listener.Accept()
+	if err != nil {
+		return err
+	}
+	defer connection.Close()
+	request, err := http.ReadRequest(bufio.NewReader(connection))
+	if err != nil {
+		return err
+	}
+	<-s.readOn
+	_, err = io.Copy(io.Discard, request.Body)
+	return err
+}
+
+// newLongUpload returns the upload of a body that a client has begun to send. If readAhead is false, it is streamed.
+func newLongUpload(t *testing.T, chunked, readAhead bool) *body.Upload {
+	t.Helper()
+	clientSide, balancerSide := tcpPair(t)
+	go sendLongBody(clientSide, chunked)
+	limits := body.DefaultLimits
+	limits.ReadAheadBytes = 2 * longBodyBytes
+	spool := new(body.Spool)
+	if readAhead {
+		spool.SetSize(int64(limits.ReadAheadBytes))
+	}
+	framing := http1.Framing{Length: longBodyBytes}
+	if chunked {
+		framing = http1.Framing{Chunked: true}
+	}
+	upload := body.NewUpload(spool, balancerSide, framing, &limits)
+	source := http1.NewStream(balancerSide, 4<<10).Body(framing, 2*longBodyBytes)
+	if err := upload.ReadAhead(source); err != nil {
+		t.Fatal(err)
+	}
+	want(t, "streaming", upload.Streaming(), !readAhead)
+	return upload
+}
+
+// sendLongBody sends a body as a client. It fails if the test ends before, which is no error of the client.
+func sendLongBody(client net.Conn, chunked bool) {
+	content := bytes.Repeat([]byte("x"), longBodyBytes)
+	if chunked {
+		_, _ = fmt.Fprintf(client, "%x\r\n%s\r\n%s", longBodyBytes, content, http1.LastChunk)
+		return
+	}
+	_, _ = client.Write(content)
+}
+
+// TestLastByteNotWrittenAfterEndOfWriting guards against a keyed request that an upstream runs again after the
+// deduplication window, because each part of its long body renewed the write deadline.
+func TestLastByteNotWrittenAfterEndOfWriting(t *testing.T) {
+	setWriteDeadline := func(a *Attempt) { a.WriteDeadline = time.Now().Add(writeEnd) }
+	setTimeout := func(a *Attempt) { a.Timeout = writeEnd }
+	for _, c := range []struct {
+		name               string
+		chunked, readAhead bool
+		limit              func(*Attempt)
+	}{
+		{"write deadline, read ahead, known length", false, true, setWriteDeadline},
+		{"write deadline, read ahead, chunked", true, true, setWriteDeadline},
+		{"write deadline, streamed, known length", false, false, setWriteDeadline},
+		{"write deadline, streamed, chunked", true, false, setWriteDeadline},
+		{"time-out, read ahead, known length", false, true, setTimeout},
+		{"time-out, read ahead, chunked", true, true, setTimeout},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			upstream := startStalledUpstream(t)
+			attempt := newLongTimeoutAttempt(upstream.address)
+			attempt.Message.Upload = newLongUpload(t, c.chunked, c.readAhead)
+			attempt.Message.HasBodyFraming = true
+			c.limit(attempt)
+			ended := make(chan Result, 1)
+			go func() { ended <- HTTP1{ConnectTimeout: time.Minute}.Do(attempt) }()
+			result := Result{Status: balancer.OK}
+			select {
+			case result = <-ended:
+				close(upstream.readOn)
+			case <-time.After(writeEnd + readLate):
+				close(upstream.readOn)
+				t.Errorf("the attempt goes on %v after the time by which its request must be written", readLate)
+			}
+			if err := <-upstream.received; err == nil {
+				t.Error("the upstream received the last byte late")
+			}
+			want(t, "status", fmt.Sprint(result.Status), fmt.Sprint(balancer.ConnectFailed))
+		})
+	}
+}
+
+// tcpPair returns both sides of a loopback connection, which are closed when the test ends.
+func tcpPair(t *testing.T) (dialled, accepted net.Conn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	dialled, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { dialled.Close() })
+	accepted, err = listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { accepted.Close() })
+	return dialled, accepted
+}
