A request that the system could not deliver is discarded when its attempt ends

What callers saw: nothing yet.

Cause: the end of the window held for the handing over of bytes to the system, and an attempt was given up by ending the sending, which leaves to the system to deliver what it holds.

Change: at the write deadline, and when an attempt is given up at once, a connection with unacknowledged bytes (SIOCOUTQ) is reset, which discards them. Such an attempt may have run. Bytes that are on their way in the network can't be taken back.

--- a/internal/http1/socket.go
+++ b/internal/http1/socket.go
@@ -5,6 +5,8 @@
 	"net"
 	"slices"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxInterruptedPeeks bounds the calls of Peek that a signal interrupts, one after another.
@@ -36,22 +38,41 @@
 // Peek returns the state of the other side of a connection, without waiting and without consuming a byte. A connection
 // that is not a socket is PeerSilent.
 func Peek(c net.Conn) PeerState {
+	if _, isSocket := Innermost(c).(syscall.Conn); !isSocket {
+		return PeerSilent
+	}
+	state := PeerBroken
+	if err := control(c, func(descriptor int) { state = peekDescriptor(descriptor) }); err != nil {
+		return PeerBroken
+	}
+	return state
+}
+
+// errNoSocket is the error of control for a connection that is not a socket.
+var errNoSocket = errors.New("connection is not a socket")
+
+// control calls use with the descriptor of a connection's socket. It does not wait, and deadlines don't apply.
+func control(c net.Conn, use func(descriptor int)) error {
 	socket, ok := Innermost(c).(syscall.Conn)
 	if !ok {
-		return PeerSilent
+		return errNoSocket
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return PeerBroken
+		return err
 	}
-	state := PeerBroken
-	err = raw.Control(func(descriptor uintptr) { // unlike Read, Control works after a deadline has passed
-		state = peekDescriptor(int(descriptor))
+	return raw.Control(func(descriptor uintptr) { use(int(descriptor)) })
+}
+
+// Undelivered reports whether the system still holds bytes written to a connection that the other side's system has not
+// acknowledged. It returns false if that is unknown.
+func Undelivered(c net.Conn) bool {
+	var unacknowledged int
+	var queueErr error
+	err := control(c, func(descriptor int) {
+		unacknowledged, queueErr = unix.IoctlGetInt(descriptor, unix.SIOCOUTQ)
 	})
-	if err != nil {
-		return PeerBroken
-	}
-	return state
+	return err == nil && queueErr == nil && unacknowledged > 0
 }
 
 func peekDescriptor(descriptor int) PeerState {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -60,10 +60,9 @@
 // open when the next one is written.
 func (c *conn) newGiveUp(socket net.Conn) func(at time.Time) {
 	return func(at time.Time) {
-		halfCloser, ok := socket.(interface{ CloseWrite() error })
-		if ok && !at.After(time.Now()) {
+		if !at.After(time.Now()) {
 			c.writeClosed.Store(true)
-			_ = halfCloser.CloseWrite() // fails only on a closed connection
+			endSending(socket)
 		}
 		_ = c.SetReadDeadline(at) // fails only on a closed connection
 	}
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -91,7 +91,7 @@
 		observer:      attempt.Observer,
 	}
 	if upload == nil {
-		return response.read()
+		return response.readBefore(attempt.WriteDeadline)
 	}
 	if err := upload.Send(connection, writeEnd); err != nil {
 		return response.readEarly(err)
@@ -99,7 +99,7 @@
 	if upload.Streaming() && attempt.Observer != nil {
 		attempt.Observer.RequestWritten()
 	}
-	return response.read()
+	return response.readBefore(attempt.WriteDeadline)
 }
 
 // limitAttemptWrites sets the deadline for writing the request. Without it the write to a machine that stops responding
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -32,7 +32,9 @@
 //     time has passed already, the attempt has ended for the upstream when GiveUp returns, so that a retry may be made.
 //  7. If Attempt.Gate is closed or Attempt.WriteDeadline has passed before the first byte, nothing is written and the
 //     attempt ends as balancer.NotSent. If the last byte is not written by WriteDeadline, the attempt ends as if it
-//     was not written within Attempt.Timeout. No part of a long body extends either.
+//     was not written within Attempt.Timeout. No part of a long body extends either. If the request is not delivered
+//     by WriteDeadline, or by GiveUp with a time that has passed, it is not delivered later: what the system holds of
+//     it is discarded, and the attempt may have run.
 //  8. Do gives up a request that it can't write within Attempt.Timeout, unless its body is streamed, and a response
 //     whose upstream stops sending before its end.
 type Transport interface {
