A streamed response ends at the total time of its route

What callers saw: a response could take up to 30 s longer than its route allows, while its client did not read or its upstream sent nothing.

Change: the writing has one http1.WriteLimit whose end is the total time. It also shortens the wait for the next part.

--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -33,54 +33,92 @@
 
 func logCut(err error) { slog.Warn("response cut", "err", err) }
 
+// writeLimit returns the limit of the writing of a response whose streaming starts now.
+func (d *Download) writeLimit() http1.WriteLimit {
+	limit := http1.WriteLimit{Part: downloadWriteTimeout}
+	if d.limits.DownloadTimeout > 0 {
+		limit.End = time.Now().Add(d.limits.DownloadTimeout)
+	}
+	return limit
+}
+
+// totalError returns errTotalExceeded if the response takes longer than its route allows, else err.
+func totalError(limit http1.WriteLimit, err error) error {
+	if limit.Ended() {
+		return errTotalExceeded
+	}
+	return err
+}
+
 // forward moves a body of known length from the upstream's connection to the client's.
 func (d *Download) forward(client net.Conn) error {
-	started := time.Now()
+	limit := d.writeLimit()
 	for {
-		if err := d.setReadTimeout(d.limits.StallTimeout); err != nil {
-			return err
-		}
-		if err := d.body.Wait(); err != nil && !errors.Is(err, io.EOF) {
-			return err
-		}
-		if err := d.setReadTimeout(partTimeout); err != nil {
-			return err
-		}
-		_, err := forwardPart(d.body, client, http1.WriteLimit{Part: downloadWriteTimeout})
-		switch {
-		case errors.Is(err, io.EOF):
+		err := d.forwardNext(client, limit)
+		if errors.Is(err, io.EOF) {
 			return nil
-		case err != nil:
+		}
+		if err := totalError(limit, err); err != nil {
 			return err
-		case d.exceedsTotal(started):
-			return errTotalExceeded
 		}
 	}
 }
 
+// forwardNext waits for the next byte of a body of known length and then moves a part of the body. It returns io.EOF at
+// the end of the body.
+func (d *Download) forwardNext(client net.Conn, limit http1.WriteLimit) error {
+	if err := d.setReadTimeout(limit.Shorten(d.limits.StallTimeout)); err != nil {
+		return err
+	}
+	if err := d.body.Wait(); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	if err := d.setReadTimeout(partTimeout); err != nil {
+		return err
+	}
+	_, err := forwardPart(d.body, client, limit)
+	return err
+}
+
 // copyParts writes the buffered bytes, and then the parts that Receive reads.
 func (d *Download) copyParts(client net.Conn, chunked bool) error {
-	if err := http1.SendPart(client, d.buffered, chunked, http1.WriteLimit{Part: downloadWriteTimeout}); err != nil {
-		return err
+	limit := d.writeLimit()
+	if err := http1.SendPart(client, d.buffered, chunked, limit); err != nil {
+		return totalError(limit, err)
 	}
-	started := time.Now()
 	for {
-		next := <-d.parts
-		err := http1.SendPart(client, next.block[:next.n], chunked, http1.WriteLimit{Part: downloadWriteTimeout})
+		next, err := d.awaitPart(limit.End)
+		if err != nil {
+			return err
+		}
+		err = http1.SendPart(client, next.block[:next.n], chunked, limit)
 		blocks.Put(next.block)
 		switch {
 		case err != nil:
-			return err
-		case d.exceedsTotal(started):
-			return errTotalExceeded
+			return totalError(limit, err)
 		case next.err != nil:
-			return d.endParts(client, chunked, next.err)
+			return d.endParts(client, chunked, limit, next.err)
 		}
 	}
 }
 
+// awaitPart returns the next part that Receive reads. It returns errTotalExceeded at a time, unless that is zero.
+func (d *Download) awaitPart(end time.Time) (part, error) {
+	if end.IsZero() {
+		return <-d.parts, nil
+	}
+	timer := time.NewTimer(time.Until(end))
+	defer timer.Stop()
+	select {
+	case next := <-d.parts:
+		return next, nil
+	case <-timer.C:
+		return part{}, errTotalExceeded
+	}
+}
+
 // endParts ends a response after its last part, whose error is err. Only io.EOF leads to a regular end.
-func (d *Download) endParts(client net.Conn, chunked bool, err error) error {
+func (d *Download) endParts(client net.Conn, chunked bool, limit http1.WriteLimit, err error) error {
 	if !errors.Is(err, io.EOF) {
 		logCut(err)
 		if !chunked { // the client would take a regular close for the end of the body
@@ -91,10 +129,5 @@
 	if !chunked {
 		return nil
 	}
-	return http1.SendLastChunk(client, d.Trailer(), http1.WriteLimit{Part: downloadWriteTimeout})
-}
-
-// exceedsTotal reports whether the response takes longer than its route allows.
-func (d *Download) exceedsTotal(started time.Time) bool {
-	return d.limits.DownloadTimeout > 0 && time.Since(started) > d.limits.DownloadTimeout
+	return http1.SendLastChunk(client, d.Trailer(), limit)
 }
--- /dev/null
+++ b/internal/body/end_test.go
@@ -0,0 +1,60 @@
+package body
+
+import (
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"olivearch/internal/http1"
+)
+
+// endTimeout bounds the wait for a transfer that must end. It is shorter than the timeout of any part.
+const endTimeout = 10 * time.Second
+
+// awaitEnd waits for the end of a transfer.
+func awaitEnd(t *testing.T, ended <-chan error) error {
+	t.Helper()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(endTimeout):
+		t.Fatalf("the transfer goes on after %v", endTimeout)
+		return nil
+	}
+}
+
+// TestResponseEndsAtTotalTime guards against a response that takes longer than its route allows, because each part had a
+// timeout of its own.
+func TestResponseEndsAtTotalTime(t *testing.T) {
+	limits := DefaultLimits
+	limits.DownloadTimeout = 50 * time.Millisecond
+	for _, c := range []struct {
+		name    string
+		framing http1.Framing
+		text    string
+	}{
+		{"the client does not read, known length", http1.Framing{Length: MaxBuffered}, "abc"},
+		{"the client does not read, chunked", http1.Framing{Chunked: true}, "3\r\nabc\r\n"},
+		{"the upstream stalls, known length", http1.Framing{Length: MaxBuffered}, ""},
+		{"the upstream stalls, chunked", http1.Framing{Chunked: true}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			balancerSide, upstreamSide := net.Pipe()
+			defer upstreamSide.Close()
+			download := NewDownload(http1.NewStream(balancerSide, 2<<10), c.framing, &limits)
+			began := make(chan struct{})
+			go func() { _, _ = download.Receive(func() { close(began) }) }()
+			<-began
+			go func() { _, _ = upstreamSide.Write([]byte(c.text)) }()
+			client, unread := net.Pipe()
+			defer unread.Close()
+			ended := make(chan error, 1)
+			go func() { ended <- download.Copy(client, true) }()
+			if err := awaitEnd(t, ended); !errors.Is(err, errTotalExceeded) {
+				t.Errorf("got %v, want %v", err, errTotalExceeded)
+			}
+		})
+	}
+}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -28,6 +28,17 @@
 	return deadline
 }
 
+// Shorten returns the timeout of a wait between two parts, which End shortens too.
+func (l WriteLimit) Shorten(timeout time.Duration) time.Duration {
+	if l.End.IsZero() {
+		return timeout
+	}
+	return min(timeout, time.Until(l.End))
+}
+
+// Ended reports whether End has passed.
+func (l WriteLimit) Ended() bool { return !l.End.IsZero() && !time.Now().Before(l.End) }
+
 // SendPart sends a part of a body within a limit, as a chunk if the body is chunked.
 func SendPart(c net.Conn, part []byte, chunked bool, limit WriteLimit) error {
 	if len(part) == 0 { // an empty chunk would be the last
