A closed tunnel begins no further write

What callers saw: a tunnel could go on for up to 30 s after it was closed (total time, drain, end of the process), with a side that does not read.

Cause: Close ends pending reads and writes by a deadline in the past, and the deadline of the next write replaced it. The reading side already asked after its deadline whether the tunnel had ended; the writing side did not.

Change: both ask by one function.

--- a/internal/body/end_test.go
+++ b/internal/body/end_test.go
@@ -58,3 +58,32 @@
 		})
 	}
 }
+
+// hookedConn calls a function before a write deadline is set.
+type hookedConn struct {
+	net.Conn
+	beforeWriteDeadline func()
+}
+
+func (c *hookedConn) SetWriteDeadline(at time.Time) error {
+	c.beforeWriteDeadline()
+	return c.Conn.SetWriteDeadline(at)
+}
+
+// TestClosedTunnelWritesNoMore guards against a tunnel that goes on after Close, because the deadline of its next write
+// replaced that of Close.
+func TestClosedTunnelWritesNoMore(t *testing.T) {
+	balancerSide, upstreamSide := net.Pipe()
+	defer upstreamSide.Close()
+	tunnel := NewTunnel(http1.NewStream(balancerSide, 2<<10), &TunnelLimits{Idle: time.Minute})
+	client, unread := net.Pipe()
+	defer unread.Close()
+	tunnel.Bind(&hookedConn{Conn: client, beforeWriteDeadline: tunnel.Close})
+	go func() { _, _ = upstreamSide.Write([]byte("x")) }()
+	ended := make(chan error, 1)
+	go func() {
+		tunnel.ForwardToClient()
+		ended <- nil
+	}()
+	_ = awaitEnd(t, ended)
+}
--- a/internal/body/tunnel.go
+++ b/internal/body/tunnel.go
@@ -144,10 +144,8 @@
 	for {
 		idle := t.idleTimeout()
 		_ = src.SetReadDeadline(t.lastActive().Add(idle)) // if it fails, so does the read
-		select {
-		case <-t.done: // this deadline may have replaced that of Close
+		if t.hasEnded() {                                 // this deadline may have replaced that of Close
 			return net.ErrClosed
-		default:
 		}
 		err := src.Wait()
 		switch {
@@ -160,7 +158,7 @@
 			return err
 		}
 		t.lastActivity.Store(time.Now().UnixNano())
-		if err := copyAvailable(target, src); err != nil {
+		if err := t.copyAvailable(target, src); err != nil {
 			return err
 		}
 	}
@@ -176,8 +174,18 @@
 	return t.limits.Idle
 }
 
+// hasEnded reports whether the tunnel has ended.
+func (t *Tunnel) hasEnded() bool {
+	select {
+	case <-t.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // copyAvailable copies the bytes that have arrived.
-func copyAvailable(to net.Conn, src *http1.Stream) error {
+func (t *Tunnel) copyAvailable(to net.Conn, src *http1.Stream) error {
 	block := blocks.Get().(*[BlockSize]byte)
 	defer blocks.Put(block)
 	for {
@@ -186,6 +194,9 @@
 			return nil // the next Wait returns the error
 		}
 		_ = to.SetWriteDeadline(time.Now().Add(tunnelWriteTimeout)) // if it fails, so does the write
+		if t.hasEnded() {                                           // this deadline may have replaced that of Close
+			return net.ErrClosed
+		}
 		if _, err := to.Write(block[:n]); err != nil {
 			return err
 		}
