--- a/internal/body/end_test.go
+++ b/internal/body/end_test.go
@@ -24,8 +24,8 @@
 	}
 }
 
-// TestResponseEndsAtTotalTime guards against a response that takes longer than its route allows, because each part had a
-// timeout of its own.
+// TestResponseEndsAtTotalTime guards against a response that takes longer than its route allows, because each part had
+// a timeout of its own.
 func TestResponseEndsAtTotalTime(t *testing.T) {
 	limits := DefaultLimits
 	limits.DownloadTimeout = 50 * time.Millisecond
