An upload that no attempt will begin ends with its request

Cause: the reader of a client's connection waits for the answer, or for the end of the upload. If the gate of an attempt finds that the client has left, the request is closed without an answer, and no attempt ever begins to read the upload: neither event comes.

Change: the pool ends the upload of a request that it closes because the client has left; the reader then cancels the exchange as for any client that fails in its body. Places that close a request were looked at: a final response wakes the reader by the writer, ClientLeft comes from the reader itself, an attempt that has begun to read reports the end of the upload.

--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -175,9 +175,24 @@
 }
 
 // Done returns a channel that yields one value: the result of the attempt that read from the client, nil if the whole
-// body was read and written.
+// body was read and written, or a ClientError if no attempt has begun to read and Cancel was called.
 func (u *Upload) Done() <-chan error { return u.done }
 
+// Cancel ends an upload whose request is over, because its client has left. It does nothing if an attempt has begun to
+// read from the client, and if the whole body was read ahead.
+func (u *Upload) Cancel() {
+	if !u.Streaming() {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.started || u.stopped {
+		return
+	}
+	u.stopped = true
+	u.done <- ClientError{errStopped} // does not block: nothing else is sent unless an attempt has begun
+}
+
 // Stop ends the reading of the body and returns once no attempt reads from the client.
 func (u *Upload) Stop() {
 	u.mu.Lock()
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -187,9 +187,11 @@
 	}
 }
 
-// abandonRequest closes a request whose client has left.
+// abandonRequest closes a request whose client has left. It also ends an upload that no attempt will begin: the
+// goroutine of the client waits for its end, and has not seen the client leave if an attempt's gate found it.
 func (l *loop) abandonRequest(request *Request) {
 	l.closeRequest(request, clientDeparted)
+	request.Message.Upload.Cancel()
 	l.balancer.ClientLeft(l.now(), request.ID)
 }
 
--- a/internal/pool/unsent_attempt_test.go
+++ b/internal/pool/unsent_attempt_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,6 +9,8 @@
 	"time"
 
 	"olivearch/balancer"
+	"olivearch/internal/body"
+	"olivearch/internal/http1"
 	"olivearch/internal/standin/scripted"
 )
 
@@ -80,6 +83,40 @@
 	}
 }
 
+// TestUploadEndsWithItsRequest guards against a reader that waits for ever for an upload that no attempt will begin,
+// since only the gate of an attempt has found that the client has left.
+func TestUploadEndsWithItsRequest(t *testing.T) {
+	server := scripted.Start(t, scripted.Done)
+	h := newManualLoop(t, testSpec())
+	h.updateEndpoints(20, upMember("s-00000001", server))
+	clientSide, balancerSide := net.Pipe()
+	defer clientSide.Close()
+	defer balancerSide.Close()
+	request := newRequest("1", h.now()-2*clientCheckDelay, 4*time.Second)
+	request.Client = fixedClient(false)
+	request.Message.Upload = newStreamedUpload(t, balancerSide)
+	h.accept(request)
+	h.finishAttempts()
+	want(t, "requests at the endpoint", len(server.Arrivals), 0)
+	select {
+	case err := <-request.Message.Upload.Done():
+		want(t, "the upload ends with a ClientError", errors.As(err, new(body.ClientError)), true)
+	default:
+		t.Error("the request has ended, and its upload has not")
+	}
+}
+
+// newStreamedUpload returns the upload of a body of which nothing was read ahead.
+func newStreamedUpload(t *testing.T, conn net.Conn) *body.Upload {
+	t.Helper()
+	framing := http1.Framing{Length: 1 << 20}
+	upload := body.NewUpload(new(body.Spool), conn, framing, &body.DefaultLimits)
+	if err := upload.ReadAhead(http1.NewStream(conn, 1<<10).Body(framing, 0)); err != nil {
+		t.Fatal(err)
+	}
+	return upload
+}
+
 // TestClientLeftBeforeArrival: if the client leaves before the loop has handled its request, no connection is opened.
 func TestClientLeftBeforeArrival(t *testing.T) {
 	s := scripted.Start(t, scripted.Done)
