A client that has left is seen behind its unread bytes

Cause: whether a client is there is asked right before an attempt by peeking at the next byte. While bytes of the client are unread, that shows that there are some, and neither the end nor a reset behind them. A request of which a part is still in the socket is read by nobody until an attempt begins, so nothing else sees the client leave.

Change: where Peek finds unread bytes it asks poll(2) for the end of the connection behind them, and tells three facts apart: gone, unread bytes, at its end.

A request without unread bytes costs no further system call.

--- a/internal/body/upload_send.go
+++ b/internal/body/upload_send.go
@@ -131,12 +131,13 @@
 	return sent, waited, err
 }
 
-// isClientFault reports whether forwarding has failed because the client ended its connection.
+// isClientFault reports whether forwarding has failed because the client ended its connection. As long as bytes of it
+// are unread, a read can't have failed.
 func (u *Upload) isClientFault(err error) bool {
 	if err == nil || errors.Is(err, io.EOF) {
 		return false
 	}
-	return errors.Is(err, io.ErrUnexpectedEOF) || http1.Peek(u.conn).Gone()
+	return errors.Is(err, io.ErrUnexpectedEOF) || http1.Peek(u.conn).AtEnd()
 }
 
 // copyNext moves a part of a body of unknown length.
--- a/internal/http1/socket.go
+++ b/internal/http1/socket.go
@@ -18,8 +18,11 @@
 const (
 	// PeerSilent means that nothing is known: no byte, end or error has arrived.
 	PeerSilent PeerState = iota
-	// PeerSent means that bytes are ready to be read.
+	// PeerSent means that bytes are ready to be read, and that no end or error has arrived behind them.
 	PeerSent
+	// PeerSentLast means that bytes are ready to be read, and that the other side sends nothing more or the
+	// connection is broken behind them.
+	PeerSentLast
 	// PeerEnded means that the other side sends nothing more.
 	PeerEnded
 	// PeerBroken means that the connection is broken, or closed on this side.
@@ -27,13 +30,22 @@
 )
 
 // Gone reports whether the other side can't be reached any more, or has ended the connection.
-func (s PeerState) Gone() bool { return s == PeerEnded || s == PeerBroken }
+func (s PeerState) Gone() bool { return s == PeerSentLast || s.AtEnd() }
+
+// HasUnread reports whether bytes are ready to be read.
+func (s PeerState) HasUnread() bool { return s == PeerSent || s == PeerSentLast }
+
+// AtEnd reports whether the next read returns the end of the connection or its error.
+func (s PeerState) AtEnd() bool { return s == PeerEnded || s == PeerBroken }
 
 // inconclusiveErrors are errors of a read that say nothing of the connection.
 var inconclusiveErrors = []error{syscall.EAGAIN, syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS}
 
-// receive is syscall.Recvfrom; tests replace it.
-var receive = syscall.Recvfrom
+// receive and poll are the system calls of Peek; tests replace them.
+var (
+	receive = syscall.Recvfrom
+	poll    = unix.Poll
+)
 
 // Peek returns the state of the other side of a connection, without waiting and without consuming a byte. A connection
 // that is not a socket is PeerSilent.
@@ -79,13 +91,31 @@
 	var next [1]byte
 	for range maxInterruptedPeeks {
 		received, _, err := receive(descriptor, next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if !errors.Is(err, syscall.EINTR) {
-			return peerState(received, err)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		state := peerState(received, err)
+		if state == PeerSent && endsBehindUnread(descriptor) {
+			return PeerSentLast
 		}
+		return state
 	}
 	return PeerSilent
 }
 
+// endsBehindUnread reports whether the end or an error of a connection has arrived behind its unread bytes, which a
+// read can't tell before it has returned them all.
+func endsBehindUnread(descriptor int) bool {
+	states := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+	for range maxInterruptedPeeks {
+		ready, err := poll(states, 0)
+		if !errors.Is(err, syscall.EINTR) {
+			return err == nil && ready > 0
+		}
+	}
+	return false
+}
+
 // peerState returns what the result of a read says of the other side.
 func peerState(received int, err error) PeerState {
 	isInconclusive := func(inconclusive error) bool { return errors.Is(err, inconclusive) }
--- a/internal/http1/socket_test.go
+++ b/internal/http1/socket_test.go
@@ -4,28 +4,11 @@
 	"net"
 	"syscall"
 	"testing"
-)
 
-// socketPair returns the two ends of a TCP connection.
-func socketPair(t *testing.T) (near, far net.Conn) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	if near, err = net.Dial("tcp", listener.Addr().String()); err != nil {
-		t.Fatal(err)
-	}
-	if far, err = listener.Accept(); err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		near.Close()
-		far.Close()
-	})
-	return near, far
-}
+	"golang.org/x/sys/unix"
+
+	"olivearch/internal/standin/scripted"
+)
 
 // failReceive makes the next reads of Peek fail with these errors, in turn.
 func failReceive(t *testing.T, failures ...error) {
@@ -45,7 +28,7 @@
 // TestPeekConcludesNothingFromUnrelatedErrors: such an error neither ends nor empties a connection.
 func TestPeekConcludesNothingFromUnrelatedErrors(t *testing.T) {
 	for _, unrelated := range []error{syscall.EAGAIN, syscall.ENOMEM, syscall.ENOBUFS} {
-		near, _ := socketPair(t)
+		near, _ := scripted.Pair(t)
 		failReceive(t, unrelated)
 		if state := Peek(near); state != PeerSilent {
 			t.Errorf("%v: state %d, want %d", unrelated, state, PeerSilent)
@@ -60,7 +43,7 @@
 		syscall.ENETDOWN, syscall.ENOTCONN,
 	}
 	for _, failure := range broken {
-		near, _ := socketPair(t)
+		near, _ := scripted.Pair(t)
 		failReceive(t, failure)
 		if !Peek(near).Gone() {
 			t.Errorf("%v: the other side counts as reachable", failure)
@@ -68,9 +51,48 @@
 	}
 }
 
+// TestPeekSeesEndBehindUnreadBytes guards against a client that has left and counts as connected, because bytes of it
+// are unread. A poll that fails says nothing.
+func TestPeekSeesEndBehindUnreadBytes(t *testing.T) {
+	near, far := scripted.Pair(t)
+	if _, err := far.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	waitFor(t, near, PeerSent)
+	far.Close()
+	waitFor(t, near, PeerSentLast)
+	state := Peek(near)
+	if !state.Gone() || !state.HasUnread() || state.AtEnd() {
+		t.Errorf("state %d: gone %v, unread bytes %v, at its end %v", state, state.Gone(), state.HasUnread(), state.AtEnd())
+	}
+	failPoll(t, syscall.EINTR, syscall.EINTR)
+	if state := Peek(near); state != PeerSentLast {
+		t.Errorf("after an interruption: state %d, want %d", state, PeerSentLast)
+	}
+	failPoll(t, syscall.ENOMEM)
+	if state := Peek(near); state != PeerSent {
+		t.Errorf("if the poll fails: state %d, want %d", state, PeerSent)
+	}
+}
+
+// failPoll makes the next polls of Peek fail with these errors, in turn.
+func failPoll(t *testing.T, failures ...error) {
+	t.Helper()
+	original := poll
+	t.Cleanup(func() { poll = original })
+	poll = func(states []unix.PollFd, timeout int) (int, error) {
+		if len(failures) == 0 {
+			return original(states, timeout)
+		}
+		failure := failures[0]
+		failures = failures[1:]
+		return -1, failure
+	}
+}
+
 // TestPeekAfterInterruption: a signal during the call does not hide bytes, nor the end of the connection.
 func TestPeekAfterInterruption(t *testing.T) {
-	near, far := socketPair(t)
+	near, far := scripted.Pair(t)
 	if _, err := far.Write([]byte("x")); err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +101,7 @@
 	if state := Peek(near); state != PeerSent {
 		t.Errorf("state %d, want %d", state, PeerSent)
 	}
-	ended, closed := socketPair(t)
+	ended, closed := scripted.Pair(t)
 	closed.Close()
 	waitFor(t, ended, PeerEnded)
 	failReceive(t, syscall.EINTR)
--- a/internal/upstream/undelivered_test.go
+++ b/internal/upstream/undelivered_test.go
@@ -7,6 +7,7 @@
 
 	"olivearch/balancer"
 	"olivearch/internal/http1"
+	"olivearch/internal/standin/scripted"
 )
 
 // bufferedBodyBytes is the size of a body that the system accepts at once and can't deliver to a stalledUpstream: more
@@ -67,7 +68,7 @@
 // TestDeliveredRequestIsAwaitedAfterWriteDeadline guards against an attempt that ends at its write deadline although
 // its request was delivered.
 func TestDeliveredRequestIsAwaitedAfterWriteDeadline(t *testing.T) {
-	upstreamSide, balancerSide := tcpPair(t)
+	upstreamSide, balancerSide := scripted.Pair(t)
 	connection := newConn(balancerSide, "")
 	connection.Limit(http1.MaxHead)
 	if complete, err := connection.writeMessage(&Message{RequestLine: "GET /x"}, time.Minute); !complete {
--- a/internal/upstream/write_end_test.go
+++ b/internal/upstream/write_end_test.go
@@ -15,6 +15,7 @@
 	"olivearch/balancer"
 	"olivearch/internal/body"
 	"olivearch/internal/http1"
+	"olivearch/internal/standin/scripted"
 )
 
 const (
@@ -82,7 +83,7 @@
 // newLongUpload returns the upload of a body that a client has begun to send. If readAhead is false, it is streamed.
 func newLongUpload(t *testing.T, chunked, readAhead bool) *body.Upload {
 	t.Helper()
-	clientSide, balancerSide := tcpPair(t)
+	clientSide, balancerSide := scripted.Pair(t)
 	go sendLongBody(clientSide, chunked)
 	limits := body.DefaultLimits
 	limits.ReadAheadBytes = 2 * longBodyBytes
@@ -154,24 +155,3 @@
 		})
 	}
 }
-
-// tcpPair returns both sides of a loopback connection, which are closed when the test ends.
-func tcpPair(t *testing.T) (dialled, accepted net.Conn) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	dialled, err = net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { dialled.Close() })
-	accepted, err = listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { accepted.Close() })
-	return dialled, accepted
-}
