The client of a streamed request is asked for at every attempt

What callers saw: nothing yet.

Cause: for 50 ms after a request was read its client counts as connected, to save a system call. For a short request that is sound, since the reader waits for the client's next byte and sees it leave at once. The connection of a request whose body is streamed is read by nobody until an attempt begins.

Change: the gate of a streamed request always asks.

--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -11,8 +11,9 @@
 	"olivearch/internal/upstream"
 )
 
-// clientCheckDelay is how long after a request's last byte its client is assumed to be connected, to save the cost of
-// checking the connection. Nothing of a request may be sent to an endpoint later than 100 ms after its client has left.
+// clientCheckDelay is how long after a short request's last byte its client is assumed to be connected, to save the
+// cost of checking the connection. Nothing of a request may be sent to an endpoint later than 100 ms after its client
+// has left.
 const clientCheckDelay = 50 * time.Millisecond
 
 // expiredListRetryAfter is the maximum Retry-After of responses while the endpoint list is too old to be used.
@@ -71,13 +72,22 @@
 	if r.clientGone.Load() {
 		return false
 	}
-	mayBeChecked := r.Client != nil && r.loop.now()-r.ReceivedAt > clientCheckDelay
-	if mayBeChecked && !r.Client.Connected() {
+	if r.clientNeedsCheck() && !r.Client.Connected() {
 		r.clientGone.Store(true)
 	}
 	return !r.clientGone.Load()
 }
 
+// clientNeedsCheck reports whether the client may have left unnoticed. While a short request is open, the goroutine
+// that reads the client's connection sees it leave. Nobody reads the connection of a streamed request before an attempt
+// does.
+func (r *Request) clientNeedsCheck() bool {
+	if r.Client == nil {
+		return false
+	}
+	return r.Message.Upload.Streaming() || r.loop.now()-r.ReceivedAt > clientCheckDelay
+}
+
 // isOpen reports whether the client is still waiting for the final response.
 func (r *Request) isOpen() bool { return r.state == requestOpen }
 
--- a/internal/pool/unsent_attempt_test.go
+++ b/internal/pool/unsent_attempt_test.go
@@ -83,15 +83,26 @@
 	}
 }
 
+// TestStreamedRequestIsNotSentAfterItsClientLeft guards against an attempt that begins long after its client has left,
+// if the process was held up before it read the request: nobody else reads the connection of a streamed request.
+func TestStreamedRequestIsNotSentAfterItsClientLeft(t *testing.T) {
+	h := newManualLoop(t, testSpec())
+	request := newRequest("1", h.now(), 4*time.Second)
+	request.Client = fixedClient(false)
+	request.loop = h.loop
+	want(t, "a short request may be sent at once", request.clientPresent(), true)
+	_, balancerSide := scripted.Pair(t)
+	request.Message.Upload = newStreamedUpload(t, balancerSide)
+	want(t, "a streamed request may be sent", request.clientPresent(), false)
+}
+
 // TestUploadEndsWithItsRequest guards against a reader that waits for ever for an upload that no attempt will begin,
 // since only the gate of an attempt has found that the client has left.
 func TestUploadEndsWithItsRequest(t *testing.T) {
 	server := scripted.Start(t, scripted.Done)
 	h := newManualLoop(t, testSpec())
 	h.updateEndpoints(20, upMember("s-00000001", server))
-	clientSide, balancerSide := net.Pipe()
-	defer clientSide.Close()
-	defer balancerSide.Close()
+	_, balancerSide := scripted.Pair(t)
 	request := newRequest("1", h.now()-2*clientCheckDelay, 4*time.Second)
 	request.Client = fixedClient(false)
 	request.Message.Upload = newStreamedUpload(t, balancerSide)
