--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -21,7 +21,11 @@
 func (d *Download) Copy(client net.Conn, chunked bool) error {
 	defer d.abandon()
 	if d.HasUnknownLength() {
-		return d.copyParts(client, chunked)
+		err := d.copyParts(client, chunked)
+		if errors.Is(err, errTotalExceeded) {
+			logCut(err)
+		}
+		return err
 	}
 	err := d.forward(client)
 	d.forwarded <- err
