What a request relies on to recognise its response is decided as it is sent

Cause: a connection was reused at once because second responses on it would be recognised by their bodies. Whether they were was decided again for the whole pool as the next response was read, and a body that two responses had in common, on any connection, turned it off for requests that had been sent already. Around it, position was still believed: later than 500 ms after a response that can't be recognised, beyond 32 responses on a connection, for copies in pieces (streamed before they could be compared), and on health checks, whose equal bodies also turned recognition off.

Change: the pool decides as it chooses the connection, and the attempt keeps that (SkipRepeated). A connection on which a second response would not be recognised is closed. Copies of unknown length are held while they may be an earlier response. Health checks skip copies and teach nothing.

Tests changed: where a test expected reuse after a response that can't be recognised, its upstream now answers with bodies of its own, and reuse is expected at once and not after 600 ms; times of rest are "never" where they were 500 ms.

TestRecognitionHoldsForRequestUnderWay, TestConnectionIsNotDistinctiveForEver and TestHeldResponseIsNotStreamed guard the parts.

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -38,9 +38,12 @@
 	abandon       func()        // closes abandoned, once
 	beginReturned chan struct{} // closed once the callback of Receive has returned
 
+	hold func(received []byte) bool // see HoldWhile; nil: never
+
 	mu       sync.Mutex
 	buffered []byte // received before streaming; not changed afterwards
 	state    downloadState
+	isDue    bool // bufferingTime has passed
 }
 
 // downloadState is the state of a download. It only changes to a later one.
@@ -74,6 +77,10 @@
 	return d
 }
 
+// HoldWhile keeps a body of unknown length from being streamed while hold returns true for the bytes that have been
+// received, and while they are at most MaxBuffered. It is called before Receive.
+func (d *Download) HoldWhile(hold func(received []byte) bool) { d.hold = hold }
+
 func (d *Download) stopReading() {
 	close(d.abandoned)
 	d.mu.Lock()
@@ -92,15 +99,13 @@
 // Trailer returns the trailer of a response that Receive has returned complete.
 func (d *Download) Trailer() http1.Fields { return d.limits.Trailer(d.body) }
 
-// advance changes the state if it equals from, and reports whether it did.
-func (d *Download) advance(from, to downloadState) bool {
+// finish ends the streaming of a body.
+func (d *Download) finish() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.state != from {
-		return false
+	if d.state == streaming {
+		d.state = finished
 	}
-	d.state = to
-	return true
 }
 
 // Abandon ends a download whose rest is not needed. It does nothing for a nil Download.
@@ -115,7 +120,7 @@
 // were reported first, a short streamed response would be taken for an empty one.
 func (d *Download) Receive(begin func()) (whole []byte, err error) {
 	start := func() {
-		if d.advance(buffering, streaming) {
+		if d.beginStreaming() {
 			begin()
 			close(d.beginReturned)
 		}
@@ -123,10 +128,15 @@
 	if !d.HasUnknownLength() { // a body of known length is only streamed if it is long
 		start()
 		err := d.waitForwarded()
-		d.advance(streaming, finished)
+		d.finish()
 		return nil, err
 	}
-	timer := time.AfterFunc(bufferingTime, start)
+	timer := time.AfterFunc(bufferingTime, func() {
+		d.mu.Lock()
+		d.isDue = true
+		d.mu.Unlock()
+		start()
+	})
 	defer timer.Stop()
 	for {
 		next := d.readPart()
@@ -139,12 +149,31 @@
 			return d.buffered, nil
 		case next.err != nil:
 			return nil, next.err
-		case len(d.buffered) > MaxBuffered:
+		default:
 			start()
 		}
 	}
 }
 
+// beginStreaming begins the streaming of a body that is due to be streamed and is not held, and reports whether it did.
+func (d *Download) beginStreaming() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state != buffering || !d.mayStream() {
+		return false
+	}
+	d.state = streaming
+	return true
+}
+
+// mayStream reports whether a body that is being buffered may be streamed. The caller holds the lock.
+func (d *Download) mayStream() bool {
+	if !d.HasUnknownLength() || len(d.buffered) > MaxBuffered {
+		return true
+	}
+	return d.isDue && (d.hold == nil || !d.hold(d.buffered))
+}
+
 // waitForwarded waits until the client's goroutine has forwarded the body or the download is abandoned.
 func (d *Download) waitForwarded() error {
 	select {
@@ -198,7 +227,7 @@
 
 // finishStreaming returns the error that Receive returns for a streamed response: nil if the response is complete.
 func (d *Download) finishStreaming(err error) error {
-	d.advance(streaming, finished)
+	d.finish()
 	<-d.beginReturned
 	if errors.Is(err, io.EOF) {
 		return nil
--- a/internal/body/download_test.go
+++ b/internal/body/download_test.go
@@ -51,9 +51,7 @@
 
 func sendAndClose(t *testing.T, c net.Conn, text string) {
 	t.Helper()
-	if _, err := io.WriteString(c, text); err != nil {
-		t.Fatal(err)
-	}
+	send(t, c, text)
 	if err := c.Close(); err != nil {
 		t.Fatal(err)
 	}
@@ -65,3 +63,56 @@
 		next = <-d.parts
 	}
 }
+
+// TestHeldResponseIsNotStreamed guards against a second response to an earlier request that is passed on because it
+// comes in pieces, so that its streaming is due before it can be recognised.
+func TestHeldResponseIsNotStreamed(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		rest     string
+		streamed bool
+	}{
+		{"the rest is that of the other response", "def", false},
+		{"the rest differs", "xyz", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			here, there := net.Pipe()
+			download := NewDownload(http1.NewStream(here, 2<<10), http1.Framing{Chunked: true}, &DefaultLimits)
+			asked := make(chan struct{}, 10)
+			download.HoldWhile(func(received []byte) bool {
+				asked <- struct{}{}
+				return "abcdef"[:len(received)] == string(received)
+			})
+			began := make(chan struct{})
+			received := make(chan string, 1)
+			go func() {
+				whole, err := download.Receive(func() { close(began) })
+				if err != nil {
+					t.Error(err)
+				}
+				received <- string(whole)
+			}()
+			send(t, there, "3\r\nabc\r\n")
+			<-asked // the streaming is due
+			send(t, there, "3\r\n"+c.rest+"\r\n")
+			if c.streamed {
+				<-began
+				go takeAllParts(download)
+				send(t, there, http1.LastChunk)
+				<-received
+				return
+			}
+			send(t, there, http1.LastChunk)
+			if whole := <-received; whole != "abcdef" {
+				t.Errorf("got %q", whole)
+			}
+		})
+	}
+}
+
+func send(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -144,11 +144,11 @@
 	// Endpoint lists that can drain an endpoint of this pool: any (every list of this process that has the endpoint) or
 	// own (only this pool's list, for moving endpoints to another pool by draining them in this one). any if left out.
 	Drains string `yaml:"drains,omitempty" jsonschema:"enum=any,enum=own"`
-	// When a connection stays unused for a while between two requests. HTTP/1.1 responses do not name their request, so a
-	// late duplicate of a response would pass for the response to the next request; in the pause it is detected as
-	// unsolicited bytes. The pause is 1ms after a response that would be recognised if it came again, 100ms after a
-	// rejection or an error, 500ms after any other. always, or after_stray: after responses that were passed on, only in
-	// the minute after an endpoint of the pool has sent unsolicited bytes. after_stray if left out.
+	// When a connection stays unused for a while between two requests, or is closed. HTTP/1.1 responses do not name their
+	// request, so a late duplicate of a response would pass for the response to the next request. The pause is 1ms as long
+	// as every response on the connection would be recognised by its body if it came again, and 100ms after a rejection or
+	// an error; any other connection is closed. always, or after_stray: after responses that were passed on, only in the
+	// minute after an endpoint of the pool has sent unsolicited bytes. after_stray if left out.
 	Rest string `yaml:"rest,omitempty" jsonschema:"enum=always,enum=after_stray"`
 	// How endpoints report their load: answers (an X-Load field in responses), probes (GET /load) or none. answers if left
 	// out.
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -80,6 +80,7 @@
 	attempt.connection.noteUse(request.ClientRequestID, now)
 	l.traceRetry(attempt)
 	attempt.Conn = attempt.connection.transportConn
+	attempt.SkipRepeated = attempt.connection.skipRepeated
 	attempt.connection.start(l, attempt)
 }
 
--- a/internal/pool/connection.go
+++ b/internal/pool/connection.go
@@ -17,6 +17,7 @@
 	transportConn upstream.Conn // as the last attempt or health check returned it; nil: not opened yet
 	idleSince     time.Duration // on the loop's clock
 	last          responseKind  // of the last response on it
+	skipRepeated  bool          // reuseRules.skipRepeated at the start of its use
 	attempts      chan *attempt // input of the goroutine; closed with the connection
 
 	// The fields below are for the log.
--- a/internal/pool/connection_pool.go
+++ b/internal/pool/connection_pool.go
@@ -30,7 +30,9 @@
 // with replace set: the transport closes it and opens another in its place, so that the allotment is never exceeded. If
 // the pool's limit is reached, the connection that has been idle longest, to any endpoint, is closed first.
 func (l *loop) acquireConnection(endpoint *endpoint, now time.Duration) (acquired *connection, replace bool) {
-	if ready := endpoint.idle.takeReady(now, l.connections.reuse.restTimes(now)); ready != nil {
+	rules := l.connections.reuse.rules(now)
+	if ready := endpoint.idle.takeReady(now, rules.rest); ready != nil {
+		ready.skipRepeated = rules.skipRepeated
 		return ready, false
 	}
 	allowed := endpoint.allotment.Connections
--- a/internal/pool/health_check.go
+++ b/internal/pool/health_check.go
@@ -20,10 +20,11 @@
 		return
 	}
 	probe := upstream.Probe{
-		Address:     endpoint.address,
-		Load:        l.settings.Reports != balancer.ReportNone,
-		Conn:        acquired.transportConn,
-		ReplaceConn: replace,
+		Address:      endpoint.address,
+		Load:         l.settings.Reports != balancer.ReportNone,
+		Conn:         acquired.transportConn,
+		ReplaceConn:  replace,
+		SkipRepeated: acquired.skipRepeated,
 	}
 	transport := l.connections.transport
 	go func() {
--- a/internal/pool/loop_test.go
+++ b/internal/pool/loop_test.go
@@ -50,7 +50,7 @@
 // TestLongestIdleConnectionIsEvicted: at the connection limit a new connection replaces the one that has been idle
 // longest, to whichever endpoint.
 func TestLongestIdleConnectionIsEvicted(t *testing.T) {
-	one, two := scripted.Start(t, scripted.Done), scripted.Start(t, scripted.Done)
+	one, two := scripted.Start(t, scripted.Own), scripted.Start(t, scripted.Own)
 	h := newManualLoop(t, testSpec())
 	h.connections.max = 1
 	h.updateEndpoints(20, upMember("s-00000001", one))
@@ -108,7 +108,7 @@
 	h.connections.reuse.onlyAfterUnsolicited = true
 	h.updateEndpoints(20, upMember("s-00000001", s))
 	target := h.endpointByName("s-00000001")
-	want(t, "rest before unsolicited bytes", h.connections.reuse.restTimes(h.now())[anonymous], time.Duration(0))
+	want(t, "rest before unsolicited bytes", h.connections.reuse.rules(h.now()).rest[anonymous], time.Duration(0))
 	for i := 1; i <= 4; i++ {
 		id := fmt.Sprint(i)
 		want(t, "response", string(h.request(id, time.Second).Body), id)
@@ -116,7 +116,7 @@
 			<-copied
 		}
 	}
-	want(t, "rest after unsolicited bytes", h.connections.reuse.restTimes(h.now())[anonymous], anonymousRest)
+	want(t, "rest after unsolicited bytes", h.connections.reuse.rules(h.now()).rest[anonymous], neverReused)
 	want(t, "unsolicited bytes were counted", target.faults.unsolicited > 0, true)
 }
 
--- a/internal/pool/reuse_policy.go
+++ b/internal/pool/reuse_policy.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"olivearch/balancer"
@@ -8,16 +9,16 @@
 )
 
 const (
-	// distinctiveRest is the minimum time between two requests on a connection whose last response would be recognised
-	// if it came again.
+	// distinctiveRest is the minimum time between two requests on a connection whose responses would all be recognised
+	// if they came again.
 	distinctiveRest = time.Millisecond
-	// anonymousRest is the same for any other connection. HTTP/1.1 responses don't identify their request: a second
-	// response that arrives after the next request has been written would be taken for that request's response.
-	// While the connection is unused, it is known to be unsolicited.
-	anonymousRest = 500 * time.Millisecond
 	// refusalRest is the same after a rejection or an error. The transport concludes nothing from two of them in quick
 	// succession; the rest makes such a succession rare.
 	refusalRest = 100 * time.Millisecond
+	// neverReused is the same for any other connection. HTTP/1.1 responses don't identify their request: a second
+	// response that arrives after the next request has been written, however late, would be taken for that request's
+	// response.
+	neverReused time.Duration = math.MaxInt64
 	// unsolicitedMemory is how long the pool takes into account that an endpoint has sent unsolicited bytes.
 	unsolicitedMemory = time.Minute
 )
@@ -31,9 +32,9 @@
 	// notServed: a rejection, an error or none. Taken for the response to another request, it would decide whether
 	// that request is sent again.
 	notServed
-	// anonymous: a response that can't be told from others by its body.
+	// anonymous: a response on the connection, this one or an earlier one, can't be told from others by its body.
 	anonymous
-	// distinctive: a response that is recognised by its body, if the bodies of the service's responses differ.
+	// distinctive: all responses on the connection are recognised by their bodies, if those of the service differ.
 	distinctive
 )
 
@@ -65,23 +66,47 @@
 // expectsUnsolicited reports whether an endpoint of the pool has recently sent unsolicited bytes.
 func (p *reusePolicy) expectsUnsolicited(now time.Duration) bool { return now < p.unsolicitedUntil }
 
-// mayReuse reports whether a connection may be reused after a response of a kind, however long it rests.
+// trustsEndpoints reports whether endpoints are taken to send no second responses.
+func (p *reusePolicy) trustsEndpoints(now time.Duration) bool {
+	return p.onlyAfterUnsolicited && !p.expectsUnsolicited(now)
+}
+
+// mayReuse reports whether a connection may be reused after a response of a kind, now or later.
 func (p *reusePolicy) mayReuse(last responseKind, now time.Duration) bool {
-	return last != notServed || !p.expectsUnsolicited(now)
+	switch {
+	case last == notServed:
+		return !p.expectsUnsolicited(now)
+	case p.trustsEndpoints(now):
+		return true
+	case last == distinctive:
+		return p.recognition.Distinguishes() || p.recognition.Learning()
+	default:
+		return last != anonymous
+	}
 }
 
 // restTimes holds the minimum time between two requests on a connection, by the kind of its last response.
 type restTimes [distinctive + 1]time.Duration
 
-// restTimes returns the times that apply now.
-func (p *reusePolicy) restTimes(now time.Duration) restTimes {
-	times := restTimes{notServed: refusalRest, anonymous: anonymousRest, distinctive: anonymousRest}
-	switch {
-	case p.onlyAfterUnsolicited && !p.expectsUnsolicited(now):
-		times[anonymous] = 0
-		times[distinctive] = 0
-	case p.recognition.Distinguishes():
-		times[distinctive] = distinctiveRest
+// reuseRules is how connections are reused at some time.
+type reuseRules struct {
+	rest restTimes
+	// skipRepeated means that a second response to an earlier request on the connection is recognised. The request
+	// that is sent relies on it, so it holds until its response has arrived.
+	skipRepeated bool
+}
+
+// rules returns the rules that apply now.
+func (p *reusePolicy) rules(now time.Duration) reuseRules {
+	rules := reuseRules{skipRepeated: p.recognition.Distinguishes()}
+	rules.rest[notServed] = refusalRest
+	if p.trustsEndpoints(now) {
+		return rules
+	}
+	rules.rest[anonymous] = neverReused
+	rules.rest[distinctive] = neverReused
+	if rules.skipRepeated {
+		rules.rest[distinctive] = distinctiveRest
 	}
-	return times
+	return rules
 }
--- a/internal/pool/reuse_policy_test.go
+++ b/internal/pool/reuse_policy_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -33,12 +32,14 @@
 // TestUnrecognisableResponsesKeepConnectionUnused: only a response that would be recognised allows early reuse.
 func TestUnrecognisableResponsesKeepConnectionUnused(t *testing.T) {
 	policy := reusePolicy{recognition: upstream.NewRecognition()}
-	times := policy.restTimes(0)
-	want(t, "served, bodies not known to differ", times[distinctive], anonymousRest)
-	want(t, "no body", times[anonymous], anonymousRest)
+	times := policy.rules(0).rest
+	want(t, "served, bodies not known to differ", times[distinctive], neverReused)
+	want(t, "no body", times[anonymous], neverReused)
 	want(t, "rejected", times[notServed], refusalRest)
+	want(t, "no body: closed", policy.mayReuse(anonymous, 0), false)
+	want(t, "bodies not known yet to differ: kept", policy.mayReuse(distinctive, 0), true)
 	policy.onlyAfterUnsolicited = true
-	want(t, "rejected, otherwise only after unsolicited bytes", policy.restTimes(0)[notServed], refusalRest)
+	want(t, "rejected, otherwise only after unsolicited bytes", policy.rules(0).rest[notServed], refusalRest)
 }
 
 // TestConnectionIsClosedAfterRejectionOnceSecondResponsesCome: a copy of a rejection can never reject another request.
@@ -47,16 +48,16 @@
 	want(t, "rejected, before", policy.mayReuse(notServed, time.Second), true)
 	policy.sawUnsolicited(time.Second)
 	want(t, "rejected, after unsolicited bytes", policy.mayReuse(notServed, 2*time.Second), false)
-	want(t, "served, after unsolicited bytes", policy.mayReuse(anonymous, 2*time.Second), true)
+	want(t, "served without a body, after unsolicited bytes", policy.mayReuse(anonymous, 2*time.Second), false)
 	want(t, "rejected, long after", policy.mayReuse(notServed, time.Second+unsolicitedMemory), true)
 }
 
 // TestHealthCheckTakesNoRestingConnection: where no further connection is allowed it replaces one that still rests.
 func TestHealthCheckTakesNoRestingConnection(t *testing.T) {
-	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool { return scripted.OK(c, requestID(r)) })
+	server := scripted.Start(t, scripted.Own)
 	h := newManualLoop(t, testSpec())
 	h.updateEndpoints(20, upMember("s-00000001", server))
-	want(t, "first", string(h.request("1", time.Second).Body), "1")
+	want(t, "first", h.request("1", time.Second).Status, http.StatusOK)
 	target := h.endpointByName("s-00000001")
 	target.allotment.Connections = 1
 	h.HealthCheck(target.id)
--- a/internal/pool/running_pool_test.go
+++ b/internal/pool/running_pool_test.go
@@ -47,9 +47,9 @@
 	return &runningPool{p, t}
 }
 
-// startServer starts a server that responds to every request.
+// startServer starts a server that responds to every request, so that its connections are kept.
 func startServer(t testing.TB) *scripted.Node {
-	server := scripted.Start(t, scripted.Done)
+	server := scripted.Start(t, scripted.Own)
 	go discardArrivals(server)
 	return server
 }
--- a/internal/proxy/balancer_test.go
+++ b/internal/proxy/balancer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,19 +14,30 @@
 	"olivearch/internal/standin/scripted"
 )
 
-// connectionRest is longer than a connection stays unused after a response that can't be told from others.
-const connectionRest = 600 * time.Millisecond
+// responsesToLearn is how many responses with different bodies a balancer must have seen before it reuses connections.
+const responsesToLearn = 4
+
+// learnResponses makes a balancer see that the bodies of its upstreams' responses differ.
+func (b *testBalancer) learnResponses(t *testing.T, s *scripted.Node) {
+	t.Helper()
+	for range responsesToLearn {
+		status, _ := b.do(t, b.newRequest("checkin", ""))
+		want(t, "status", status, 200)
+		<-s.Arrivals
+	}
+}
 
 func TestRequestsAreForwardedUnchanged(t *testing.T) {
-	s := scripted.Start(t, scripted.Done)
+	s := scripted.Start(t, scripted.Own)
 	b := startBalancer(t, upMember("s-00000001", s))
+	b.learnResponses(t, s)
+	opened := s.Opened()
 	for _, class := range []string{"pay", "checkin"} {
-		time.Sleep(connectionRest) // otherwise the second request would not reuse the connection
 		sent := b.newRequest(class, "body", "Connection", "X-Hop", "X-Hop", "1", "X-Extras", "a=1")
 		status, body := b.do(t, sent)
 		want(t, "status", status, 200)
-		want(t, "answer", body, "done")
 		received := <-s.Arrivals
+		want(t, "answer", body, scripted.OwnBody(received))
 		text, _ := io.ReadAll(received.Body)
 		want(t, "body", string(text), "body")
 		want(t, "method", received.Method, sent.Method)
@@ -38,7 +50,7 @@
 			t.Errorf("X-Deadline-Ms: got %q, want less than the client's", received.Header.Get("X-Deadline-Ms"))
 		}
 	}
-	want(t, "connections", s.Opened(), 1)
+	want(t, "connections opened for them", s.Opened()-opened, 0)
 }
 
 // A refused connection proves that the request was not executed, so it is retried at another upstream.
@@ -78,16 +90,24 @@
 func TestAbandonedAttemptKeepsItsConnection(t *testing.T) {
 	release := make(chan struct{})
 	from := make(chan net.Conn, 1)
+	var learning atomic.Bool
+	learning.Store(true)
 	s := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if learning.Load() {
+			scripted.Own(c, r)
+			return false
+		}
 		from <- c
 		if r.Header.Get("X-Late") != "" {
 			<-release
-			return scripted.Done(c, r)
+			return scripted.Own(c, r)
 		}
 		writeIfOpen(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 		return false
 	})
 	b := startBalancer(t, upMember("s-00000001", s))
+	b.learnResponses(t, s)
+	learning.Store(false)
 	ctx, leave := context.WithCancel(context.Background())
 	gone := make(chan error, 1)
 	go func() {
--- a/internal/standin/scripted/scripted.go
+++ b/internal/standin/scripted/scripted.go
@@ -83,6 +83,14 @@
 // Done answers every request with 200 and the same body.
 func Done(c net.Conn, _ *http.Request) bool { return OK(c, "done") }
 
+// Own answers every request with 200 and a body that names the request, so that the answers can be told apart.
+func Own(c net.Conn, r *http.Request) bool { return OK(c, OwnBody(r)) }
+
+// OwnBody is the body with which Own answers a request.
+func OwnBody(r *http.Request) string {
+	return fmt.Sprintf("the answer to request %q at %s", r.Header.Get("X-Request-Id"), r.URL.Path)
+}
+
 // Refusing returns an address at which nothing listens.
 func Refusing(t TB) string {
 	t.Helper()
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -27,6 +27,7 @@
 	Timeout       time.Duration // sent to the upstream as its time limit; also bounds the writing of the request
 	Conn          Conn          // idle connection to reuse; nil: a new one is opened
 	ReplaceConn   bool          // Conn is closed, and a new connection is opened in its place
+	SkipRepeated  bool          // a response that equals an earlier one on Conn answers that one's request
 	WriteDeadline time.Time     // time by which the last byte must be written; zero: only Timeout bounds the writing
 	Gate          Gate          // nil: always open
 	Observer      Observer      // nil: responses are not streamed
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -36,6 +36,8 @@
 	writeClosed     atomic.Bool // giveUp has closed the write side
 	writeDeadline   time.Time
 	responses       history   // read on this connection
+	openings        openings  // of those of unknown length
+	unrecognisable  bool      // a second copy of one of its responses would not be recognised
 	refusedAt       time.Time // when the last rejection or error was read on it; zero: none was
 
 	readByte  func(fd uintptr) bool // reads a byte without waiting; sets readCount and readErr
@@ -105,6 +107,18 @@
 	}
 }
 
+// remember adds a response to those that will be recognised if they come again. It returns false if one of the
+// responses on the connection would not be: its body is short or was streamed, or there were too many since.
+func (c *conn) remember(identity fingerprint, content []byte, framing http1.Framing) bool {
+	if !c.responses.add(identity, connectionHistory) {
+		c.unrecognisable = true
+	}
+	if framing.Chunked && !c.openings.add(content) {
+		c.unrecognisable = true
+	}
+	return !c.unrecognisable
+}
+
 // noteRefusal records that a rejection or an error has been read. It reports whether that may be a second copy of an
 // earlier one.
 func (c *conn) noteRefusal() (mayBeCopy bool) {
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -87,6 +87,7 @@
 		conn:          connection,
 		message:       attempt.Message,
 		fullResponses: d.FullResponses,
+		skipRepeated:  attempt.SkipRepeated,
 		recognition:   d.Recognition,
 		observer:      attempt.Observer,
 	}
@@ -166,7 +167,7 @@
 		c.Close()
 		return Result{Status: balancer.ConnectFailed}
 	}
-	result := responseReader{conn: c, message: &Message{}, recognition: d.Recognition}.read()
+	result := responseReader{conn: c, message: &Message{}, skipRepeated: probe.SkipRepeated}.read()
 	if !probe.Load || result.Status != balancer.OK {
 		return result
 	}
--- a/internal/upstream/recognition_test.go
+++ b/internal/upstream/recognition_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"olivearch/balancer"
+	"olivearch/internal/http1"
 	"olivearch/internal/standin/scripted"
 )
 
@@ -48,13 +49,63 @@
 	})
 	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
 	connection := serveDistinct(t, transport, server)
-	result := transport.Do(newNumberedAttempt(server.Addr, 100, connection))
+	attempt := newNumberedAttempt(server.Addr, 100, connection)
+	attempt.SkipRepeated = true
+	result := transport.Do(attempt)
 	want(t, "status", result.Status, balancer.OK)
 	want(t, "body", string(result.Body), "the response to request /100")
 	want(t, "unsolicited bytes noticed", result.Unsolicited, true)
 	want(t, "connection closed", result.Conn, nil)
 }
 
+// TestRecognitionHoldsForRequestUnderWay guards against a second response that is passed on as another request's,
+// because bodies of other connections turned out to be alike while that request was under way.
+func TestRecognitionHoldsForRequestUnderWay(t *testing.T) {
+	recognition := NewRecognition()
+	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if r.URL.Path == "/100" {
+			for range 2 {
+				recognition.observe(fingerprintOf([]byte("the response to two requests")))
+			}
+			scripted.OK(c, "the response to request /3")
+		}
+		return scripted.OK(c, distinctiveBody(r))
+	})
+	transport := HTTP1{ConnectTimeout: time.Second, Recognition: recognition}
+	attempt := newNumberedAttempt(server.Addr, 100, serveDistinct(t, transport, server))
+	attempt.SkipRepeated = true
+	result := transport.Do(attempt)
+	want(t, "body", string(result.Body), "the response to request /100")
+	want(t, "bodies differ", recognition.Distinguishes(), false)
+}
+
+// TestConnectionIsNotDistinctiveForEver guards against a second response that is not recognised because the connection
+// had more responses than it remembers, or one without a body that tells it apart.
+func TestConnectionIsNotDistinctiveForEver(t *testing.T) {
+	numbered := func(number int) string { return fmt.Sprint("a distinctive body ", number) }
+	for _, c := range []struct {
+		name    string
+		framing http1.Framing
+		bodies  int
+		body    func(number int) string
+	}{
+		{"too many", http1.Framing{}, connectionHistory, numbered},
+		{"too many in chunks", http1.Framing{Chunked: true}, maxOpenings, numbered},
+		{"a short one", http1.Framing{}, 1, func(n int) string { return []string{"a distinctive body", "short"}[n] }},
+	} {
+		connection := new(conn)
+		remember := func(number int) bool {
+			content := []byte(c.body(number))
+			return connection.remember(fingerprintOf(content), content, c.framing)
+		}
+		for number := range c.bodies {
+			want(t, fmt.Sprint(c.name, ": response ", number), remember(number), true)
+		}
+		want(t, c.name+": the last", remember(c.bodies), false)
+		want(t, c.name+": after it", connection.remember(1, []byte("another distinctive body"), c.framing), false)
+	}
+}
+
 // TestCopiesWithoutEndFailTheAttempt: an upstream that sends nothing but copies can't hold an attempt.
 func TestCopiesWithoutEndFailTheAttempt(t *testing.T) {
 	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
@@ -68,7 +119,9 @@
 	})
 	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
 	connection := serveDistinct(t, transport, server)
-	result := transport.Do(newNumberedAttempt(server.Addr, 100, connection))
+	attempt := newNumberedAttempt(server.Addr, 100, connection)
+	attempt.SkipRepeated = true
+	result := transport.Do(attempt)
 	want(t, "status", result.Status, balancer.Reset)
 	want(t, "connection closed", result.Conn, nil)
 }
@@ -100,7 +153,9 @@
 	})
 	transport := HTTP1{ConnectTimeout: time.Second, Recognition: NewRecognition()}
 	connection := serveDistinct(t, transport, server)
-	result := transport.Do(newNumberedAttempt(server.Addr, 100, connection))
+	attempt := newNumberedAttempt(server.Addr, 100, connection)
+	attempt.SkipRepeated = true
+	result := transport.Do(attempt)
 	want(t, "may have run", result.Status, balancer.Reset)
 	want(t, "bodies differ", transport.Recognition.Distinguishes(), false)
 	want(t, "required", transport.Recognition.required, minDistinctResponses*mistakeFactor)
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -25,7 +25,8 @@
 	conn          *conn
 	message       *Message
 	fullResponses bool         // HTTP1.FullResponses
-	recognition   *Recognition // HTTP1.Recognition
+	skipRepeated  bool         // Attempt.SkipRepeated
+	recognition   *Recognition // HTTP1.Recognition; nil: nothing is learnt from the response
 	observer      Observer     // nil: responses are not streamed, and a long one is an error
 }
 
@@ -77,7 +78,7 @@
 	if err := r.readBody(&result, framing); err != nil {
 		return r.fail(err), false
 	}
-	if !closing && r.isRepeated(&result) {
+	if !closing && r.isRepeated(&result, framing) {
 		return Result{}, true
 	}
 	if result.Status != balancer.OK && r.conn.noteRefusal() {
@@ -106,17 +107,16 @@
 
 // isRepeated reports whether a response is a second one to an earlier request on the connection. Otherwise it adds the
 // response to those that will be recognised.
-func (r responseReader) isRepeated(result *Result) bool {
+func (r responseReader) isRepeated(result *Result, framing http1.Framing) bool {
 	if result.Status != balancer.OK {
 		return false
 	}
 	identity := fingerprintOf(result.Body)
-	if r.conn.responses.contains(identity) && r.recognition.Distinguishes() {
+	if r.skipRepeated && r.conn.responses.contains(identity) {
 		return true
 	}
 	r.recognition.observe(identity)
-	r.conn.responses.add(identity, connectionHistory)
-	result.Distinctive = identity != 0
+	result.Distinctive = r.conn.remember(identity, result.Body, framing)
 	return false
 }
 
@@ -231,6 +231,9 @@
 // before that is only put into result.
 func (r responseReader) streamBody(result *Result, framing http1.Framing, limits *body.Limits) (err error) {
 	download := body.NewDownload(r.conn, framing, limits)
+	if r.skipRepeated {
+		download.HoldWhile(r.conn.openings.mayBegin)
+	}
 	result.Body, err = download.Receive(func() {
 		started := *result
 		started.Download = download
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -23,8 +23,9 @@
 //  3. balancer.OK means that the response is complete, or that it is being streamed (Result.Download).
 //  4. Result.Conn is nil if the connection is closed. A returned connection is reused for the next attempt. Bytes that
 //     an upstream sent beyond the response and that arrive before the next attempt are never taken for its response:
-//     the connection is closed, and Result.Unsolicited is set. A copy of a response with Result.Distinctive that
-//     arrives later is skipped; after any other response the caller must leave the connection unused for a while.
+//     the connection is closed, and Result.Unsolicited is set. A copy that arrives later is skipped if
+//     Result.Distinctive was set and the next attempt has SkipRepeated. Otherwise the connection can't be reused
+//     safely.
 //  5. RequestWritten and ResponseStarted of Attempt.Observer are called at most once each, in this order, before Do
 //     returns. ResponseStarted is called only for a streamed response or a tunnel, and Do then returns the result of
 //     its end.
@@ -82,7 +83,7 @@
 	Download        *body.Download // body of a streamed response, for ResponseStarted; nil: not streamed
 	Tunnel          *body.Tunnel   // for ResponseStarted, if the connection has switched protocols; nil: no tunnel
 	Conn            Conn           // reusable connection; nil: closed
-	Distinctive     bool           // whether the response can be told from others by its body
+	Distinctive     bool           // whether any response on Conn would be recognised by its body if it came again
 	Unsolicited     bool           // whether unsolicited bytes arrived before the request or after the response
 	Err             error          // why there is no response that could be passed on; nil: there is one, or unknown
 	LoadReportError string         // reason why the load report is malformed; empty: it is valid, or there is none
@@ -95,4 +96,6 @@
 	Conn    Conn   // idle connection to reuse; nil: a new one is opened
 	// ReplaceConn closes Conn and opens a new connection in its place.
 	ReplaceConn bool
+	// SkipRepeated is that of an Attempt.
+	SkipRepeated bool
 }
