The attempts allowed at an endpoint are computed in one place from all bounds

Cause: the limit was computed in three places, and the one for attempts that hold a connection beyond their outcome left the override out.

Change: loop.maxInFlight computes it from the allotted connections, the operators' cap and the attempts that still hold a connection. These now count under a cap, too, on a platform as well: they are in flight at the upstream. The limit is at least 1.

--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -65,10 +65,6 @@
 	e.openAttempts[a] = struct{}{}
 }
 
-// maxInFlight returns how many attempts the balancer may have in flight: the allotted connections, minus those in use
-// by attempts whose outcome has been reported to the balancer; at least 1.
-func (e *endpoint) maxInFlight() int { return max(1, e.allotment.Connections-e.abandoned) }
-
 // maxLingering returns how many connections may wait for late responses: at most a quarter of the allotted ones.
 func (e *endpoint) maxLingering() int {
 	if e.allotment.Connections == 0 {
@@ -102,16 +98,15 @@
 func (l *loop) refreshEndpoint(endpoint *endpoint) {
 	l.counters.endpointsChanged = true
 	conditions := endpointConditions{listed: endpoint.listedState}
-	endpoint.upstream.MaxInFlight = 0
 	if l.registration != nil {
 		allotment, known := l.registration.allotment(endpoint.address)
 		endpoint.allotment = allotment
 		endpoint.upstream.WarmUpShare = allotment.Fraction
-		endpoint.upstream.MaxInFlight = endpoint.maxInFlight()
 		conditions.allotmentUnknown = !known
 		conditions.drainsElsewhere = allotment.Draining && !l.registration.ownDrainsOnly
 	}
 	l.applyOverrides(endpoint)
+	endpoint.upstream.MaxInFlight = l.maxInFlight(endpoint)
 	conditions.outOfService = l.overrides.OutOfService(endpoint.name, endpoint.upstream.Zone)
 	endpoint.state = conditions.state()
 	endpoint.upstream.State = endpoint.state
@@ -121,8 +116,25 @@
 	}
 }
 
-// applyOverrides applies the overrides to an endpoint's weight, start time and concurrency limit. refreshEndpoint
-// applies those that concern its state.
+// maxInFlight returns how many attempts the balancer may have in flight at an endpoint, 0 without limit: the allotted
+// connections, or fewer if an override caps them, minus those in use by attempts whose outcome has been reported to the
+// balancer; at least 1.
+func (l *loop) maxInFlight(endpoint *endpoint) int {
+	limit := l.overrides.ConcurrencyCap(endpoint.name)
+	if l.registration != nil {
+		allotted := max(1, endpoint.allotment.Connections)
+		if limit == 0 || allotted < limit {
+			limit = allotted
+		}
+	}
+	if limit == 0 {
+		return 0
+	}
+	return max(1, limit-endpoint.abandoned)
+}
+
+// applyOverrides applies the overrides to an endpoint's weight and start time. maxInFlight applies those that cap its
+// attempts, and refreshEndpoint those that concern its state.
 func (l *loop) applyOverrides(endpoint *endpoint) {
 	effective := &endpoint.upstream
 	returnedAt := l.overrides.PutBackAt(endpoint.name, effective.Zone)
@@ -130,10 +142,6 @@
 		effective.StartedAt = max(effective.StartedAt, returnedAt)
 	}
 	effective.Weight = endpoint.listedWeight * l.overrides.WeightFactor(endpoint.name)
-	limit := l.overrides.ConcurrencyCap(endpoint.name)
-	if limit > 0 && (effective.MaxInFlight == 0 || limit < effective.MaxInFlight) {
-		effective.MaxInFlight = limit
-	}
 }
 
 // refreshAndCompare refreshes an endpoint and reports whether the balancer has to be notified of a change. If the
@@ -191,9 +199,10 @@
 // connection, and updates how many attempts the balancer may have in flight.
 func (l *loop) adjustAbandoned(endpoint *endpoint, delta int) {
 	endpoint.abandoned += delta
-	if l.registration != nil {
-		endpoint.upstream.MaxInFlight = endpoint.maxInFlight()
-		l.balancer.MaxInFlightChanged(l.now(), endpoint.id, endpoint.upstream.MaxInFlight)
+	limit := l.maxInFlight(endpoint)
+	if limit != endpoint.upstream.MaxInFlight {
+		endpoint.upstream.MaxInFlight = limit
+		l.balancer.MaxInFlightChanged(l.now(), endpoint.id, limit)
 	}
 }
 
