A streamed response ends in time although its upstream sends nothing more

Cause: once a response of unknown length is streamed, its request's time limit ends nothing, and the limit for the wait between two parts was set only after the first one. On a platform nothing limited the whole, although an answer's time is that of its last byte there.

Change: the limit for the wait holds from the moment at which streaming begins. A download that is abandoned ends its client's side at once.

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -43,7 +43,8 @@
 	mu       sync.Mutex
 	buffered []byte // received before streaming; not changed afterwards
 	state    downloadState
-	isDue    bool // bufferingTime has passed
+	isDue    bool      // bufferingTime has passed
+	end      time.Time // see SetEnd; zero: none
 }
 
 // downloadState is the state of a download. It only changes to a later one.
@@ -81,6 +82,14 @@
 // received, and while they are at most MaxBuffered. It is called before Receive.
 func (d *Download) HoldWhile(hold func(received []byte) bool) { d.hold = hold }
 
+// SetEnd sets the time by which the whole body must have been written to the client, unless Limits set an earlier one.
+// It is called before Copy.
+func (d *Download) SetEnd(end time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.end = end
+}
+
 func (d *Download) stopReading() {
 	close(d.abandoned)
 	d.mu.Lock()
@@ -163,6 +172,8 @@
 		return false
 	}
 	d.state = streaming
+	// From now on the request's own time limit does not end the wait for the next bytes.
+	d.limitNextRead(d.limits.StallTimeout)
 	return true
 }
 
@@ -240,12 +251,21 @@
 func (d *Download) setReadTimeout(timeout time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	select {
-	case <-d.abandoned: // the expired deadline must stay
+	if !d.limitNextRead(timeout) {
 		d.state = finished
 		return errStopped
+	}
+	return nil
+}
+
+// limitNextRead sets the deadline of the next read from the upstream. It returns false if the download is abandoned,
+// since the expired deadline must stay then. The caller holds the lock.
+func (d *Download) limitNextRead(timeout time.Duration) bool {
+	select {
+	case <-d.abandoned:
+		return false
 	default:
 		_ = d.source.SetReadDeadline(time.Now().Add(timeout)) // if it fails, so does the read
-		return nil
+		return true
 	}
 }
--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -39,9 +39,11 @@
 
 // writeLimit returns the limit of the writing of a response whose streaming starts now.
 func (d *Download) writeLimit() http1.WriteLimit {
-	limit := http1.WriteLimit{Part: downloadWriteTimeout}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limit := http1.WriteLimit{Part: downloadWriteTimeout, End: d.end}
 	if d.limits.DownloadTimeout > 0 {
-		limit.End = time.Now().Add(d.limits.DownloadTimeout)
+		limit = limit.EndBy(time.Now().Add(d.limits.DownloadTimeout))
 	}
 	return limit
 }
@@ -91,7 +93,7 @@
 		return totalError(limit, err)
 	}
 	for {
-		next, err := d.awaitPart(limit.End)
+		next, err := d.awaitPart(limit)
 		if err != nil {
 			return err
 		}
@@ -106,18 +108,22 @@
 	}
 }
 
-// awaitPart returns the next part that Receive reads. It returns errTotalExceeded at a time, unless that is zero.
-func (d *Download) awaitPart(end time.Time) (part, error) {
-	if end.IsZero() {
-		return <-d.parts, nil
+// awaitPart returns the next part that Receive reads. It returns errTotalExceeded at the end of the limit, and
+// errStopped once the download is abandoned, after which Receive may pass on no further part.
+func (d *Download) awaitPart(limit http1.WriteLimit) (part, error) {
+	var ended <-chan time.Time // nil: never
+	if !limit.End.IsZero() {
+		timer := time.NewTimer(time.Until(limit.End))
+		defer timer.Stop()
+		ended = timer.C
 	}
-	timer := time.NewTimer(time.Until(end))
-	defer timer.Stop()
 	select {
 	case next := <-d.parts:
 		return next, nil
-	case <-timer.C:
+	case <-ended:
 		return part{}, errTotalExceeded
+	case <-d.abandoned:
+		return part{}, errStopped
 	}
 }
 
--- a/internal/body/end_test.go
+++ b/internal/body/end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -87,3 +88,51 @@
 	}()
 	_ = awaitEnd(t, ended)
 }
+
+// TestStalledResponseEnds guards against a streamed response of unknown length whose upstream sends nothing more, and
+// which never ends, since the wait for its next bytes had no limit until some had been passed on.
+func TestStalledResponseEnds(t *testing.T) {
+	limits := DefaultLimits
+	limits.StallTimeout = 50 * time.Millisecond
+	balancerSide, upstreamSide := net.Pipe()
+	defer upstreamSide.Close()
+	download := NewDownload(http1.NewStream(balancerSide, 2<<10), http1.Framing{Chunked: true}, &limits)
+	began, received := make(chan struct{}), make(chan error, 1)
+	go func() {
+		_, err := download.Receive(func() { close(began) })
+		received <- err
+	}()
+	send(t, upstreamSide, "3\r\nabc\r\n")
+	<-began
+	client, readSide := net.Pipe()
+	go func() { _, _ = io.Copy(io.Discard, readSide) }()
+	defer readSide.Close()
+	copied := make(chan error, 1)
+	go func() { copied <- download.Copy(client, true) }()
+	if err := awaitEnd(t, copied); err == nil {
+		t.Error("the client's side takes the response for complete")
+	}
+	if err := awaitEnd(t, received); err == nil {
+		t.Error("the upstream's side takes the response for complete")
+	}
+}
+
+// TestResponseEndsAtItsEnd guards against a streamed response that goes on after the time of its request.
+func TestResponseEndsAtItsEnd(t *testing.T) {
+	for _, framing := range []http1.Framing{{Chunked: true}, {Length: 2 * MaxBuffered}} {
+		balancerSide, upstreamSide := net.Pipe()
+		defer upstreamSide.Close()
+		download := NewDownload(http1.NewStream(balancerSide, 2<<10), framing, &DefaultLimits)
+		began := make(chan struct{})
+		go func() { _, _ = download.Receive(func() { close(began) }) }()
+		<-began
+		download.SetEnd(time.Now().Add(50 * time.Millisecond))
+		client, readSide := net.Pipe()
+		defer readSide.Close()
+		copied := make(chan error, 1)
+		go func() { copied <- download.Copy(client, true) }()
+		if err := awaitEnd(t, copied); !errors.Is(err, errTotalExceeded) {
+			t.Errorf("got %v, want %v", err, errTotalExceeded)
+		}
+	}
+}
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -28,6 +28,14 @@
 	return deadline
 }
 
+// EndBy returns the limit with an end that is no later than a time.
+func (l WriteLimit) EndBy(end time.Time) WriteLimit {
+	if l.End.IsZero() || end.Before(l.End) {
+		l.End = end
+	}
+	return l
+}
+
 // Shorten returns the timeout of a wait between two parts, which End shortens too.
 func (l WriteLimit) Shorten(timeout time.Duration) time.Duration {
 	if l.End.IsZero() {
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -18,6 +18,10 @@
 	maxLingeringAttempts = 4 // per endpoint
 )
 
+// lateResponseGrace is how long after a request's deadline its response is still passed on, if the deadline is that of
+// the last byte. The platform counts a response up to 0.5 s after it as late, and as lost from then on.
+const lateResponseGrace = 350 * time.Millisecond
+
 // attempt is one try of a request at an endpoint. The loop owns it, except for the methods of the embedded Attempt that
 // the connection's goroutine calls.
 type attempt struct {
@@ -155,15 +159,25 @@
 func (l *loop) startResponse(attempt *attempt, response upstream.Result) {
 	endpoint := attempt.endpoint
 	if response.Tunnel != nil {
-		attempt.tunnel = response.Tunnel
-		l.tunnels[attempt] = struct{}{}
-		endpoint.tunnelCount++
+		l.addTunnel(attempt, response.Tunnel)
+	}
+	if response.Download != nil && l.wholeResponseInTime {
+		left := attempt.request.deadline - l.now()
+		response.Download.SetEnd(time.Now().Add(left + lateResponseGrace))
 	}
 	endpoint.countUnreadableReport(response.LoadReportError)
 	l.reportOutcome(attempt, responseHeadReceived, response)
 	l.adjustAbandoned(endpoint, 1) // the connection is in use until the last byte
 }
 
+// addTunnel adds a tunnel that an attempt has established. The endpoint may have begun to drain meanwhile; then the
+// tunnel ends as those that were established before.
+func (l *loop) addTunnel(attempt *attempt, tunnel *body.Tunnel) {
+	attempt.tunnel = tunnel
+	l.tunnels[attempt] = struct{}{}
+	attempt.endpoint.tunnelCount++
+}
+
 // earlyHintsReceived is the event that an interim response with status 103 has arrived. The client gets at most one for
 // each request.
 type earlyHintsReceived struct {
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -53,10 +53,11 @@
 	overrides      override.Table // set by operators
 	registration   *registration  // nil: no EndpointRegistry; no other pool uses the endpoints
 
-	requests         map[balancer.RequestID]*Request
-	lastRequestID    uint64
-	clientRequestIDs map[string]bool // ids that clients gave to requests that are not released
-	fullResponses    bool            // Spec.FullResponses
+	requests            map[balancer.RequestID]*Request
+	lastRequestID       uint64
+	clientRequestIDs    map[string]bool // ids that clients gave to requests that are not released
+	fullResponses       bool            // Spec.FullResponses
+	wholeResponseInTime bool            // Spec.WholeResponseInTime
 
 	connections  connectionPool
 	tunnels      map[*attempt]struct{}
@@ -91,6 +92,7 @@
 	l.settings = spec.Settings
 	l.source.maxAge = spec.MaxEndpointAge
 	l.fullResponses = spec.FullResponses
+	l.wholeResponseInTime = spec.WholeResponseInTime
 	l.tunnelLimits = spec.Tunnels
 	l.connections.transport = upstream.HTTP1{
 		ConnectTimeout: spec.ConnectionSettings.ConnectTimeout,
--- a/internal/pool/spec.go
+++ b/internal/pool/spec.go
@@ -36,6 +36,9 @@
 	// recently sent unsolicited bytes. Otherwise a connection stays unused for a while between two requests.
 	ReuseDelayOnlyAfterUnsolicited bool
 	Tunnels                        TunnelLimits
+	// WholeResponseInTime makes a request's deadline that of its response's last byte. Otherwise it is that of the first
+	// one, and the limits of Message apply to the rest.
+	WholeResponseInTime bool
 	// FullResponses passes on all of an endpoint's response, instead of status 200 and the body only.
 	FullResponses bool
 }
--- /dev/null
+++ b/internal/pool/streamed_response_test.go
@@ -0,0 +1,48 @@
+package pool
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"olivearch/internal/standin/scripted"
+)
+
+// TestStreamedResponseEndsWithItsRequest guards against a response whose endpoint stands still in the middle of it, and
+// which has neither an end nor a cut in its request's time.
+func TestStreamedResponseEndsWithItsRequest(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	server := scripted.Start(t, func(c net.Conn, _ *http.Request) bool {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+		<-release
+		return false
+	})
+	spec := testSpec()
+	spec.WholeResponseInTime = true
+	h := newManualLoop(t, spec)
+	h.updateEndpoints(20, upMember("s-00000001", server))
+	request := newRequest("1", h.now(), 200*time.Millisecond)
+	request.Message.Header = requestIDHeader("1")
+	h.accept(request)
+	for len(request.Responses) == 0 {
+		h.handleEvents()
+	}
+	response := <-request.Responses
+	want(t, "status", response.Status, http.StatusOK)
+	client, readSide := net.Pipe()
+	defer readSide.Close()
+	go func() { _, _ = io.Copy(io.Discard, readSide) }()
+	copied := make(chan error, 1)
+	go func() { copied <- response.Stream.Copy(client, true) }()
+	select {
+	case err := <-copied:
+		want(t, "the response is cut", err != nil, true)
+	case <-time.After(eventTimeout):
+		t.Errorf("the response goes on %v after its request began", eventTimeout)
+	}
+	h.finishAttempts()
+	want(t, "connections", h.connections.open, 0)
+}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -145,5 +145,7 @@
 		Discovery:          c.Discovery,
 		InitialEndpoints:   &c.InitialEndpoints,
 		MaxConnections:     c.maxUpstreamConns(),
+
+		WholeResponseInTime: true,
 	}
 }
