A tunnel that is opened while its endpoint drains ends with the others

Cause: a drain ends the tunnels that are known, and a tunnel becomes known once its upstream has answered.

Change: a tunnel that is added while its endpoint is not active is closed after its grace. The listener's end and the removal of a route look at tunnels as they are added already.

Measured: TestTunnelOpenedDuringDrainEnds failed before the change.

--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -176,6 +176,9 @@
 	attempt.tunnel = tunnel
 	l.tunnels[attempt] = struct{}{}
 	attempt.endpoint.tunnelCount++
+	if attempt.endpoint.state != balancer.Active {
+		tunnel.CloseGracefully()
+	}
 }
 
 // earlyHintsReceived is the event that an interim response with status 103 has arrived. The client gets at most one for
--- a/internal/pool/streamed_response_test.go
+++ b/internal/pool/streamed_response_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"olivearch/internal/body"
 	"olivearch/internal/standin/scripted"
 )
 
@@ -46,3 +47,38 @@
 	h.finishAttempts()
 	want(t, "connections", h.connections.open, 0)
 }
+
+// TestTunnelOpenedDuringDrainEnds guards against a tunnel that a drain does not end, because it was being opened when
+// its endpoint began to drain.
+func TestTunnelOpenedDuringDrainEnds(t *testing.T) {
+	open := make(chan struct{})
+	server := scripted.Start(t, func(c net.Conn, _ *http.Request) bool {
+		<-open
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+		_, _ = io.Copy(io.Discard, c) // until the tunnel ends
+		return false
+	})
+	spec := testSpec()
+	spec.Tunnels = TunnelLimits{Total: 10, PerEndpoint: 10}
+	h := newManualLoop(t, spec)
+	h.updateEndpoints(20, upMember("s-00000001", server))
+	request := newRequest("1", h.now(), eventTimeout)
+	request.Message.Header = requestIDHeader("1")
+	request.Message.Upgrade = "x"
+	request.Message.Tunnel = &body.TunnelLimits{Idle: time.Minute, Grace: time.Millisecond}
+	h.accept(request)
+	<-server.Arrivals
+	h.updateEndpoints(21, drainingMember(upMember("s-00000001", server)))
+	close(open)
+	for len(request.Responses) == 0 {
+		h.handleEvents()
+	}
+	tunnel := (<-request.Responses).Tunnel
+	select {
+	case <-tunnel.Done():
+	case <-time.After(eventTimeout):
+		t.Error("the tunnel is open after the drain and its grace")
+		tunnel.Close()
+	}
+	h.finishAttempts()
+}
