The end of a listener waits for bodies within the limits of their routes

Cause: the end of a listener waited for its connections no longer than for the first byte of a response.

Change: each connection says until when its bodies may be transferred, by the limits of their route, and the end of a listener waits for these, at most 10 minutes (serve).

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -90,6 +90,16 @@
 	d.end = end
 }
 
+// End returns the time by which a body whose streaming starts now must have been written to the client. It is longest
+// from now if nothing limits that.
+func (d *Download) End(longest time.Duration) time.Time {
+	limit := d.writeLimit()
+	if limit.End.IsZero() {
+		return time.Now().Add(longest)
+	}
+	return limit.End
+}
+
 func (d *Download) stopReading() {
 	close(d.abandoned)
 	d.mu.Lock()
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -24,6 +24,7 @@
 	readingRequest     bool         // a request of which the first byte has arrived is being read
 	tunnel             *body.Tunnel // set once the connection has become a tunnel
 	closeAfterResponse bool
+	transferEnd        time.Time // by which the bodies of the exchange must be transferred; zero: none is streamed
 
 	exchangeState atomic.Int32 // an exchangeState
 	// The exchange and its two flags are owned by the reader, and from exchangePending on by the writer.
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -118,18 +118,49 @@
 	client.interruptRead()
 }
 
-// waitForConnections waits until all connections have ended, at most for the longest time that an exchange may take.
+// waitForConnections waits until all connections have ended: at most for the longest time that an exchange may take,
+// and for bodies that are being transferred as long as their own limits and the transfer limit allow.
 func (s *Server) waitForConnections() {
 	answered := make(chan struct{})
 	go func() {
 		s.connections.Wait()
 		close(answered)
 	}()
-	longestExchange := max(s.router.MaxDeadline(), s.tunnelGrace())
-	select {
-	case <-answered:
-	case <-time.After(longestExchange + lameDuckPeriod):
-		slog.Warn("client connections not closed in time")
+	now := time.Now()
+	exchangesEnd := now.Add(max(s.router.MaxDeadline(), s.tunnelGrace()) + lameDuckPeriod)
+	transfersEnd := now.Add(s.transferLimit)
+	for wait := time.Until(exchangesEnd); wait > 0; wait = min(time.Until(transfersEnd), transferCheckInterval) {
+		select {
+		case <-answered:
+			return
+		case <-time.After(wait):
+		}
+		if !s.isTransferring() {
+			break
+		}
+	}
+	slog.Warn("client connections not closed in time")
+}
+
+// isTransferring reports whether a body is being transferred on a connection within its own limits.
+func (s *Server) isTransferring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.clients {
+		if c.transferEnd.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// allowTransfer records that a body is being transferred on a connection, which may take until a time.
+func (s *Server) allowTransfer(client *clientConn, end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if end.After(client.transferEnd) {
+		client.transferEnd = end
 	}
 }
 
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -132,8 +132,12 @@
 		return s.answerRejected(client, rejected, err)
 	}
 	upload := request.Message.Upload
-	if upload.Streaming() && !s.waitForUpload(client, upload) {
-		return connectionEnds
+	if upload.Streaming() {
+		longestUpload := request.Message.BodyLimits().UploadTimeout
+		s.allowTransfer(client, time.Now().Add(longestUpload+s.router.MaxDeadline()))
+		if !s.waitForUpload(client, upload) {
+			return connectionEnds
+		}
 	}
 	return responsePending
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -23,6 +23,8 @@
 	// limit.
 	keepAliveLimit int
 
+	transferLimit time.Duration // see SetTransferLimit
+
 	mu             sync.Mutex
 	clients        map[*clientConn]struct{}
 	stageCounts    [stageEvicted + 1]int // number of clients in each stage
@@ -55,6 +57,10 @@
 // SetSpoolBytes sets the memory, in bytes, for request bodies that are read ahead.
 func (s *Server) SetSpoolBytes(bytes int64) { s.spool.SetSize(bytes) }
 
+// SetTransferLimit sets how long a shutdown waits for bodies that are being transferred within the limits of their
+// routes; 0: no longer than for other exchanges.
+func (s *Server) SetTransferLimit(limit time.Duration) { s.transferLimit = limit }
+
 // FreeSpoolBytes returns the free part of the memory that SetSpoolBytes sets, in bytes.
 func (s *Server) FreeSpoolBytes() int64 { return s.spool.Free() }
 
--- a/internal/frontend/stage.go
+++ b/internal/frontend/stage.go
@@ -20,6 +20,7 @@
 	s.stageCounts[to]++
 	client.stage = to
 	client.stageSince = time.Now()
+	client.transferEnd = time.Time{}
 }
 
 // remove removes a connection from the Server. The caller holds the lock.
--- a/internal/frontend/timing.go
+++ b/internal/frontend/timing.go
@@ -28,6 +28,10 @@
 	// lameDuckPeriod is the time for which connections are still accepted after SIGTERM. The platform opens
 	// connections for up to 0.4 s after it.
 	lameDuckPeriod = 450 * time.Millisecond
+	// transferCheckInterval is how often a shutdown looks whether bodies are still being transferred.
+	transferCheckInterval = 100 * time.Millisecond
+	// longestTransfer stands for the time of a transfer without a limit of its own.
+	longestTransfer = 24 * time.Hour
 	// firstByteGrace is the time that a new connection has for its first byte before it may be evicted. In a
 	// shutdown it is also the time between the close of the listener and the close of connections without a
 	// request.
--- a/internal/frontend/writer.go
+++ b/internal/frontend/writer.go
@@ -80,6 +80,9 @@
 // respond writes a response, and reports whether the connection stays open.
 func (s *Server) respond(client *clientConn, response pool.Response, closes bool) bool {
 	closes = closes || s.closesConnections()
+	if response.Stream != nil {
+		s.allowTransfer(client, response.Stream.End(longestTransfer))
+	}
 	err := client.writeResponse(response, closes)
 	if err == nil && !closes && s.enterStage(client, stageIdle) {
 		return true
--- a/internal/service/client_listeners.go
+++ b/internal/service/client_listeners.go
@@ -44,6 +44,10 @@
 	}
 }
 
+// transferLimit is how long the end of a listener waits for bodies that are transferred within the limits of their
+// routes, which may have none.
+const transferLimit = 10 * time.Minute
+
 // startListener starts a goroutine that serves the connections of a socket. The channel of Failed receives the error
 // that ends it.
 func (s *Service) startListener(l config.Listener, socket net.Listener, spoolBytes int64) *clientListener {
@@ -53,6 +57,7 @@
 		address: socket.Addr(),
 	}
 	listener.SetSpoolBytes(spoolBytes)
+	listener.SetTransferLimit(transferLimit)
 	go func() {
 		err := listener.Serve()
 		if err == nil {
