--- a/internal/body/end_test.go
+++ b/internal/body/end_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"olivearch/internal/http1"
+	"olivearch/internal/standin/scripted"
 )
 
 // endTimeout bounds the wait for a transfer that must end. It is shorter than the timeout of any part.
@@ -74,6 +75,7 @@
 // TestClosedTunnelWritesNoMore guards against a tunnel that goes on after Close, because the deadline of its next write
 // replaced that of Close.
 func TestClosedTunnelWritesNoMore(t *testing.T) {
+	scripted.AtRest(t)
 	balancerSide, upstreamSide := net.Pipe()
 	defer upstreamSide.Close()
 	tunnel := NewTunnel(http1.NewStream(balancerSide, 2<<10), &TunnelLimits{Idle: time.Minute})
@@ -92,6 +94,7 @@
 // TestStalledResponseEnds guards against a streamed response of unknown length whose upstream sends nothing more, and
 // which never ends, since the wait for its next bytes had no limit until some had been passed on.
 func TestStalledResponseEnds(t *testing.T) {
+	scripted.AtRest(t)
 	limits := DefaultLimits
 	limits.StallTimeout = 50 * time.Millisecond
 	balancerSide, upstreamSide := net.Pipe()
@@ -119,6 +122,7 @@
 
 // TestResponseEndsAtItsEnd guards against a streamed response that goes on after the time of its request.
 func TestResponseEndsAtItsEnd(t *testing.T) {
+	scripted.AtRest(t)
 	for _, framing := range []http1.Framing{{Chunked: true}, {Length: 2 * MaxBuffered}} {
 		balancerSide, upstreamSide := net.Pipe()
 		defer upstreamSide.Close()
--- a/internal/frontend/stop_transfer_test.go
+++ b/internal/frontend/stop_transfer_test.go
@@ -10,6 +10,7 @@
 	"olivearch/internal/body"
 	"olivearch/internal/http1"
 	"olivearch/internal/pool"
+	"olivearch/internal/standin/scripted"
 )
 
 // startDownload starts a response of unknown length that is streamed to a client, and returns the upstream's side.
@@ -32,6 +33,7 @@
 // TestStopWaitsForDownload guards against a shutdown that cuts a download which its route allows, because it waits no
 // longer than for the first byte of a response.
 func TestStopWaitsForDownload(t *testing.T) {
+	scripted.AtRest(t)
 	server, listener, router := newHookedServer(t)
 	server.SetTransferLimit(time.Minute)
 	client, _ := listener.dial(t, noHooks)
--- a/internal/pool/streamed_response_test.go
+++ b/internal/pool/streamed_response_test.go
@@ -14,6 +14,7 @@
 // TestStreamedResponseEndsWithItsRequest guards against a response whose endpoint stands still in the middle of it, and
 // which has neither an end nor a cut in its request's time.
 func TestStreamedResponseEndsWithItsRequest(t *testing.T) {
+	scripted.AtRest(t)
 	release := make(chan struct{})
 	defer close(release)
 	server := scripted.Start(t, func(c net.Conn, _ *http.Request) bool {
@@ -51,6 +52,7 @@
 // TestTunnelOpenedDuringDrainEnds guards against a tunnel that a drain does not end, because it was being opened when
 // its endpoint began to drain.
 func TestTunnelOpenedDuringDrainEnds(t *testing.T) {
+	scripted.AtRest(t)
 	open := make(chan struct{})
 	server := scripted.Start(t, func(c net.Conn, _ *http.Request) bool {
 		<-open
--- a/internal/pool/unsent_attempt_test.go
+++ b/internal/pool/unsent_attempt_test.go
@@ -99,6 +99,7 @@
 // TestUploadEndsWithItsRequest guards against a reader that waits for ever for an upload that no attempt will begin,
 // since only the gate of an attempt has found that the client has left.
 func TestUploadEndsWithItsRequest(t *testing.T) {
+	scripted.AtRest(t)
 	server := scripted.Start(t, scripted.Done)
 	h := newManualLoop(t, testSpec())
 	h.updateEndpoints(20, upMember("s-00000001", server))
