A streamed upload of which its upstream takes nothing ends in the request's time

Cause: a request's time counts from its client's last byte. While that waits in the system behind a body that the upstream does not take, only the timeout of a part ran, 5 s.

Change: while a body is streamed, the progress of what the upstream's system has acknowledged is watched. If bytes wait and none is taken for the request's time, the write side is closed: an early response is still read, and otherwise the attempt counts as not run.

Measured: TestStalledUploadEnds failed before the change. TestSlowUploadGoesOn and TestEarlyResponseToStalledUploadIsRead hold that slow uploads go on and early responses are read; all pass 5 times with -race.

--- a/internal/http1/socket.go
+++ b/internal/http1/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"syscall"
@@ -131,6 +132,20 @@
 	}
 }
 
+// Acknowledged returns how many bytes written to a connection the other side's system has acknowledged (tcp(7),
+// TCP_INFO).
+func Acknowledged(c net.Conn) (bytes uint64, err error) {
+	var info *unix.TCPInfo
+	var infoErr error
+	err = control(c, func(descriptor int) {
+		info, infoErr = unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
+	if err := errors.Join(err, infoErr); err != nil {
+		return 0, fmt.Errorf("read the connection's state: %w", err)
+	}
+	return info.Bytes_acked, nil
+}
+
 // Innermost returns the innermost connection that c wraps. Between two sockets io.Copy can use splice(2).
 func Innermost(c net.Conn) net.Conn {
 	for {
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -33,7 +33,7 @@
 	rawConn         syscall.RawConn
 	giveUp          func(at time.Time) // see newGiveUp
 	readDeadlineSet atomic.Bool
-	writeClosed     atomic.Bool // giveUp has closed the write side
+	writeClosed     atomic.Bool // the write side was closed
 	writeDeadline   time.Time
 	responses       history   // read on this connection
 	openings        openings  // of those of unknown length
@@ -70,6 +70,15 @@
 	}
 }
 
+// endWriting closes the write side. A write that is waiting fails, and the connection can't be reused. Any goroutine
+// may call it.
+func (c *conn) endWriting() {
+	c.writeClosed.Store(true)
+	if halfCloser, ok := http1.Innermost(c).(interface{ CloseWrite() error }); ok {
+		_ = halfCloser.CloseWrite() // fails only on a closed connection
+	}
+}
+
 func (c *conn) Address() string { return c.address }
 
 // Reuse removes the read deadline, if one was set. It returns errGivenUp if giveUp has closed the write side.
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -94,7 +94,7 @@
 	if upload == nil {
 		return response.readBefore(attempt.WriteDeadline)
 	}
-	if err := upload.Send(connection, writeEnd); err != nil {
+	if err := connection.sendUpload(upload, attempt.Timeout, writeEnd); err != nil {
 		return response.readEarly(err)
 	}
 	if upload.Streaming() && attempt.Observer != nil {
@@ -103,6 +103,16 @@
 	return response.readBefore(attempt.WriteDeadline)
 }
 
+// sendUpload writes the body that follows the message. stallLimit bounds the time for which the upstream takes nothing
+// of a streamed body.
+func (c *conn) sendUpload(upload *body.Upload, stallLimit time.Duration, end time.Time) error {
+	if !upload.Streaming() {
+		return upload.Send(c, end)
+	}
+	watch := watchStall(c, stallLimit)
+	return watch.stop(upload.Send(c, end))
+}
+
 // limitAttemptWrites sets the deadline for writing the request. Without it the write to a machine that stops responding
 // would block indefinitely once the buffers are full.
 func (c *conn) limitAttemptWrites(timeout time.Duration, end time.Time) {
--- /dev/null
+++ b/internal/upstream/stalled_upload_test.go
@@ -0,0 +1,72 @@
+package upstream
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"olivearch/balancer"
+	"olivearch/internal/standin/scripted"
+)
+
+// TestStalledUploadEnds guards against a streamed request that is answered long after its time, because the upstream
+// takes nothing of its body any more: each part had seconds of its own.
+func TestStalledUploadEnds(t *testing.T) {
+	scripted.AtRest(t)
+	upstream := startStalledUpstream(t)
+	attempt := newLongTimeoutAttempt(upstream.address)
+	attempt.Message.Upload = newLongUpload(t, false, false)
+	attempt.Message.HasBodyFraming = true
+	attempt.Timeout = writeEnd
+	ended := make(chan Result, 1)
+	go func() { ended <- HTTP1{ConnectTimeout: time.Minute}.Do(attempt) }()
+	select {
+	case result := <-ended:
+		want(t, "status", result.Status, balancer.ConnectFailed)
+	case <-time.After(writeEnd + readLate):
+		t.Errorf("the attempt goes on %v after its time", readLate)
+	}
+	close(upstream.readOn)
+	if err := <-upstream.received; err == nil {
+		t.Error("the upstream received the last byte late")
+	}
+}
+
+// TestSlowUploadGoesOn guards against a streamed request that is ended although its upstream takes it, slowly, or its
+// client sends it slowly.
+func TestSlowUploadGoesOn(t *testing.T) {
+	scripted.AtRest(t)
+	const pieces, pause = 8, writeEnd / 3 // longer than writeEnd in all
+	server := scripted.Start(t, scripted.Done)
+	client, balancerSide := scripted.Pair(t)
+	attempt := newLongTimeoutAttempt(server.Addr)
+	attempt.Message.Upload = newUploadFrom(t, balancerSide, pieces)
+	attempt.Message.HasBodyFraming = true
+	attempt.Timeout = writeEnd
+	go func() {
+		for range pieces {
+			<-time.After(pause)
+			_, _ = io.WriteString(client, "x")
+		}
+	}()
+	result := HTTP1{ConnectTimeout: time.Minute}.Do(attempt)
+	want(t, "status", result.Status, balancer.OK)
+	if result.Conn != nil {
+		result.Conn.Close()
+	}
+}
+
+// TestEarlyResponseToStalledUploadIsRead guards against an early response that is lost, because the upstream takes
+// nothing more of the request.
+func TestEarlyResponseToStalledUploadIsRead(t *testing.T) {
+	upstream := startStalledUpstream(t)
+	upstream.early = "HTTP/1.1 413 Content Too Large\r\nContent-Length: 0\r\n\r\n"
+	attempt := newLongTimeoutAttempt(upstream.address)
+	attempt.Message.Upload = newLongUpload(t, false, false)
+	attempt.Message.HasBodyFraming = true
+	attempt.Timeout = writeEnd
+	result := HTTP1{ConnectTimeout: time.Minute, FullResponses: true}.Do(attempt)
+	want(t, "status code", result.Code, http.StatusRequestEntityTooLarge)
+	close(upstream.readOn)
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -36,8 +36,9 @@
 //     was not written within Attempt.Timeout. No part of a long body extends either. If the request is not delivered
 //     by WriteDeadline, or by GiveUp with a time that has passed, it is not delivered later: what the system holds of
 //     it is discarded, and the attempt may have run.
-//  8. Do gives up a request that it can't write within Attempt.Timeout, unless its body is streamed, and a response
-//     whose upstream stops sending before its end.
+//  8. Do gives up a request that it can't write within Attempt.Timeout, or, if its body is streamed, once the upstream
+//     has taken nothing for that time although bytes wait for it; and a response whose upstream stops sending before
+//     its end.
 type Transport interface {
 	Do(a *Attempt) Result
 	// Probe makes a health check: it requests the load report of an upstream, or only checks that the upstream
--- a/internal/upstream/write_end_test.go
+++ b/internal/upstream/write_end_test.go
@@ -34,6 +34,7 @@
 // stalledUpstream reads the head of a request, and the rest only once it is told to.
 type stalledUpstream struct {
 	address  string
+	early    string // sent once the head was read
 	readOn   chan struct{}
 	received chan error // why the request is not complete; nil: its last byte was read
 }
@@ -75,6 +76,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err := io.WriteString(connection, s.early); err != nil {
+		return err
+	}
 	<-s.readOn
 	_, err = io.Copy(io.Discard, request.Body)
 	return err
@@ -104,6 +108,17 @@
 	return upload
 }
 
+// newUploadFrom returns the upload of a body that a client sends on a connection. It is streamed.
+func newUploadFrom(t *testing.T, conn net.Conn, bytes uint64) *body.Upload {
+	t.Helper()
+	framing := http1.Framing{Length: bytes}
+	upload := body.NewUpload(new(body.Spool), conn, framing, &body.DefaultLimits)
+	if err := upload.ReadAhead(http1.NewStream(conn, 1<<10).Body(framing, 0)); err != nil {
+		t.Fatal(err)
+	}
+	return upload
+}
+
 // sendLongBody sends a body as a client. It fails if the test ends before, which is no error of the client.
 func sendLongBody(client net.Conn, chunked bool) {
 	content := bytes.Repeat([]byte("x"), longBodyBytes)
