Tests hold the port at which a program is to listen

What was seen: tests drew a port by a listener that they closed before the program was started, so that the system could give the port to an outgoing connection or another listener meanwhile. The same code stood in five places, and in Refusing.

Change: scripted.Reserve holds the port by a bound socket that does not listen. Listeners in Go share an address with such a one (SO_REUSEADDR), and the system gives it to nobody else. All six places use it.

--- a/benchmarks/capacity/balancer.go
+++ b/benchmarks/capacity/balancer.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"olivearch/internal/faulttest/process"
 	"olivearch/internal/procstat"
 	"olivearch/internal/standin/loopnodes"
+	"olivearch/internal/standin/scripted"
 )
 
 // balancer is a process of "olivearch serve" with its site.
@@ -231,10 +231,6 @@
 
 // free finds a port for a process that takes no port of the system's.
 func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	address, _, err := scripted.Reserve() // for as long as this process lives
+	return address, err
 }
--- a/benchmarks/compatibility/processes.go
+++ b/benchmarks/compatibility/processes.go
@@ -5,13 +5,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
+
+	"olivearch/internal/standin/scripted"
 )
 
 const (
@@ -110,10 +111,6 @@
 
 // freeAddress returns a loopback address with a port from the system, on which nothing listens.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("finding a free port: %w", err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	address, _, err := scripted.Reserve() // for as long as this process lives
+	return address, err
 }
--- a/cmd/olivearch/descriptors_test.go
+++ b/cmd/olivearch/descriptors_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"olivearch/internal/standin/scripted"
 )
 
 // sendAndKeepOpen sends a request on a new connection, which stays open until the test ends, and returns the status.
@@ -65,7 +67,7 @@
 		}
 		respondText(t, w, list)
 	})
-	listen := freeAddress(t)
+	listen := scripted.FreeAddress(t)
 	folder := t.TempDir()
 	path := filepath.Join(folder, "config.json")
 	writeFile(t, path, fmt.Sprintf(platformConfig, listen, discovery.Listener.Addr()))
--- a/cmd/olivearch/helpers_test.go
+++ b/cmd/olivearch/helpers_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -47,17 +46,6 @@
 	return path
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // writeFile replaces a file by a rename, so that no reader sees a part of it.
 func writeFile(t *testing.T, path, text string) {
 	t.Helper()
--- a/cmd/olivearch/main_test.go
+++ b/cmd/olivearch/main_test.go
@@ -9,14 +9,16 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"olivearch/internal/standin/scripted"
 )
 
 // TestSmoke starts the program, waits until it is healthy, sends SIGHUP with an invalid and with a valid configuration,
 // and ends it by SIGTERM. At first, no discovery service answers; after the reload, the new one must get a call.
 func TestSmoke(t *testing.T) {
 	const limit = 30 * time.Second
-	listen := freeAddress(t)
-	down := freeAddress(t)
+	listen := scripted.FreeAddress(t)
+	down := scripted.FreeAddress(t)
 	path := filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, path, fmt.Sprintf(platformConfig, listen, down))
 	asked := make(chan struct{}, 100)
--- a/cmd/olivearch/promises_test.go
+++ b/cmd/olivearch/promises_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"olivearch/internal/coordination/client"
+	"olivearch/internal/standin/scripted"
 )
 
 // TestOverrideIsShared starts three coordination servers and two balancers. An override that is set at one balancer
@@ -105,7 +106,7 @@
 	cluster := &coordinationCluster{addresses: map[string]string{}}
 	var voters []string
 	for _, name := range []string{"k1", "k2", "k3"} {
-		cluster.addresses[name] = freeAddress(t)
+		cluster.addresses[name] = scripted.FreeAddress(t)
 		voters = append(voters, fmt.Sprintf("%s: '%s'", name, cluster.addresses[name]))
 	}
 	cluster.voters = "{" + strings.Join(voters, ", ") + "}"
@@ -168,7 +169,7 @@
 	if err := os.MkdirAll(own, 0o700); err != nil {
 		t.Fatal(err)
 	}
-	listen := freeAddress(t)
+	listen := scripted.FreeAddress(t)
 	config, promises := filepath.Join(own, "config.json"), filepath.Join(own, "promises.yaml")
 	files := map[string]string{
 		config:   fmt.Sprintf(platformConfig, listen, s.discovery),
@@ -180,7 +181,7 @@
 		}
 	}
 	cmd := &exec.Cmd{Path: s.program.Path, Args: s.program.Args, Dir: s.program.Dir}
-	balancer := &balancerProcess{cmd: cmd, adminAddress: freeAddress(t), log: &bytes.Buffer{}}
+	balancer := &balancerProcess{cmd: cmd, adminAddress: scripted.FreeAddress(t), log: &bytes.Buffer{}}
 	cmd.Env = append(os.Environ(),
 		"RELAY_CONFIG="+config, "RELAY_MANAGEMENT="+balancer.adminAddress, "RELAY_PROMISES="+promises, "TMPDIR="+own)
 	cmd.Stderr = balancer.log
--- a/cmd/olivearch/refused_test.go
+++ b/cmd/olivearch/refused_test.go
@@ -20,6 +20,8 @@
 	"unsafe"
 
 	"golang.org/x/sys/unix"
+
+	"olivearch/internal/standin/scripted"
 )
 
 // Some environments deny system calls that the program uses where it can. To test this, the test binary installs a
@@ -164,7 +166,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listen := freeAddress(t)
+	listen := scripted.FreeAddress(t)
 	path := filepath.Join(t.TempDir(), "config.json")
 	writeFile(t, path, fmt.Sprintf(platformConfig, listen, discovery))
 	p := &filteredProcess{cmd: exec.Command(self), log: &bytes.Buffer{}, listen: listen}
--- a/cmd/olivearch/services_test.go
+++ b/cmd/olivearch/services_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"olivearch/internal/standin/instant"
+	"olivearch/internal/standin/scripted"
 )
 
 // requireStatuses posts to paths of a balancer and compares the status codes.
@@ -39,8 +40,8 @@
 	defer node.Close()
 	binary := buildProgram(t)
 	folder := t.TempDir()
-	listen := freeAddress(t)
-	admin := freeAddress(t)
+	listen := scripted.FreeAddress(t)
+	admin := scripted.FreeAddress(t)
 	path := filepath.Join(folder, "c.yaml")
 	text := fmt.Sprintf(`listeners: [{address: '%s'}]
 admin: {address: '%s'}
--- a/cmd/olivearch/upgrade_test.go
+++ b/cmd/olivearch/upgrade_test.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"olivearch/internal/standin/scripted"
 )
 
 // balancerProcess is a process of the balancer with an address for operators' commands.
@@ -166,7 +168,7 @@
 func (u processStarter) start(t *testing.T) *balancerProcess {
 	t.Helper()
 	cmd := &exec.Cmd{Path: u.program.Path, Args: u.program.Args, Dir: u.program.Dir}
-	process := &balancerProcess{cmd: cmd, adminAddress: freeAddress(t), log: &bytes.Buffer{}}
+	process := &balancerProcess{cmd: cmd, adminAddress: scripted.FreeAddress(t), log: &bytes.Buffer{}}
 	cmd.Env = append(os.Environ(), u.env...)
 	cmd.Env = append(cmd.Env, "RELAY_MANAGEMENT="+process.adminAddress)
 	cmd.Stderr = process.log
@@ -188,7 +190,7 @@
 		time.Sleep(2 * time.Millisecond)
 		respondText(t, w, r.Header.Get("X-Request-Id"))
 	})
-	listen := freeAddress(t)
+	listen := scripted.FreeAddress(t)
 	folder := t.TempDir()
 	temporary := filepath.Join(folder, strings.Repeat("long", 30)) // longer than the address of a Unix socket may be
 	if err := os.Mkdir(temporary, 0o700); err != nil {
--- a/internal/faulttest/process_test.go
+++ b/internal/faulttest/process_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"net"
 	"os/exec"
 	"strings"
 	"sync"
@@ -68,14 +67,3 @@
 	}
 	return true
 }
-
-// free is an address at which nobody listens.
-func free(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/internal/faulttest/promises_test.go
+++ b/internal/faulttest/promises_test.go
@@ -12,6 +12,7 @@
 	"olivearch/internal/coordination/client"
 	"olivearch/internal/coordination/state"
 	"olivearch/internal/faulttest/schedule"
+	"olivearch/internal/standin/scripted"
 )
 
 const fiveVoters = `
@@ -166,7 +167,7 @@
 func newVoters(t *testing.T, n int) *processes {
 	p := &processes{t: t, addresses: map[string]string{}, folder: t.TempDir()}
 	for i := range n {
-		p.addresses[fmt.Sprintf("k%d", i)] = free(t)
+		p.addresses[fmt.Sprintf("k%d", i)] = scripted.FreeAddress(t)
 	}
 	return p
 }
@@ -318,7 +319,7 @@
 	if err := os.CopyFS(foreign, os.DirFS(filepath.Join(p.folder, "k1"))); err != nil {
 		t.Fatal(err)
 	}
-	p.addresses = map[string]string{"k3": free(t)}
+	p.addresses = map[string]string{"k3": scripted.FreeAddress(t)}
 	if out := p.start(ledgerProgram, "k3"); !out.endsWith(t, "is the folder of k1, not of k3") {
 		t.Error("another voter's folder is taken")
 	}
--- a/internal/standin/peers/peers.go
+++ b/internal/standin/peers/peers.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"olivearch/internal/procstat"
+	"olivearch/internal/standin/scripted"
 )
 
 // The names of the peers.
@@ -196,12 +197,8 @@
 }
 
 func free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	address, _, err := scripted.Reserve() // for as long as this process lives
+	return address, err
 }
 
 func await(address string) error {
--- a/internal/standin/scripted/scripted.go
+++ b/internal/standin/scripted/scripted.go
@@ -90,14 +90,3 @@
 func OwnBody(r *http.Request) string {
 	return fmt.Sprintf("the answer to request %q at %s", r.Header.Get("X-Request-Id"), r.URL.Path)
 }
-
-// Refusing returns an address at which nothing listens.
-func Refusing(t TB) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
--- a/internal/upstream/http1_test.go
+++ b/internal/upstream/http1_test.go
@@ -77,7 +77,7 @@
 
 func TestConnectFailedAndNotSentWriteNothing(t *testing.T) {
 	transport := HTTP1{ConnectTimeout: time.Second}
-	refused := transport.Do(&Attempt{Message: &Message{}, Address: scripted.Refusing(t)})
+	refused := transport.Do(&Attempt{Message: &Message{}, Address: scripted.FreeAddress(t)})
 	want(t, "refused", refused.Status, balancer.ConnectFailed)
 
 	// An attempt that is dropped before the connection is open is not written, and the connection is reusable.
