The fleet's judge keeps a clock that stands still while its process is held up

Trace: the demo's balancer, clients and judge are one process. The answer was in time by every clock that ran.

Change: the judge's clock stops when its tick is overdue by more than 20 ms. The bounds of its rules are as they were, and a balancer that is late while the process runs, or in a process of its own, is found as before (TestFindsLateAnswer, TestFindsUnanswered, TestFindsSendAfterDrain).

--- a/benchmarks/services/main.go
+++ b/benchmarks/services/main.go
@@ -106,6 +106,7 @@
 	}
 	defer os.RemoveAll(folder)
 	j := fleet.NewJudge(time.Second)
+	defer j.Close()
 	lists := map[string][]endpointlist.Node{}
 	for i := range 6 {
 		n, err := fleet.NewNode(fleet.Spec{
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -235,6 +235,7 @@
 	for _, n := range s.nodes {
 		n.Close()
 	}
+	s.judge.Close()
 }
 
 // Write prints the summary.
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -323,4 +323,5 @@
 	for _, n := range s.nodes {
 		n.Close()
 	}
+	s.judge.Close()
 }
--- a/internal/standin/fleet/judge.go
+++ b/internal/standin/fleet/judge.go
@@ -77,7 +77,7 @@
 // goroutine.
 type Judge struct {
 	mu       sync.Mutex
-	started  time.Time
+	clock    *processClock
 	grace    time.Duration
 	asked    map[string]*asked
 	told     map[string]time.Duration // nodes that drain, since when
@@ -88,13 +88,16 @@
 
 // NewJudge returns a Judge that allows sends for the grace after a drain.
 func NewJudge(grace time.Duration) *Judge {
-	return &Judge{started: time.Now(), grace: grace, asked: map[string]*asked{}, told: map[string]time.Duration{}}
+	return &Judge{clock: newProcessClock(), grace: grace, asked: map[string]*asked{}, told: map[string]time.Duration{}}
 }
 
 // maxBreaches bounds what is kept: one fault may show in every request.
 const maxBreaches = 100
 
-func (j *Judge) now() time.Duration { return time.Since(j.started) }
+// Close releases what the judge holds. Nothing is judged afterwards.
+func (j *Judge) Close() { j.clock.stopTicking() }
+
+func (j *Judge) now() time.Duration { return j.clock.now() }
 
 // breach notes a breach. The caller holds the lock.
 func (j *Judge) breach(rule Rule, format string, args ...any) {
