A cut response whose end is that of the connection is always reset

What callers saw: an HTTP/1.0 client takes a response of unknown length for complete when its connection is closed. A failure of the upstream reset the connection, but the end of the route's total time closed it.

Cause: the reset stood at one of the ways in which such a response is cut.

Change: every error of a response of unknown length without framing resets the connection.

Measured: TestCutResponseWithoutFramingIsReset read EOF before the change, and reads a reset now.

--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -21,11 +21,7 @@
 func (d *Download) Copy(client net.Conn, chunked bool) error {
 	defer d.abandon()
 	if d.HasUnknownLength() {
-		err := d.copyParts(client, chunked)
-		if errors.Is(err, errTotalExceeded) {
-			logCut(err)
-		}
-		return err
+		return d.copyUnknownLength(client, chunked)
 	}
 	err := d.forward(client)
 	d.forwarded <- err
@@ -35,6 +31,18 @@
 	return err
 }
 
+// copyUnknownLength streams a body of unknown length.
+func (d *Download) copyUnknownLength(client net.Conn, chunked bool) error {
+	err := d.copyParts(client, chunked)
+	if errors.Is(err, errTotalExceeded) {
+		logCut(err)
+	}
+	if err != nil && !chunked { // the client would take a regular close for the end of the body
+		http1.Abort(client)
+	}
+	return err
+}
+
 func logCut(err error) { slog.Warn("response cut", "err", err) }
 
 // writeLimit returns the limit of the writing of a response whose streaming starts now.
@@ -131,9 +139,6 @@
 func (d *Download) endParts(client net.Conn, chunked bool, limit http1.WriteLimit, err error) error {
 	if !errors.Is(err, io.EOF) {
 		logCut(err)
-		if !chunked { // the client would take a regular close for the end of the body
-			http1.Abort(client)
-		}
 		return err
 	}
 	if !chunked {
--- a/internal/body/end_test.go
+++ b/internal/body/end_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -61,6 +62,26 @@
 	}
 }
 
+// TestCutResponseWithoutFramingIsReset guards against a client that takes a cut response for a complete one, because
+// its end is that of the connection.
+func TestCutResponseWithoutFramingIsReset(t *testing.T) {
+	balancerSide, upstreamSide := net.Pipe()
+	defer upstreamSide.Close()
+	download := NewDownload(http1.NewStream(balancerSide, 2<<10), http1.Framing{UntilClose: true}, &DefaultLimits)
+	began := make(chan struct{})
+	go func() { _, _ = download.Receive(func() { close(began) }) }()
+	<-began
+	download.SetEnd(time.Now())
+	client, readSide := scripted.Pair(t)
+	if err := download.Copy(client, false); err == nil {
+		t.Error("the response counts as complete")
+	}
+	client.Close()
+	if _, err := readSide.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the client reads %v, want a reset", err)
+	}
+}
+
 // hookedConn calls a function before a write deadline is set.
 type hookedConn struct {
 	net.Conn
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -49,8 +49,9 @@
 	return r
 }
 
-// Every contender serves on sockets, executes each request once and holds to the cap; olivearch's own view is sampled. The
-// requests are unsafe: a safe one is sent again once an attempt times out, as one does while the process is held up.
+// Every contender serves on sockets, executes each request once and holds to the cap; olivearch's own view is sampled.
+// The requests are unsafe: a safe one is sent again once an attempt times out, as one does while the process is held
+// up.
 func TestEveryContenderServes(t *testing.T) {
 	f := parse(t, `
 name: t
@@ -118,7 +119,8 @@
 	}
 }
 
-// oversleep is by how much sleeps of a millisecond took longer while f ran, the 95th percentile: what the machine adds to whatever waits.
+// oversleep is by how much sleeps of a millisecond took longer while f ran, the 95th percentile: what the machine adds
+// to whatever waits.
 func oversleep(f func()) time.Duration {
 	done, late := make(chan struct{}), make(chan []time.Duration)
 	go func() {
@@ -142,9 +144,10 @@
 	return all[len(all)*95/100]
 }
 
-// Sockets and simulated time agree on a scene that both can play. The tolerance is stated in docs/design/experiments.md: the
-// part in time within 0.05, the median within a half and 3 ms. A machine that is busy with other tests stays within it; one on which sleeps take
-// longer by more than 2 ms is looked at by neither, and the scene is played again: a picker that has nothing of ours, least, then stands at 40 ms in place of 15.
+// Sockets and simulated time agree on a scene that both can play. The tolerance is stated in
+// docs/design/experiments.md: the part in time within 0.05, the median within a half and 3 ms. A machine that is busy
+// with other tests stays within it; one on which sleeps take longer by more than 2 ms is looked at by neither, and the
+// scene is played again: a picker that has nothing of ours, least, then stands at 40 ms in place of 15.
 func TestModesAgree(t *testing.T) {
 	f := parse(t, `
 name: t
--- a/internal/standin/scripted/atrest.go
+++ b/internal/standin/scripted/atrest.go
@@ -9,8 +9,8 @@
 // restTimeout bounds the wait until a test's goroutines and descriptors have ended.
 const restTimeout = 10 * time.Second
 
-// AtRest checks at the end of a test, after its other cleanups, that as many goroutines and descriptors are there as now.
-// It is called first in a test that does not run in parallel with others.
+// AtRest checks at the end of a test, after its other cleanups, that as many goroutines and descriptors are there as
+// now. It is called first in a test that does not run in parallel with others.
 func AtRest(t TB) {
 	t.Helper()
 	goroutines, descriptors := runtime.NumGoroutine(), openDescriptors(t)
--- a/internal/standin/scripted/reserve.go
+++ b/internal/standin/scripted/reserve.go
@@ -7,9 +7,9 @@
 	"syscall"
 )
 
-// Reserve returns a loopback address with a port from the system, on which nothing listens, and which the system gives to
-// no other socket until release is called. A program that is told to listen there can: the port is held by a socket that
-// does not listen, and listeners in Go share an address with such a one (SO_REUSEADDR, socket(7)).
+// Reserve returns a loopback address with a port from the system, on which nothing listens, and which the system gives
+// to no other socket until release is called. A program that is told to listen there can: the port is held by a socket
+// that does not listen, and listeners in Go share an address with such a one (SO_REUSEADDR, socket(7)).
 func Reserve() (address string, release func(), err error) {
 	descriptor, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
