A client that ended its sending sees its connection end when its upload is not begun

TestRequestsAreForwardedUnchanged opened a connection: it expected reuse within the millisecond for which a connection rests, on a machine that answers four requests within it.

Change: unread bytes of an upload that no attempt has begun are discarded before the close.

--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// discardUnread does a lingering close if a part of the body is unread, which no attempt will read: a client that has
+// only ended its sending must see the connection end, and not a reset.
+func (c *clientConn) discardUnread(upload *body.Upload) {
+	if !upload.Consumed() {
+		c.lingeringClose(lingerTimeout, lingerBodyBytes)
+	}
+}
+
 // lingeringClose closes the write side, and then reads and discards up to maxBytes bytes until the client closes the
 // connection or the timeout ends. Its errors mean that the client has closed the connection, so they are ignored.
 func (c *clientConn) lingeringClose(timeout time.Duration, maxBytes int64) {
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -171,6 +171,7 @@
 		if errors.As(err, &failed) && client.claim(exchangeCanceled) {
 			client.cancelExchange()
 			s.reject(client, failed.Unwrap())
+			client.discardUnread(upload)
 			return false
 		}
 	}
--- a/internal/proxy/balancer_test.go
+++ b/internal/proxy/balancer_test.go
@@ -17,6 +17,9 @@
 // responsesToLearn is how many responses with different bodies a balancer must have seen before it reuses connections.
 const responsesToLearn = 4
 
+// connectionRest is longer than a connection stays unused after a response that would be recognised if it came again.
+const connectionRest = 2 * time.Millisecond
+
 // learnResponses makes a balancer see that the bodies of its upstreams' responses differ.
 func (b *testBalancer) learnResponses(t *testing.T, s *scripted.Node) {
 	t.Helper()
@@ -33,6 +36,7 @@
 	b.learnResponses(t, s)
 	opened := s.Opened()
 	for _, class := range []string{"pay", "checkin"} {
+		time.Sleep(connectionRest) // otherwise the request might not reuse a connection
 		sent := b.newRequest(class, "body", "Connection", "X-Hop", "X-Hop", "1", "X-Extras", "a=1")
 		status, body := b.do(t, sent)
 		want(t, "status", status, 200)
