What has arrived of an upload that waited is read before its client is asked for

A request with a long body was sent 0.5 s after its client had closed the connection.

Cause: the end of a connection arrives behind its bytes, and only when there is room for them.

Change: before a streamed request of known length that had to wait is sent, what has arrived is read into further blocks, as far as the spool has memory, and the client is asked again, up to 20 times a millisecond apart. No blocks are added while an attempt sends the body.

--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -45,6 +45,7 @@
 	holders atomic.Int32 // the client's goroutine, and each attempt that sends the body
 
 	mu           sync.Mutex
+	senders      int  // attempts that are sending the blocks
 	started      bool // an attempt reads or has read from the client: the body can't be sent again
 	finished     bool // that attempt has stopped reading
 	complete     bool // that attempt has read and sent the whole body
@@ -178,6 +179,47 @@
 // body was read and written, or a ClientError if no attempt has begun to read and Cancel was called.
 func (u *Upload) Done() <-chan error { return u.done }
 
+// ReadArrived reads what has arrived of a body of known length into further blocks, at most about maxBytes and as far
+// as the spool has memory. It does not wait. It reports whether it has read anything, and does nothing while an
+// attempt sends the body. The end of a client's connection arrives only when there is room for all bytes before it.
+func (u *Upload) ReadArrived(maxBytes int) bool {
+	if !u.Streaming() || !u.lengthKnown || !u.Retain() {
+		return false
+	}
+	defer u.Release()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.started || u.stopped || u.senders > 0 {
+		return false
+	}
+	_ = u.conn.SetReadDeadline(time.Now().Add(uploadReadTimeout)) // if it fails, so does the read
+	read := 0
+	for read < maxBytes && u.src.HasArrived() && u.spool.reserve(BlockSize) {
+		block := blocks.Get().(*[BlockSize]byte)
+		size, err := u.src.Read(block[:]) // does not wait, since a byte has arrived
+		u.blocks = append(u.blocks, block[:size])
+		read += size
+		if err != nil { // the attempt that reads on gets it, too
+			break
+		}
+	}
+	return read > 0
+}
+
+// beginSending returns the blocks for an attempt, which calls endSending. No blocks are added in between.
+func (u *Upload) beginSending() [][]byte {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.senders++
+	return u.blocks
+}
+
+func (u *Upload) endSending() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.senders--
+}
+
 // Cancel ends an upload whose request is over, because its client has left. It does nothing if an attempt has begun to
 // read from the client, and if the whole body was read ahead.
 func (u *Upload) Cancel() {
--- a/internal/body/upload_send.go
+++ b/internal/body/upload_send.go
@@ -21,7 +21,9 @@
 // upload was stopped.
 func (u *Upload) Send(upstream net.Conn, end time.Time) (err error) {
 	limit := http1.WriteLimit{Part: uploadWriteTimeout, End: end}
-	for _, block := range u.blocks {
+	readAhead := u.beginSending()
+	defer u.endSending()
+	for _, block := range readAhead {
 		if err := http1.SendPart(upstream, block, !u.lengthKnown, limit); err != nil {
 			return err
 		}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -119,6 +119,14 @@
 	return unexpectedEOF(b.stream.Wait())
 }
 
+// HasArrived reports whether a byte of a body of known length has arrived that was not read. It does not wait.
+func (b *Body) HasArrived() bool {
+	if b.remaining == 0 || b.err != nil {
+		return false
+	}
+	return b.stream.Buffered() > 0 || Peek(b.stream).HasUnread()
+}
+
 // Forward moves up to maxBytes bytes of a body of known length to a connection, from socket to socket where the system
 // supports it (splice(2)). It returns io.EOF once the body has ended. The deadlines of both connections apply.
 func (b *Body) Forward(to net.Conn, maxBytes int64) (int64, error) {
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -16,6 +16,14 @@
 // has left.
 const clientCheckDelay = 50 * time.Millisecond
 
+// These bound the check of a client whose streamed request had to wait: how often it is made, after which pause, and
+// how many bytes of the body are read before each.
+const (
+	maxEndChecks       = 20
+	endCheckInterval   = time.Millisecond
+	maxReadBeforeCheck = 128 << 10
+)
+
 // expiredListRetryAfter is the maximum Retry-After of responses while the endpoint list is too old to be used.
 const expiredListRetryAfter = time.Second
 
@@ -72,7 +80,7 @@
 	if r.clientGone.Load() {
 		return false
 	}
-	if r.clientNeedsCheck() && !r.Client.Connected() {
+	if r.clientNeedsCheck() && !r.clientConnected() {
 		r.clientGone.Store(true)
 	}
 	return !r.clientGone.Load()
@@ -88,6 +96,29 @@
 	return r.Message.Upload.Streaming() || r.loop.now()-r.ReceivedAt > clientCheckDelay
 }
 
+// clientConnected reports whether the client is still connected. The end of its connection can't arrive as long as the
+// bytes before it fill the system's buffer, so what has arrived of a streamed body that had to wait is read first.
+func (r *Request) clientConnected() bool {
+	upload := r.Message.Upload
+	if !upload.Streaming() || r.loop.now()-r.ReceivedAt <= clientCheckDelay {
+		return r.Client.Connected()
+	}
+	hasRead := false
+	for range maxEndChecks {
+		if !r.Client.Connected() {
+			return false
+		}
+		switch {
+		case upload.ReadArrived(maxReadBeforeCheck):
+			hasRead = true
+		case !hasRead: // nothing hides the end
+			return true
+		}
+		time.Sleep(endCheckInterval)
+	}
+	return r.Client.Connected()
+}
+
 // isOpen reports whether the client is still waiting for the final response.
 func (r *Request) isOpen() bool { return r.state == requestOpen }
 
--- a/internal/pool/unsent_attempt_test.go
+++ b/internal/pool/unsent_attempt_test.go
@@ -188,3 +188,38 @@
 		})
 	}
 }
+
+// peekedClient is a Client whose connection is asked as a frontend does.
+type peekedClient struct{ conn net.Conn }
+
+func (p peekedClient) Connected() bool { return !http1.Peek(p.conn).Gone() }
+
+// TestClientThatLeftBehindFullWindowIsSeen guards against an attempt that begins long after its client has left,
+// because the end of the client's connection has no room behind bytes of its body.
+func TestClientThatLeftBehindFullWindowIsSeen(t *testing.T) {
+	const bodyBytes, spoolBytes = 100 << 10, 1 << 20
+	client, balancerSide := scripted.Connect(t, scripted.ListenWithSmallBuffer(t, 16<<10))
+	if err := client.SetWriteBuffer(4 * bodyBytes); err != nil {
+		t.Fatal(err)
+	}
+	spool := new(body.Spool)
+	framing := http1.Framing{Length: bodyBytes}
+	upload := body.NewUpload(spool, balancerSide, framing, &body.DefaultLimits)
+	if err := upload.ReadAhead(http1.NewStream(balancerSide, 1<<10).Body(framing, 0)); err != nil {
+		t.Fatal(err)
+	}
+	spool.SetSize(spoolBytes)
+	if _, err := client.Write(make([]byte, bodyBytes)); err != nil {
+		t.Fatal(err)
+	}
+	client.Close()
+	h := newManualLoop(t, testSpec())
+	request := newRequest("1", h.now()-2*clientCheckDelay, 4*time.Second)
+	request.loop = h.loop
+	request.Client = peekedClient{balancerSide}
+	want(t, "connected, as far as the system can tell", request.Client.Connected(), true)
+	request.Message.Upload = upload
+	want(t, "the request may be sent", request.clientPresent(), false)
+	upload.Release()
+	want(t, "bytes of the spool that are left", spool.Free(), int64(spoolBytes))
+}
--- a/internal/upstream/write_end_test.go
+++ b/internal/upstream/write_end_test.go
@@ -3,12 +3,10 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
@@ -19,9 +17,7 @@
 )
 
 const (
-	// ethernetSegment and smallReceiveBuffer, in bytes, keep the system from accepting a whole body at once where
-	// nothing is read. Segments of the loopback interface have 64 KiB.
-	ethernetSegment    = 1460
+	// smallReceiveBuffer, in bytes, keeps the system from accepting a whole body at once where nothing is read.
 	smallReceiveBuffer = 16 << 10
 
 	longBodyBytes = 4 << 20
@@ -41,21 +37,7 @@
 
 func startStalledUpstream(t *testing.T) *stalledUpstream {
 	t.Helper()
-	var optionErr error
-	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(descriptor uintptr) {
-			fd := int(descriptor)
-			optionErr = syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, ethernetSegment)
-			if optionErr == nil {
-				optionErr = syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallReceiveBuffer)
-			}
-		})
-	}}
-	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
-	if err != nil || optionErr != nil {
-		t.Fatal(err, optionErr)
-	}
-	t.Cleanup(func() { listener.Close() })
+	listener := scripted.ListenWithSmallBuffer(t, smallReceiveBuffer)
 	upstream := &stalledUpstream{
 		address:  listener.Addr().String(),
 		readOn:   make(chan struct{}),
