Log why a request was not accepted, a client made room, a response was cut

What was missing in the incident: the logs had no line for a request that never reached a pool, none for a client's connection that was closed to make room, and 'response cut' named neither request nor endpoint nor how long its upstream had been silent.

Change: 'request not accepted' (request, code, reason, age, address) and 'client connection closed to make room' (status, age, address), at most 20 of a kind a second; 'response cut' has request, endpoint, received and idle.

Measured: go test of conventions, loglimit, body, pool and frontend passes.

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -40,8 +40,12 @@
 
 	hold func(received []byte) bool // see HoldWhile; nil: never
 
+	origin Origin // see SetOrigin
+
 	mu       sync.Mutex
 	buffered []byte // received before streaming; not changed afterwards
+	received int64  // bytes of the body, from the upstream
+	lastByte time.Time
 	state    downloadState
 	isDue    bool      // bufferingTime has passed
 	end      time.Time // see SetEnd; zero: none
@@ -69,6 +73,7 @@
 		framing:       f,
 		limits:        limits,
 		body:          c.Body(f, limits.MaxResponseBytes),
+		lastByte:      time.Now(),
 		forwarded:     make(chan error, 1),
 		parts:         make(chan part, 1),
 		abandoned:     make(chan struct{}),
@@ -82,6 +87,26 @@
 // received, and while they are at most MaxBuffered. It is called before Receive.
 func (d *Download) HoldWhile(hold func(received []byte) bool) { d.hold = hold }
 
+// Origin says in logs which response a Download is.
+type Origin struct {
+	Request  string // id that the client gave to the request
+	Endpoint string
+}
+
+// SetOrigin sets the origin. It is called before Copy.
+func (d *Download) SetOrigin(origin Origin) { d.origin = origin }
+
+// noteReceived records bytes that the upstream has sent.
+func (d *Download) noteReceived(bytes int64) {
+	if bytes <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.received += bytes
+	d.lastByte = time.Now()
+}
+
 // SetEnd sets the time by which the whole body must have been written to the client, unless Limits set an earlier one.
 // It is called before Copy.
 func (d *Download) SetEnd(end time.Time) {
@@ -213,6 +238,7 @@
 func (d *Download) readPart() part {
 	block := blocks.Get().(*[BlockSize]byte)
 	n, err := d.body.Read(block[:])
+	d.noteReceived(int64(n))
 	return part{block, n, err}
 }
 
--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -26,7 +26,7 @@
 	err := d.forward(client)
 	d.forwarded <- err
 	if err != nil {
-		logCut(err)
+		d.logCut(err)
 	}
 	return err
 }
@@ -35,7 +35,7 @@
 func (d *Download) copyUnknownLength(client net.Conn, chunked bool) error {
 	err := d.copyParts(client, chunked)
 	if errors.Is(err, errTotalExceeded) {
-		logCut(err)
+		d.logCut(err)
 	}
 	if err != nil && !chunked { // the client would take a regular close for the end of the body
 		http1.Abort(client)
@@ -43,7 +43,14 @@
 	return err
 }
 
-func logCut(err error) { slog.Warn("response cut", "err", err) }
+// logCut logs that the client gets only a part of the response.
+func (d *Download) logCut(err error) {
+	d.mu.Lock()
+	received, idle := d.received, time.Since(d.lastByte)
+	d.mu.Unlock()
+	slog.Warn("response cut", "err", err, "request", d.origin.Request, "endpoint", d.origin.Endpoint,
+		"received", received, "idle", idle)
+}
 
 // writeLimit returns the limit of the writing of a response whose streaming starts now.
 func (d *Download) writeLimit() http1.WriteLimit {
@@ -90,7 +97,8 @@
 	if err := d.setReadTimeout(partTimeout); err != nil {
 		return err
 	}
-	_, err := forwardPart(d.body, client, limit)
+	moved, err := forwardPart(d.body, client, limit)
+	d.noteReceived(moved)
 	return err
 }
 
@@ -138,7 +146,7 @@
 // endParts ends a response after its last part, whose error is err. Only io.EOF leads to a regular end.
 func (d *Download) endParts(client net.Conn, chunked bool, limit http1.WriteLimit, err error) error {
 	if !errors.Is(err, io.EOF) {
-		logCut(err)
+		d.logCut(err)
 		return err
 	}
 	if !chunked {
--- a/internal/conventions/logs_test.go
+++ b/internal/conventions/logs_test.go
@@ -22,7 +22,7 @@
 	"address", "after", "age", "answer", "attempt", "attempts", "class", "classes", "cluster", "code", "config",
 	"connection", "count", "endpoint", "endpoints", "err", "event", "failed_reads", "id", "idle", "kept", "kind",
 	"line", "lingers", "listen", "name", "newest", "overrides", "path", "pool", "pools", "previous", "reason",
-	"replaced", "reported", "request", "revision", "routes", "signal", "stack", "status", "term", "type",
+	"received", "replaced", "reported", "request", "revision", "routes", "signal", "stack", "status", "suppressed", "term", "type",
 	"unsolicited", "upstream", "use", "voters",
 }
 
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -32,6 +32,9 @@
 	closeRequested bool // the connection is closed after the response
 	http10         bool // the request is an HTTP/1.0 request
 
+	// requestID is the id that the client gave to the request that is being read; empty: none yet. The reader owns it.
+	requestID string
+
 	// closeGracefully requests a lingering close, since the connection ends between requests or after a response.
 	// It is written by the goroutine that ends the connection.
 	closeGracefully bool
@@ -63,6 +66,15 @@
 	}
 }
 
+// address returns the client's address in logs.
+func (c *clientConn) address() string {
+	address := c.RemoteAddr()
+	if address == nil { // of a socket that is closed already
+		return ""
+	}
+	return address.String()
+}
+
 // claim changes the state of a pending exchange. It returns false if the exchange is not pending, so only the first of
 // reader and writer succeeds.
 func (c *clientConn) claim(state exchangeState) bool {
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
+	"time"
 
 	"olivearch/internal/body"
 	"olivearch/internal/http1"
@@ -58,6 +60,16 @@
 	}
 }
 
+// logRejection logs a request that never reaches a pool.
+func (s *Server) logRejection(client *clientConn, rejection *Rejection) {
+	suppressed, ok := s.rejectionLog.Admit()
+	if !ok {
+		return
+	}
+	slog.Info("request not accepted", "request", client.requestID, "code", rejection.Status, "reason", rejection.Reason,
+		"age", time.Since(client.stageSince), "address", client.address(), "suppressed", suppressed)
+}
+
 // reject answers a request that can't be served and does a lingering close, since the start of the next request is not
 // certain. If the connection failed, it writes no response.
 func (s *Server) reject(client *clientConn, err error) {
@@ -68,6 +80,7 @@
 	if rejection == nil {
 		return
 	}
+	s.logRejection(client, rejection)
 	response := pool.Response{
 		Status:      rejection.Status,
 		Body:        []byte(rejection.Reason + "\n"),
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -17,6 +17,8 @@
 	version10 = "HTTP/1.0"
 	version11 = "HTTP/1.1"
 
+	fieldRequestID = "X-Request-Id"
+
 	// healthTarget is the target of a health check of this balancer. A GET of it with an X-Request-Id is an
 	// ordinary request.
 	healthTarget = "/healthz"
@@ -44,10 +46,12 @@
 // readRequest reads a request from a client and returns it with its fields. A nil Exchange means a health check of this
 // balancer. A malformed request yields an error and never reaches a pool.
 func (s *Server) readRequest(client *clientConn) (Exchange, http1.Fields, error) {
+	client.requestID = ""
 	line, header, err := client.ReadHead()
 	if err != nil {
 		return nil, nil, err
 	}
+	client.requestID = header.Get(fieldRequestID)
 	method, rest, _ := strings.Cut(line, " ")
 	target, version, _ := strings.Cut(rest, " ")
 	client.http10 = version == version10 && s.limits.Load().HTTP10
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -10,6 +10,7 @@
 
 	"olivearch/internal/body"
 	"olivearch/internal/hotrestart"
+	"olivearch/internal/loglimit"
 )
 
 // Server accepts client connections on a listener, submits their requests to pools and writes the responses.
@@ -25,6 +26,8 @@
 
 	transferLimit time.Duration // see SetTransferLimit
 
+	rejectionLog, evictionLog loglimit.Shared
+
 	mu             sync.Mutex
 	clients        map[*clientConn]struct{}
 	stageCounts    [stageEvicted + 1]int // number of clients in each stage
--- a/internal/frontend/stage.go
+++ b/internal/frontend/stage.go
@@ -1,6 +1,9 @@
 package frontend
 
-import "time"
+import (
+	"log/slog"
+	"time"
+)
 
 // stage is the stage of a client's connection. The package comment has the transitions. Connections in earlier stages
 // are evicted first.
@@ -88,12 +91,40 @@
 	if candidate == nil {
 		return false
 	}
+	s.logEviction(candidate)
 	s.setStage(candidate, stageEvicted) // without a lingering close, since its file descriptor is needed now
 	candidate.Close()
 	s.remove(candidate)
 	return true
 }
 
+// logEviction logs a connection that is closed to make room. The caller holds the lock.
+func (s *Server) logEviction(client *clientConn) {
+	suppressed, ok := s.evictionLog.Admit()
+	if !ok {
+		return
+	}
+	slog.Info("client connection closed to make room", "status", client.stage.String(),
+		"age", time.Since(client.stageSince), "address", client.address(), "suppressed", suppressed)
+}
+
+// String returns the name of a stage in logs.
+func (s stage) String() string {
+	switch s {
+	case stageClosing:
+		return "closing"
+	case stageReading:
+		return "reading"
+	case stageIdle:
+		return "idle"
+	case stageActive:
+		return "active"
+	case stageEvicted:
+		return "evicted"
+	}
+	return "unknown"
+}
+
 // evictionCandidate returns the evictable connection that isEvictedBefore orders first, of those in the stage from or a
 // later one; nil: there is none. The caller holds the lock.
 func (s *Server) evictionCandidate(from stage) *clientConn {
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -161,6 +161,9 @@
 	if response.Tunnel != nil {
 		l.addTunnel(attempt, response.Tunnel)
 	}
+	if response.Download != nil {
+		response.Download.SetOrigin(body.Origin{Request: attempt.request.ClientRequestID, Endpoint: endpoint.name})
+	}
 	if response.Download != nil && l.wholeResponseInTime {
 		left := attempt.request.deadline - l.now()
 		response.Download.SetEnd(time.Now().Add(left + lateResponseGrace))
--- a/internal/pool/log.go
+++ b/internal/pool/log.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"sync"
+
+	"olivearch/internal/loglimit"
 )
 
 // maxQueuedLogLines bounds the lines that wait to be written. Further lines are dropped.
@@ -17,8 +19,8 @@
 }
 
 // trace logs a line if the limit of its kind allows it.
-func (l *loop) trace(limit *traceLimit, message string, attributes ...any) {
-	suppressed, ok := limit.admit(l.now())
+func (l *loop) trace(limit *loglimit.Limit, message string, attributes ...any) {
+	suppressed, ok := limit.Admit(l.now())
 	if !ok {
 		return
 	}
--- a/internal/pool/trace.go
+++ b/internal/pool/trace.go
@@ -5,43 +5,13 @@
 	"time"
 
 	"olivearch/balancer"
+	"olivearch/internal/loglimit"
 	"olivearch/internal/upstream"
 )
 
-const (
-	// traceInterval is how often the budget of a traceLimit is renewed.
-	traceInterval = time.Second
-	// maxTraceLines bounds the lines of one kind in a traceInterval. Further ones are counted.
-	maxTraceLines = 20
-)
-
-// traceLimit bounds the lines of one kind in the log, so that overload does not flood it. The zero value has its whole
-// budget.
-type traceLimit struct {
-	renewAt    time.Duration // on the loop's clock
-	lines      int
-	suppressed int
-}
-
-// admit reports whether a line may be logged, and how many were suppressed since the last one.
-func (t *traceLimit) admit(now time.Duration) (suppressed int, ok bool) {
-	if now >= t.renewAt {
-		t.renewAt = now + traceInterval
-		t.lines = 0
-	}
-	if t.lines >= maxTraceLines {
-		t.suppressed++
-		return 0, false
-	}
-	t.lines++
-	suppressed = t.suppressed
-	t.suppressed = 0
-	return suppressed, true
-}
-
 // tracing holds the limits of each kind of line. The loop owns it.
 type tracing struct {
-	attempts, connections, responses traceLimit
+	attempts, connections, responses loglimit.Limit
 }
 
 // traceAttempt logs an attempt that was not served, or whose connection carried unsolicited bytes.
--- a/internal/standin/scripted/conn.go
+++ b/internal/standin/scripted/conn.go
@@ -22,4 +22,5 @@
 func (c *Conn) Write(b []byte) (int, error)      { return c.Heard.Write(b) }
 func (c *Conn) SetReadDeadline(time.Time) error  { return nil }
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+func (c *Conn) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
 func (c *Conn) Close() error                     { return nil }
