--- /dev/null
+++ b/cmd/olivearch/unfinished_requests_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"olivearch/internal/procstat"
+)
+
+// hostileClients are clients that each send a request again on a new connection whenever their connection is closed.
+type hostileClients struct {
+	name    string
+	count   int
+	limitMB int                                // memory_mb of the balancer
+	request func(conn net.Conn, serial string) // sends a request
+	answer  func(conn net.Conn)                // receives what comes
+}
+
+// run keeps the clients going until ctx ends.
+func (h hostileClients) run(ctx context.Context, address string) {
+	var clients sync.WaitGroup
+	var serial atomic.Int64
+	var dialer net.Dialer
+	for range h.count {
+		clients.Go(func() {
+			for ctx.Err() == nil {
+				conn, err := dialer.DialContext(ctx, "tcp", address)
+				if err != nil {
+					continue
+				}
+				stop := context.AfterFunc(ctx, func() { conn.Close() })
+				h.request(conn, fmt.Sprintf("h%015x", serial.Add(1)))
+				h.answer(conn)
+				stop()
+				conn.Close()
+			}
+		})
+	}
+	clients.Wait()
+}
+
+// discardAnswer reads until the connection is closed.
+func discardAnswer(conn net.Conn) { _, _ = io.Copy(io.Discard, conn) }
+
+// sendPart sends a request of which a part of the body never comes.
+func sendPart(framing string, sent int) func(conn net.Conn, serial string) {
+	return func(conn net.Conn, serial string) {
+		head := "POST /c HTTP/1.1\r\nHost: x\r\nX-Class: c\r\nX-Request-Id: " + serial + "\r\n" + framing + "\r\n\r\n"
+		if strings.Contains(framing, "chunked") {
+			head += strconv.FormatInt(int64(2*sent), 16) + "\r\n"
+		}
+		_, _ = io.WriteString(conn, head+strings.Repeat("x", sent)) // the balancer may close it at any time
+	}
+}
+
+// sendShortFields sends a head of very many short fields.
+func sendShortFields(conn net.Conn, serial string) {
+	head := "POST /c HTTP/1.1\r\nHost: x\r\nX-Class: c\r\nX-Request-Id: " + serial + "\r\n"
+	_, _ = io.WriteString(conn, head+strings.Repeat("a:\r\n", 3700)+"\r\n")
+}
+
+// askForLong sends a request whose response is longResponse bytes long.
+func askForLong(conn net.Conn, serial string) {
+	_, _ = io.WriteString(conn, platformHead(serial, "X-Long: 1\r\n", 0))
+}
+
+// readSlowly reads a response at some 20 KB a second.
+func readSlowly(conn net.Conn) {
+	for {
+		if _, err := io.CopyN(io.Discard, conn, 1<<10); err != nil {
+			return
+		}
+		<-time.After(50 * time.Millisecond)
+	}
+}
+
+const (
+	longResponse = 2 << 20
+	mebibyte     = 1 << 20
+
+	honestClients  = 4
+	honestPause    = 20 * time.Millisecond
+	honestTime     = 250 * time.Millisecond
+	hostileTime    = 4 * time.Second
+	wantedInTime   = 0.9 // of the honest requests
+	upstreamsBusy  = 4
+	upstreamsDelay = 5 * time.Millisecond
+)
+
+// honestOutcomes are the outcomes of requests of clients that behave well.
+type honestOutcomes struct{ inTime, late, failed atomic.Int64 }
+
+func (o *honestOutcomes) String() string {
+	return fmt.Sprintf("%d in time, %d late, %d not served", o.inTime.Load(), o.late.Load(), o.failed.Load())
+}
+
+// sendHonestRequests sends requests of honest clients until ctx ends. Each client keeps its connection.
+func sendHonestRequests(ctx context.Context, address string, outcomes *honestOutcomes) {
+	transport := &http.Transport{MaxIdleConnsPerHost: honestClients}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport, Timeout: 2 * time.Second}
+	var clients sync.WaitGroup
+	var serial atomic.Int64
+	for range honestClients {
+		clients.Go(func() {
+			for ctx.Err() == nil {
+				began := time.Now()
+				served := sendHonestRequest(client, address, serial.Add(1))
+				switch {
+				case !served:
+					outcomes.failed.Add(1)
+				case time.Since(began) > honestTime:
+					outcomes.late.Add(1)
+				default:
+					outcomes.inTime.Add(1)
+				}
+				<-time.After(honestPause)
+			}
+		})
+	}
+	clients.Wait()
+}
+
+func sendHonestRequest(client *http.Client, address string, serial int64) (served bool) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/c", strings.NewReader("abc"))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("X-Class", "c")
+	request.Header.Set("X-Request-Id", fmt.Sprintf("%016x", serial))
+	response, err := client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// TestHostileClientsLeaveMemoryAndTurns guards against a process that passes its memory limit, or serves nobody else,
+// because of clients that do not finish their requests or responses.
+func TestHostileClientsLeaveMemoryAndTurns(t *testing.T) {
+	const chunked, known = "Transfer-Encoding: chunked", "Content-Length: 65000"
+	for _, hostile := range []hostileClients{
+		{"chunked body stops in the middle, 80 MB", 600, 80, sendPart(chunked, 250_000), discardAnswer},
+		{"chunked body stops in the middle, 64 MB", 300, 64, sendPart(chunked, 250_000), discardAnswer},
+		{"short body stops in the middle", 600, 80, sendPart(known, 64_000), discardAnswer},
+		{"long body stops in the middle", 300, 64, sendPart("Content-Length: 4000000", 250_000), discardAnswer},
+		{"many short fields", 600, 80, sendShortFields, discardAnswer},
+		{"long responses read slowly", 300, 80, askForLong, readSlowly},
+	} {
+		t.Run(hostile.name, func(t *testing.T) { playHostile(t, hostile) })
+	}
+}
+
+func playHostile(t *testing.T, hostile hostileClients) {
+	text := []byte(strings.Repeat("x", longResponse))
+	process := startPlatform(t, upstreamsBusy, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, bufio.NewReader(r.Body)); err != nil {
+			return // the client has left
+		}
+		<-time.After(upstreamsDelay)
+		if r.Header.Get("X-Long") == "" {
+			_, _ = fmt.Fprintf(w, "the response to request %s", r.Header.Get("X-Request-Id"))
+			return
+		}
+		_, _ = w.Write(text) // the honest clients' side is checked
+	}, `"memory_mb":192`, `"memory_mb":`+strconv.Itoa(hostile.limitMB))
+	ctx, cancel := context.WithTimeout(t.Context(), hostileTime)
+	defer cancel()
+	var outcomes honestOutcomes
+	var running sync.WaitGroup
+	running.Go(func() { hostile.run(ctx, process.listen) })
+	running.Go(func() { sendHonestRequests(ctx, process.listen, &outcomes) })
+	running.Wait()
+	usage, err := procstat.Of(process.cmd.Process.Pid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("peak %.1f MB of %d MB; honest requests: %v", usage.PeakMB, hostile.limitMB, &outcomes)
+	limitMB := float64(hostile.limitMB) * 1e6 / mebibyte // the stricter reading of memory_mb
+	if usage.PeakMB > limitMB {
+		t.Errorf("peak memory is %.1f MB, the limit %d MB", usage.PeakMB, hostile.limitMB)
+	}
+	served := float64(outcomes.inTime.Load())
+	if all := served + float64(outcomes.late.Load()+outcomes.failed.Load()); served < wantedInTime*all {
+		t.Errorf("honest requests: %v", &outcomes)
+	}
+}
