A streamed response ends when it stops, not when its request's time is over

Cause: lateResponseGrace used the deadline of waiting as one of the transfer. Nothing told a slow side from one that has stopped. The class: a fixed time for a phase that moves. Of the same class: 20 s for each part of up to 512 KiB to a client, which cuts one that reads under 26 KB a second; at SIGTERM a platform's balancer ended 1.85 s later although SIGKILL may come after 3.7 s.

Evidence: on 8 of 8 cases of TestSlowResponseIsPassedOnWhole and TestSlowClientGetsResponseWhole are cut at 1.10 s of a request's time of 0.75 s.

Change: stallRule ends a response by silence alone: 1.2 s if it is due and silent since before, 3 s after a byte that came late, answer.idle otherwise. What the client takes is watched by acknowledged bytes (http1.DeliveryWatch, which was the upload's stall watch). The platform's transfer limit at shutdown is 3 s.

TestResponseEndsAtItsEnd asked that a response ends at a fixed time, which is the fault; TestSilentResponseEndsOnceDue and TestStallRule ask as strictly that a silent one ends, and when. TestCutResponseWithoutFramingIsReset uses the route's total time, same check.

Measured: the 8 cases pass, TestStalledResponseIsCut passes; body, http1, upstream, pool, frontend, proxy pass.

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"os"
 	"sync"
 	"time"
 
@@ -45,10 +47,9 @@
 	mu       sync.Mutex
 	buffered []byte // received before streaming; not changed afterwards
 	received int64  // bytes of the body, from the upstream
-	lastByte time.Time
 	state    downloadState
-	isDue    bool      // bufferingTime has passed
-	end      time.Time // see SetEnd; zero: none
+	isDue    bool // bufferingTime has passed
+	stall    stallRule
 }
 
 // downloadState is the state of a download. It only changes to a later one.
@@ -73,7 +74,7 @@
 		framing:       f,
 		limits:        limits,
 		body:          c.Body(f, limits.MaxResponseBytes),
-		lastByte:      time.Now(),
+		stall:         newStallRule(limits.StallTimeout),
 		forwarded:     make(chan error, 1),
 		parts:         make(chan part, 1),
 		abandoned:     make(chan struct{}),
@@ -104,15 +105,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.received += bytes
-	d.lastByte = time.Now()
+	d.stall.lastByte = time.Now()
 }
 
-// SetEnd sets the time by which the whole body must have been written to the client, unless Limits set an earlier one.
-// It is called before Copy.
-func (d *Download) SetEnd(end time.Time) {
+// SetDue sets the time by which the client wants the whole body. The body goes on after it as long as it moves; one
+// that has stopped ends sooner than at Limits.StallTimeout. It is called before Copy.
+func (d *Download) SetDue(due time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.end = end
+	d.stall.due = due
+	if d.state == streaming && d.HasUnknownLength() { // a read is waiting
+		d.limitRead(d.stall.end())
+	}
 }
 
 // End returns the time by which a body whose streaming starts now must have been written to the client. It is longest
@@ -208,7 +212,7 @@
 	}
 	d.state = streaming
 	// From now on the request's own time limit does not end the wait for the next bytes.
-	d.limitNextRead(d.limits.StallTimeout)
+	d.limitNextByte()
 	return true
 }
 
@@ -239,7 +243,20 @@
 	block := blocks.Get().(*[BlockSize]byte)
 	n, err := d.body.Read(block[:])
 	d.noteReceived(int64(n))
-	return part{block, n, err}
+	return part{block, n, d.readError(err)}
+}
+
+// readError returns the error of a read, which is errUpstreamSilent if the wait for the next byte has ended it.
+func (d *Download) readError(err error) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state != streaming || d.isAbandoned() {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errUpstreamSilent, err)
 }
 
 // buffer appends a part to the buffered ones. If streaming has begun, it returns false and does not keep the part.
@@ -269,7 +286,7 @@
 	if next.err != nil {
 		return next.err
 	}
-	return d.setReadTimeout(d.limits.StallTimeout)
+	return d.awaitNextByte(time.Time{})
 }
 
 // finishStreaming returns the error that Receive returns for a streamed response: nil if the response is complete.
@@ -282,26 +299,54 @@
 	return err
 }
 
+// awaitNextByte limits the wait for the next byte from the upstream, which begins now and ends no later than total,
+// unless that is zero. It returns errStopped if the download is abandoned.
+func (d *Download) awaitNextByte(total time.Time) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stall.total = total
+	if !d.limitNextByte() {
+		d.state = finished
+		return errStopped
+	}
+	return nil
+}
+
+// limitNextByte limits the wait for the next byte from the upstream, which begins now. It returns false if the download
+// is abandoned. The caller holds the lock.
+func (d *Download) limitNextByte() bool {
+	d.stall.waitingSince = time.Now()
+	return d.limitRead(d.stall.end())
+}
+
 // setReadTimeout sets the deadline of the next read from the upstream. It returns errStopped if the download is
 // abandoned.
 func (d *Download) setReadTimeout(timeout time.Duration) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.limitNextRead(timeout) {
+	if !d.limitRead(time.Now().Add(timeout)) {
 		d.state = finished
 		return errStopped
 	}
 	return nil
 }
 
-// limitNextRead sets the deadline of the next read from the upstream. It returns false if the download is abandoned,
-// since the expired deadline must stay then. The caller holds the lock.
-func (d *Download) limitNextRead(timeout time.Duration) bool {
+// limitRead sets the deadline of the next read from the upstream, or of the one that waits. It returns false if the
+// download is abandoned, since the expired deadline must stay then. The caller holds the lock.
+func (d *Download) limitRead(deadline time.Time) bool {
+	if d.isAbandoned() {
+		return false
+	}
+	_ = d.source.SetReadDeadline(deadline) // if it fails, so does the read
+	return true
+}
+
+// isAbandoned reports whether the rest of the body is no longer needed.
+func (d *Download) isAbandoned() bool {
 	select {
 	case <-d.abandoned:
-		return false
-	default:
-		_ = d.source.SetReadDeadline(time.Now().Add(timeout)) // if it fails, so does the read
 		return true
+	default:
+		return false
 	}
 }
--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -10,20 +10,32 @@
 	"olivearch/internal/http1"
 )
 
-// downloadWriteTimeout bounds the writing of one part of a streamed response to the client.
-const downloadWriteTimeout = 20 * time.Second
+const (
+	// clientStallTimeout is the longest time for which a client may take nothing of a streamed response. The system
+	// of a slow client acknowledges whole segments, up to 64 KiB on loopback, so its pauses are seconds long.
+	clientStallTimeout = 20 * time.Second
+	// downloadWriteTimeout bounds the writing of one part of a streamed response to the client.
+	downloadWriteTimeout = 5 * time.Minute
+)
 
-var errTotalExceeded = errors.New("streamed response exceeds the total time of its route")
+var (
+	errTotalExceeded = errors.New("streamed response exceeds the total time of its route")
+	errClientStalled = errors.New("client has stopped reading")
+)
 
 // Copy streams the body to a client. A body of unknown length is sent in chunks, or without framing if chunked is
 // false. If the upstream fails, the client gets no regular end of the body: no last chunk, fewer bytes than announced,
 // or a reset.
 func (d *Download) Copy(client net.Conn, chunked bool) error {
 	defer d.abandon()
+	watch := http1.WatchDelivery(client, clientStallTimeout, func() {
+		_ = http1.Innermost(client).SetWriteDeadline(expiredDeadline) // fails on a closed connection, as the write does
+	})
+	defer watch.Stop()
 	if d.HasUnknownLength() {
-		return d.copyUnknownLength(client, chunked)
+		return d.copyUnknownLength(client, chunked, watch)
 	}
-	err := d.forward(client)
+	err := d.forward(client, watch)
 	d.forwarded <- err
 	if err != nil {
 		d.logCut(err)
@@ -32,9 +44,12 @@
 }
 
 // copyUnknownLength streams a body of unknown length.
-func (d *Download) copyUnknownLength(client net.Conn, chunked bool) error {
+func (d *Download) copyUnknownLength(client net.Conn, chunked bool, watch *http1.DeliveryWatch) error {
 	err := d.copyParts(client, chunked)
-	if errors.Is(err, errTotalExceeded) {
+	if err != nil && watch.Stalled() {
+		err = errClientStalled
+	}
+	if errors.Is(err, errTotalExceeded) || errors.Is(err, errClientStalled) {
 		d.logCut(err)
 	}
 	if err != nil && !chunked { // the client would take a regular close for the end of the body
@@ -46,7 +61,7 @@
 // logCut logs that the client gets only a part of the response.
 func (d *Download) logCut(err error) {
 	d.mu.Lock()
-	received, idle := d.received, time.Since(d.lastByte)
+	received, idle := d.received, time.Since(d.stall.lastByte)
 	d.mu.Unlock()
 	slog.Warn("response cut", "err", err, "request", d.origin.Request, "endpoint", d.origin.Endpoint,
 		"received", received, "idle", idle)
@@ -54,9 +69,7 @@
 
 // writeLimit returns the limit of the writing of a response whose streaming starts now.
 func (d *Download) writeLimit() http1.WriteLimit {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	limit := http1.WriteLimit{Part: downloadWriteTimeout, End: d.end}
+	limit := http1.WriteLimit{Part: downloadWriteTimeout}
 	if d.limits.DownloadTimeout > 0 {
 		limit = limit.EndBy(time.Now().Add(d.limits.DownloadTimeout))
 	}
@@ -72,13 +85,16 @@
 }
 
 // forward moves a body of known length from the upstream's connection to the client's.
-func (d *Download) forward(client net.Conn) error {
+func (d *Download) forward(client net.Conn, watch *http1.DeliveryWatch) error {
 	limit := d.writeLimit()
 	for {
 		err := d.forwardNext(client, limit)
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
+		if watch.Stalled() { // the bytes that splice(2) had read are lost
+			return errClientStalled
+		}
 		if err := totalError(limit, err); err != nil {
 			return err
 		}
@@ -88,11 +104,11 @@
 // forwardNext waits for the next byte of a body of known length and then moves a part of the body. It returns io.EOF at
 // the end of the body.
 func (d *Download) forwardNext(client net.Conn, limit http1.WriteLimit) error {
-	if err := d.setReadTimeout(limit.Shorten(d.limits.StallTimeout)); err != nil {
+	if err := d.awaitNextByte(limit.End); err != nil {
 		return err
 	}
 	if err := d.body.Wait(); err != nil && !errors.Is(err, io.EOF) {
-		return err
+		return d.readError(err)
 	}
 	if err := d.setReadTimeout(partTimeout); err != nil {
 		return err
--- a/internal/http1/write.go
+++ b/internal/http1/write.go
@@ -36,14 +36,6 @@
 	return l
 }
 
-// Shorten returns the timeout of a wait between two parts, which End shortens too.
-func (l WriteLimit) Shorten(timeout time.Duration) time.Duration {
-	if l.End.IsZero() {
-		return timeout
-	}
-	return min(timeout, time.Until(l.End))
-}
-
 // Ended reports whether End has passed.
 func (l WriteLimit) Ended() bool { return !l.End.IsZero() && !time.Now().Before(l.End) }
 
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -18,10 +18,6 @@
 	maxLingeringAttempts = 4 // per endpoint
 )
 
-// lateResponseGrace is how long after a request's deadline its response is still passed on, if the deadline is that of
-// the last byte. The platform counts a response up to 0.5 s after it as late, and as lost from then on.
-const lateResponseGrace = 350 * time.Millisecond
-
 // attempt is one try of a request at an endpoint. The loop owns it, except for the methods of the embedded Attempt that
 // the connection's goroutine calls.
 type attempt struct {
@@ -166,7 +162,7 @@
 	}
 	if response.Download != nil && l.wholeResponseInTime {
 		left := attempt.request.deadline - l.now()
-		response.Download.SetEnd(time.Now().Add(left + lateResponseGrace))
+		response.Download.SetDue(time.Now().Add(left))
 	}
 	endpoint.countUnreadableReport(response.LoadReportError)
 	l.reportOutcome(attempt, responseHeadReceived, response)
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -5,12 +5,17 @@
 	"log/slog"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"olivearch/internal/frontend"
 	"olivearch/internal/override"
 	"olivearch/internal/pool"
 )
 
+// transferLimit is how long a shutdown waits for bodies that still move: the platform's SIGKILL may come 3.7 s after
+// SIGTERM, of which the server's first steps take 0.65 s.
+const transferLimit = 3 * time.Second
+
 // Balancer is a platform's balancer: one frontend server and one pool. The methods for operators' commands may be
 // called from any goroutine.
 type Balancer struct {
@@ -55,6 +60,7 @@
 	started.server = frontend.New(started.router, listener, frontend.DefaultLimits(config.maxClientConns()))
 	started.server.SetKeepAliveLimit(config.keepAliveLimit())
 	started.server.SetSpoolBytes(config.spoolBytes())
+	started.server.SetTransferLimit(transferLimit)
 	started.server.Drain(standby)
 	return started, nil
 }
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -109,7 +109,7 @@
 	if !upload.Streaming() {
 		return upload.Send(c, end)
 	}
-	watch := watchStall(c, stallLimit)
+	watch := watchUpload(c, stallLimit)
 	return watch.stop(upload.Send(c, end))
 }
 
