The time of a long request runs while its last byte waits behind a slow upstream

Cause: the request's time began when the balancer had written the last byte to the upstream, not when it had arrived. Behind a slow upstream that is as late as the backlog is long. The other side of the same confusion: an upstream that reads slowly was given up if it acknowledged nothing for the request's time, although on loopback the system acknowledges 64 KiB at a time (a probe of a reader of 80 KB/s: 1.57 s without any progress), or if a part of 512 KiB took longer than 5 s.

Change: body.ArrivalWatch asks the system (TCP_INFO) whether all bytes of the body have arrived, and ends the writing once the request's time has passed since; a chunked body counts as arrived when bytes wait and none follows them. The time for the response counts from the arrival too. An upstream may take nothing for the request's time, 1 s at least.

Limit and sound case: a client and an upstream that both go on slowly must not be ended: TestLongRequestOfSlowClientReachesSlowUpstream. Open: a chunked upload whose client pauses for its request's time while the upstream is behind is ended, with 503 and not run.

--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -45,12 +45,13 @@
 	holders atomic.Int32 // the client's goroutine, and each attempt that sends the body
 
 	mu           sync.Mutex
-	senders      int  // attempts that are sending the blocks
-	started      bool // an attempt reads or has read from the client: the body can't be sent again
-	finished     bool // that attempt has stopped reading
-	complete     bool // that attempt has read and sent the whole body
-	clientFailed bool // the client did not send the whole body
-	stopped      bool // no attempt may read from the client any more
+	senders      int       // attempts that are sending the blocks
+	started      bool      // an attempt reads or has read from the client: the body can't be sent again
+	finished     bool      // that attempt has stopped reading
+	complete     bool      // that attempt has read and sent the whole body
+	clientFailed bool      // the client did not send the whole body
+	arrivedAt    time.Time // see ArrivedAt
+	stopped      bool      // no attempt may read from the client any more
 	done         chan error
 }
 
--- a/internal/body/upload_send.go
+++ b/internal/body/upload_send.go
@@ -12,8 +12,9 @@
 const (
 	// uploadReadTimeout is the longest time without a byte from the client while its body is streamed.
 	uploadReadTimeout = 5 * time.Second
-	// uploadWriteTimeout bounds the writing of one part of a body to the upstream.
-	uploadWriteTimeout = 5 * time.Second
+	// uploadWriteTimeout bounds the writing of one part of a body to the upstream. The transport ends the writing sooner
+	// if the upstream takes nothing.
+	uploadWriteTimeout = 5 * time.Minute
 )
 
 // Send writes the blocks and the rest of the body to an upstream. It writes nothing after end, unless that is zero. The
@@ -152,6 +153,9 @@
 	waitStart := time.Now()
 	n, err := u.src.Read(block[:])
 	waited = time.Since(waitStart)
+	if u.src.Ended() {
+		u.noteArrived()
+	}
 	if writeErr := http1.SendPart(upstream, block[:n], true, limit); writeErr != nil {
 		return 0, waited, writeErr
 	}
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -127,6 +127,11 @@
 	return b.stream.Buffered() > 0 || Peek(b.stream).HasUnread()
 }
 
+// BytesToArrive returns how many bytes of a body of known length neither were read nor are in the Stream's buffer.
+func (b *Body) BytesToArrive() uint64 {
+	return b.remaining - min(b.remaining, uint64(b.stream.Buffered()))
+}
+
 // Forward moves up to maxBytes bytes of a body of known length to a connection, from socket to socket where the system
 // supports it (splice(2)). It returns io.EOF once the body has ended. The deadlines of both connections apply.
 func (b *Body) Forward(to net.Conn, maxBytes int64) (int64, error) {
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -132,7 +132,11 @@
 		return
 	}
 	e.attempt.sentAt = l.now()
-	l.restartDeadline(request, e.attempt.sentAt)
+	arrived := e.attempt.sentAt
+	if at := request.Message.Upload.ArrivedAt(); !at.IsZero() {
+		arrived -= time.Since(at)
+	}
+	l.restartDeadline(request, arrived)
 	l.balancer.BodySent(e.attempt.sentAt, request.ID, e.attempt.number)
 }
 
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -109,7 +109,7 @@
 	if !upload.Streaming() {
 		return upload.Send(c, end)
 	}
-	watch := watchUpload(c, stallLimit)
+	watch := watchUpload(c, upload, stallLimit)
 	return watch.stop(upload.Send(c, end))
 }
 
