Bodies are counted in one account each way before they are read

Cause: the spool counted blocks read ahead. The first 64 KiB of each request body, what io.ReadAll grows by, and up to 64 KiB and three blocks of 32 KiB of each response were counted nowhere: 512 clients alone may hold 32 MB.

Change: internal/budget. A request body takes memory beyond 4 KiB from the Server's account as it grows; read-ahead blocks count there too and leave a quarter of it free. While it is used up a request waits 0.5 s in its turn; meanwhile the holder whose client has been silent for longest, 1 s at least, is ended with 408; otherwise the newcomer gets 503. Who makes progress is never ended. Long uploads also take one of as many places as a quarter of the client connections. Responses take theirs from a second account (a tenth of memory_mb): a body of known length without memory goes from socket to socket, one of unknown length is streamed at once in blocks of 4 KiB. A client that has left is found before its body is read.

--- a/internal/body/download.go
+++ b/internal/body/download.go
@@ -22,11 +22,14 @@
 
 // part is a part of a streamed response. The last part has an error, which is io.EOF if the response is complete.
 type part struct {
-	block *[BlockSize]byte
-	n     int // bytes of the block that are used
+	block []byte // from getBlock
+	size  int    // bytes of the block that are used
 	err   error
 }
 
+// content returns the bytes of a part.
+func (p part) content() []byte { return p.block[:p.size] }
+
 // Download is the body of a response that is buffered to its end or streamed to the client while it is received. The
 // goroutine of the attempt calls Receive, that of the client calls Copy. Either may end the download.
 type Download struct {
@@ -42,11 +45,19 @@
 
 	hold func(received []byte) bool // see HoldWhile; nil: never
 
-	origin Origin // see SetOrigin
+	origin Origin  // see SetOrigin
+	memory Reserve // see Within; nil: no account
 
 	mu       sync.Mutex
-	buffered []byte // received before streaming; not changed afterwards
-	received int64  // bytes of the body, from the upstream
+	buffered []byte // received before streaming; not changed afterwards until it is sent
+
+	bufferMemory int64  // taken from the account for buffered
+	blockMemory  int64  // taken from the account for blocks
+	blockSize    int    // once the body is streamed
+	unsent       []byte // read into the buffer when streaming had begun
+	unsentErr    error  // that follows unsent
+
+	received int64 // bytes of the body, from the upstream
 	state    downloadState
 	isDue    bool // bufferingTime has passed
 	stall    stallRule
@@ -76,7 +87,7 @@
 		body:          c.Body(f, limits.MaxResponseBytes),
 		stall:         newStallRule(limits.StallTimeout),
 		forwarded:     make(chan error, 1),
-		parts:         make(chan part, 1),
+		parts:         make(chan part),
 		abandoned:     make(chan struct{}),
 		beginReturned: make(chan struct{}),
 	}
@@ -133,6 +144,7 @@
 	close(d.abandoned)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.releaseMemory(&d.bufferMemory)
 	if d.state != finished { // a finished download's connection may already serve another request
 		_ = d.source.SetReadDeadline(expiredDeadline) // fails on a closed connection, as reads do then
 	}
@@ -186,19 +198,19 @@
 		start()
 	})
 	defer timer.Stop()
-	for {
-		next := d.readPart()
-		switch {
-		case !d.buffer(next):
-			if err := d.streamPart(next); err != nil {
-				return nil, d.finishStreaming(err)
-			}
-		case errors.Is(next.err, io.EOF):
-			return d.buffered, nil
-		case next.err != nil:
-			return nil, next.err
-		default:
-			start()
+	first, ended, err := d.receiveWhole(start)
+	if err != nil {
+		d.releaseBuffer()
+		return nil, err
+	}
+	if ended {
+		d.releaseBuffer()
+		return d.buffered, nil
+	}
+	defer d.releaseBlocks()
+	for next := first; ; next = d.readPart() {
+		if err := d.streamPart(next); err != nil {
+			return nil, d.finishStreaming(err)
 		}
 	}
 }
@@ -211,6 +223,9 @@
 		return false
 	}
 	d.state = streaming
+	if d.HasUnknownLength() {
+		d.chooseBlocks()
+	}
 	// From now on the request's own time limit does not end the wait for the next bytes.
 	d.limitNextByte()
 	return true
@@ -239,13 +254,6 @@
 	}
 }
 
-func (d *Download) readPart() part {
-	block := blocks.Get().(*[BlockSize]byte)
-	n, err := d.body.Read(block[:])
-	d.noteReceived(int64(n))
-	return part{block, n, d.readError(err)}
-}
-
 // readError returns the error of a read, which is errUpstreamSilent if the wait for the next byte has ended it.
 func (d *Download) readError(err error) error {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -259,28 +267,13 @@
 	return fmt.Errorf("%w: %w", errUpstreamSilent, err)
 }
 
-// buffer appends a part to the buffered ones. If streaming has begun, it returns false and does not keep the part.
-func (d *Download) buffer(next part) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	mayBuffer := d.state == buffering
-	if mayBuffer {
-		d.buffered = append(d.buffered, next.block[:next.n]...)
-		blocks.Put(next.block)
-	}
-	if next.err != nil {
-		d.state = finished
-	}
-	return mayBuffer
-}
-
 // streamPart passes a part to the client's goroutine. It returns the part's error, or errStopped if the download is
 // abandoned.
 func (d *Download) streamPart(next part) error {
 	select {
 	case d.parts <- next:
 	case <-d.abandoned:
-		blocks.Put(next.block)
+		putBlock(next.block)
 		return errStopped
 	}
 	if next.err != nil {
--- a/internal/body/download_copy.go
+++ b/internal/body/download_copy.go
@@ -121,7 +121,7 @@
 // copyParts writes the buffered bytes, and then the parts that Receive reads.
 func (d *Download) copyParts(client net.Conn, chunked bool) error {
 	limit := d.writeLimit()
-	if err := http1.SendPart(client, d.buffered, chunked, limit); err != nil {
+	if err := d.sendBuffered(client, chunked, limit); err != nil {
 		return totalError(limit, err)
 	}
 	for {
@@ -129,8 +129,8 @@
 		if err != nil {
 			return err
 		}
-		err = http1.SendPart(client, next.block[:next.n], chunked, limit)
-		blocks.Put(next.block)
+		err = http1.SendPart(client, next.content(), chunked, limit)
+		putBlock(next.block)
 		switch {
 		case err != nil:
 			return totalError(limit, err)
@@ -140,6 +140,16 @@
 	}
 }
 
+// sendBuffered writes the bytes that were buffered before streaming, and ends the use of their memory.
+func (d *Download) sendBuffered(client net.Conn, chunked bool, limit http1.WriteLimit) error {
+	d.mu.Lock()
+	buffered := d.buffered
+	d.buffered = nil
+	d.mu.Unlock()
+	defer d.releaseBuffer()
+	return http1.SendPart(client, buffered, chunked, limit)
+}
+
 // awaitPart returns the next part that Receive reads. It returns errTotalExceeded at the end of the limit, and
 // errStopped once the download is abandoned, after which Receive may pass on no further part.
 func (d *Download) awaitPart(limit http1.WriteLimit) (part, error) {
--- /dev/null
+++ b/internal/body/download_memory_test.go
@@ -0,0 +1,99 @@
+package body
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"olivearch/internal/http1"
+	"olivearch/internal/standin/scripted"
+)
+
+// account is a Reserve of a size.
+type account struct{ size, used, peak atomic.Int64 }
+
+func newAccount(size int64) *account {
+	a := new(account)
+	a.size.Store(size)
+	return a
+}
+
+func (a *account) TryReserve(amount int64) bool {
+	used := a.used.Add(amount)
+	if used > a.size.Load() {
+		a.used.Add(-amount)
+		return false
+	}
+	a.peak.Store(max(a.peak.Load(), used))
+	return true
+}
+
+func (a *account) Release(amount int64) { a.used.Add(-amount) }
+
+// TestResponsesTakeMemoryFromTheAccount guards against responses that are held without being counted, against memory
+// that is not given back, and against a response that is lost because there is no memory for it.
+func TestResponsesTakeMemoryFromTheAccount(t *testing.T) {
+	scripted.AtRest(t)
+	text := strings.Repeat("0123456789abcdef", 2*MaxBuffered/16)
+	for _, c := range []struct {
+		name string
+		size int64 // of the account
+		text string
+	}{
+		{"whole, memory enough", 1 << 20, text[:MaxBuffered/2]},
+		{"streamed, memory enough", 1 << 20, text},
+		{"no memory", 0, text},
+		{"memory for the buffer alone", MaxBuffered, text},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			memory := newAccount(c.size)
+			balancerSide, upstreamSide := net.Pipe()
+			defer upstreamSide.Close()
+			limits := DefaultLimits
+			download := NewDownload(http1.NewStream(balancerSide, 2<<10), http1.Framing{Chunked: true}, &limits)
+			download.Within(memory)
+			var received bytes.Buffer
+			copied := make(chan error, 1)
+			client, readSide := net.Pipe()
+			go func() { _, _ = io.Copy(&received, readSide); copied <- nil }()
+			go func() {
+				_, _ = io.WriteString(upstreamSide, strconv.FormatInt(int64(len(c.text)), 16)+"\r\n"+c.text+"\r\n0\r\n\r\n")
+			}()
+			sent := make(chan struct{})
+			whole, err := download.Receive(func() {
+				go func() {
+					defer close(sent)
+					defer client.Close()
+					if err := download.Copy(client, false); err != nil {
+						t.Error(err)
+					}
+				}()
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := string(whole)
+			if whole == nil {
+				<-sent
+				<-copied
+				got = received.String()
+			} else {
+				client.Close()
+				<-copied
+			}
+			if got != c.text {
+				t.Errorf("got %d of %d bytes", len(got), len(c.text))
+			}
+			if used := memory.used.Load(); used != 0 {
+				t.Errorf("%d bytes are not given back", used)
+			}
+			if c.size > 0 && memory.peak.Load() == 0 {
+				t.Error("nothing was counted")
+			}
+		})
+	}
+}
--- a/internal/body/upload.go
+++ b/internal/body/upload.go
@@ -20,6 +20,14 @@
 // Unwrap returns the cause.
 func (e ClientError) Unwrap() error { return e.error }
 
+// Progress is notified of what a transfer waits for.
+type Progress interface {
+	// AwaitClient is called when the client's next bytes are awaited.
+	AwaitClient()
+	// ClientSent is called when they have come, or the transfer waits for something else.
+	ClientSent()
+}
+
 // MinRate is the minimum rate at which a client must send, relative to the time spent waiting for the client.
 type MinRate struct {
 	BytesPerSecond int           // 0: no minimum
@@ -35,7 +43,8 @@
 	blocks      [][]byte
 	limits      *Limits
 	minRate     MinRate
-	length      uint64 // of the whole body in bytes, if lengthKnown
+	progress    Progress // nil: nobody is notified
+	length      uint64   // of the whole body in bytes, if lengthKnown
 	lengthKnown bool
 
 	src     *http1.Body  // reads the rest after the blocks; nil: there is none
@@ -72,6 +81,9 @@
 // SetMinRate sets the minimum rate. It is called before any attempt uses the Upload.
 func (u *Upload) SetMinRate(r MinRate) { u.minRate = r }
 
+// SetProgress sets who is notified of the progress. It is called before any attempt uses the Upload.
+func (u *Upload) SetProgress(p Progress) { u.progress = p }
+
 // ReadAhead reads the body into blocks until it is complete, its limit is reached or the spool has no free memory.
 func (u *Upload) ReadAhead(src *http1.Body) error {
 	for range u.limits.ReadAheadBytes / BlockSize {
--- a/internal/body/upload_send.go
+++ b/internal/body/upload_send.go
@@ -102,12 +102,26 @@
 // sendPart moves a part of the body. It returns the bytes moved, the time spent waiting for the client, and io.EOF at
 // the end of the body.
 func (u *Upload) sendPart(upstream net.Conn, limit http1.WriteLimit) (sent int64, waited time.Duration, err error) {
+	u.awaitClient()
+	defer u.clientSent()
 	if u.lengthKnown {
 		return u.forwardNext(upstream, limit)
 	}
 	return u.copyNext(upstream, limit)
 }
 
+func (u *Upload) awaitClient() {
+	if u.progress != nil {
+		u.progress.AwaitClient()
+	}
+}
+
+func (u *Upload) clientSent() {
+	if u.progress != nil {
+		u.progress.ClientSent()
+	}
+}
+
 // forwardNext waits for the next byte of a body of known length and then moves a part of the body.
 func (u *Upload) forwardNext(
 	upstream net.Conn, limit http1.WriteLimit,
@@ -120,6 +134,7 @@
 		return 0, 0, ClientError{err}
 	}
 	waited = time.Since(waitStart)
+	u.clientSent()
 	if err := u.setReadTimeout(partTimeout); err != nil {
 		return 0, waited, err
 	}
@@ -153,6 +168,7 @@
 	waitStart := time.Now()
 	n, err := u.src.Read(block[:])
 	waited = time.Since(waitStart)
+	u.clientSent()
 	if u.src.Ended() {
 		u.noteArrived()
 	}
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -32,8 +32,11 @@
 	closeRequested bool // the connection is closed after the response
 	http10         bool // the request is an HTTP/1.0 request
 
+	holding *holding // of the request; nil: nothing may be held
+
 	// requestID is the id that the client gave to the request that is being read; empty: none yet. The reader owns it.
-	requestID string
+	requestID    string
+	requestBegan time.Time // when the reading of the request began
 
 	// closeGracefully requests a lingering close, since the connection ends between requests or after a response.
 	// It is written by the goroutine that ends the connection.
@@ -100,9 +103,21 @@
 	if upload := c.exchange.PoolRequest().Message.Upload; upload != nil {
 		upload.Release()
 	}
+	c.holding.release()
 	c.exchange.Done()
 }
 
+// releaseUnsubmitted releases the memory of a request that no pool has. It does nothing for a nil exchange.
+func (c *clientConn) releaseUnsubmitted(exchange Exchange) {
+	if exchange == nil {
+		return
+	}
+	if upload := exchange.PoolRequest().Message.Upload; upload != nil {
+		upload.Release()
+	}
+	c.holding.release()
+}
+
 // waitWithoutDeadline removes the read deadline while a pool has the request. Once a response has arrived it returns
 // false and changes nothing, so that it can't remove a deadline that the writer has set.
 func (c *clientConn) waitWithoutDeadline() bool {
--- a/internal/frontend/deadlines.go
+++ b/internal/frontend/deadlines.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,9 +18,12 @@
 	// Used only by the reader.
 	requestDeadline time.Time // by which the current request must be read; zero: no request is being read
 	minBodyRate     int       // minimum rate of a request body, in bytes per second
+	onRead          func()    // see setOnRead; nil: nobody is notified
 
 	writeDeadline time.Time // used by the writer, and by the reader while no exchange is pending
 
+	lastRead atomic.Int64 // when bytes of a request were last read, in Unix nanoseconds; 0: never
+
 	mu           sync.Mutex
 	readDeadline time.Time // zero: none
 	expired      bool      // set by expire: the read deadline stays in the past
@@ -88,17 +92,29 @@
 	d.requestDeadline = d.requestDeadline.Add(time.Duration(bytes) * time.Second / time.Duration(d.minBodyRate))
 }
 
+// setOnRead sets who is notified when bytes of a request's body have been read. It does nothing for a nil deadlineConn.
+func (d *deadlineConn) setOnRead(notify func()) {
+	if d != nil {
+		d.onRead = notify
+	}
+}
+
 // Read implements io.Reader. Each read of a request times out after ReadStallTimeout and at the request deadline.
 func (d *deadlineConn) Read(b []byte) (int, error) {
 	if d.requestDeadline.IsZero() {
 		return d.Conn.Read(b)
 	}
-	deadline := time.Now().Add(ReadStallTimeout)
+	now := time.Now()
+	deadline := now.Add(ReadStallTimeout)
 	if d.requestDeadline.Before(deadline) {
 		deadline = d.requestDeadline
 	}
 	_ = d.SetReadDeadline(deadline) // if it fails, so does the read
 	n, err := d.Conn.Read(b)
+	d.lastRead.Store(time.Now().UnixNano())
+	if d.onRead != nil && n > 0 {
+		d.onRead()
+	}
 	if err != nil {
 		// bufio reads again after an error in the middle of a line. That read must not start a new timeout.
 		d.requestDeadline = expiredDeadline
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -98,15 +98,18 @@
 		return connectionEnds
 	}
 	limits := s.limits.Load()
-	client.conn.requestDeadline = time.Now().Add(limits.RequestTimeout)
+	client.requestBegan = time.Now()
+	client.conn.requestDeadline = client.requestBegan.Add(limits.RequestTimeout)
 	client.conn.minBodyRate = limits.MinBodyRate
 	exchange, header, err := s.readRequest(client)
 	client.conn.requestDeadline = time.Time{}
 	if err != nil {
+		client.holding.release()
 		s.reject(client, err)
 		return connectionEnds
 	}
 	if !s.enterStage(client, stageActive) {
+		client.releaseUnsubmitted(exchange)
 		return connectionEnds
 	}
 	closesByDefault := client.http10 && !header.HasListElement("Connection", "keep-alive")
@@ -146,9 +149,7 @@
 func (s *Server) answerRejected(client *clientConn, rejected pool.Response, err error) requestOutcome {
 	client.setExchangeState(exchangeNone)
 	upload := client.exchange.PoolRequest().Message.Upload
-	if upload != nil {
-		defer upload.Release()
-	}
+	defer client.releaseUnsubmitted(client.exchange)
 	if err != nil {
 		s.reject(client, err)
 		return connectionEnds
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -67,7 +67,7 @@
 		return
 	}
 	slog.Info("request not accepted", "request", client.requestID, "code", rejection.Status, "reason", rejection.Reason,
-		"age", time.Since(client.stageSince), "address", client.address(), "suppressed", suppressed)
+		"age", time.Since(client.requestBegan), "address", client.address(), "suppressed", suppressed)
 }
 
 // reject answers a request that can't be served and does a lingering close, since the start of the next request is not
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -38,8 +38,10 @@
 // Exchange means a health check of the balancer.
 func ReadRequest(router Router, conn net.Conn) (Exchange, error) {
 	c := &clientConn{Stream: http1.NewStream(conn, readBufferBytes)}
+	server := New(router, nil, DefaultLimits(1))
+	c.holding = server.newHolding(c)
 	c.Limit(http1.MaxHead)
-	exchange, _, err := New(router, nil, DefaultLimits(1)).readRequest(c)
+	exchange, _, err := server.readRequest(c)
 	return exchange, err
 }
 
@@ -183,17 +185,24 @@
 	source := client.Body(framing, limits.MaxRequestBytes)
 	client.conn.extendForBody(bufferedBodyBytes)
 	var err error
-	message.Body, err = source.ReadUpTo(bufferedBodyBytes)
+	message.Body, err = client.holding.readBuffered(source, bufferedBodyBytes)
 	if err != nil || source.Ended() {
 		message.Trailer = limits.Trailer(source)
 		return err
 	}
 	upload := body.NewUpload(&s.spool, client.conn, framing, limits)
 	client.conn.extendForBody(limits.ReadAheadBytes)
-	if err := upload.ReadAhead(source); err != nil {
+	client.holding.beginReading()
+	err = upload.ReadAhead(source)
+	client.holding.endReading()
+	if err == nil && upload.Streaming() {
+		err = client.holding.reservePlace()
+	}
+	if err != nil {
 		upload.Release()
 		return err
 	}
+	upload.SetProgress(client.holding)
 	upload.ResolveLength(len(message.Body))
 	if serverLimits := s.limits.Load(); serverLimits.Floor {
 		upload.SetMinRate(body.MinRate{
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"olivearch/internal/body"
+	"olivearch/internal/budget"
 	"olivearch/internal/hotrestart"
 	"olivearch/internal/loglimit"
 )
@@ -18,7 +20,9 @@
 	router   Router
 	listener net.Listener
 	limits   atomic.Pointer[Limits]
-	spool    body.Spool // for request bodies that are read ahead
+	spool    body.Spool     // for request bodies that are read ahead; a part of memory
+	memory   *budget.Budget // for request bodies, in bytes
+	places   *budget.Budget // for request bodies that are streamed to upstreams
 
 	// keepAliveLimit is the number of active and idle connections above which the longest idle one is closed; 0: no
 	// limit.
@@ -47,9 +51,12 @@
 		listener:    listener,
 		clients:     map[*clientConn]struct{}{},
 		acceptEnded: make(chan struct{}),
+		memory:      budget.New(0),
+		places:      budget.New(math.MaxInt64),
 	}
 	s.limits.Store(&limits)
-	s.spool.SetSize(defaultSpoolBytes)
+	s.spool.Within(readAheadMemory{s.memory})
+	s.SetSpoolBytes(defaultSpoolBytes)
 	return s
 }
 
@@ -57,8 +64,27 @@
 // limit. It is called before Serve.
 func (s *Server) SetKeepAliveLimit(connections int) { s.keepAliveLimit = connections }
 
-// SetSpoolBytes sets the memory, in bytes, for request bodies that are read ahead.
-func (s *Server) SetSpoolBytes(bytes int64) { s.spool.SetSize(bytes) }
+// SetSpoolBytes sets the memory, in bytes, for request bodies that are read ahead. A third of it and minBufferBytes more
+// are for the first parts of all bodies.
+func (s *Server) SetSpoolBytes(bytes int64) {
+	s.spool.SetSize(bytes)
+	s.memory.SetSize(bytes*bufferFraction/(bufferFraction-1) + minBufferBytes)
+}
+
+// SetUploadPlaces sets how many request bodies may be streamed to upstreams at once; without it any number. It is called
+// before Serve.
+func (s *Server) SetUploadPlaces(places int) { s.places.SetSize(int64(places)) }
+
+// Budgets returns the usage of the memory for request bodies, in bytes, and of the places for those that are streamed.
+func (s *Server) Budgets() (memory, places budget.Usage) { return s.memory.Usage(), s.places.Usage() }
+
+// readAheadMemory is the Server's memory for blocks that are read ahead, which leave a part of it free for buffers.
+type readAheadMemory struct{ *budget.Budget }
+
+// TryReserve implements body.Reserve.
+func (m readAheadMemory) TryReserve(bytes int64) bool {
+	return m.Budget.TryReserve(bytes, m.Usage().Size/bufferFraction)
+}
 
 // SetTransferLimit sets how long a shutdown waits for bodies that are being transferred within the limits of their
 // routes; 0: no longer than for other exchanges.
@@ -105,6 +131,7 @@
 		time.Sleep(acceptRetryPause)
 	}
 	client := newClientConn(raw)
+	client.holding = s.newHolding(client)
 	_ = client.SetReadDeadline(time.Now().Add(FirstByteTimeout)) // if it fails, so does the read
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/http1/delivery_watch_test.go
+++ b/internal/http1/delivery_watch_test.go
@@ -20,7 +20,7 @@
 			watch := WatchDelivery(writer, limit, func() { stalled <- struct{}{} })
 			defer watch.Stop()
 			go func() { _, _ = writer.Write(make([]byte, 16<<20)) }() // ends with the connection
-			for range steps { // three times the limit
+			for range steps {                                         // three times the limit
 				if _, err := io.CopyN(io.Discard, reader, step); err != nil {
 					t.Fatal(err)
 				}
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -97,6 +97,7 @@
 	l.connections.transport = upstream.HTTP1{
 		ConnectTimeout: spec.ConnectionSettings.ConnectTimeout,
 		FullResponses:  spec.FullResponses,
+		Memory:         spec.ResponseMemory,
 		Recognition:    l.connections.reuse.recognition,
 	}
 	l.connections.max = spec.MaxConnections
--- a/internal/pool/spec.go
+++ b/internal/pool/spec.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"olivearch/balancer"
+	"olivearch/internal/body"
 	"olivearch/internal/discovery"
 	"olivearch/internal/wire"
 )
@@ -39,6 +40,8 @@
 	// WholeResponseInTime makes a request's deadline that of its response's last byte. Otherwise it is that of the first
 	// one, and the limits of Message apply to the rest.
 	WholeResponseInTime bool
+	// ResponseMemory is the account of the bodies of responses that are held; nil: they count nowhere.
+	ResponseMemory body.Reserve
 	// FullResponses passes on all of an endpoint's response, instead of status 200 and the body only.
 	FullResponses bool
 }
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"olivearch/internal/budget"
 	"olivearch/internal/frontend"
 	"olivearch/internal/override"
 	"olivearch/internal/pool"
@@ -27,6 +28,7 @@
 	previous        *PreviousProcess            // to take over from; nil: none
 	peer            atomic.Pointer[peerProcess] // nil: no hot restart is in progress
 	serving         atomic.Bool                 // clients are served, or are about to be
+	responseMemory  *budget.Budget              // bytes of responses that the pool holds
 	sharedOverrides *sharedOverrides            // nil: no coordination cluster is configured
 }
 
@@ -40,7 +42,8 @@
 	if previous != nil {
 		overrides, standby = previous.state.Overrides, previous.state.Standby
 	}
-	upstreamPool, err := pool.New(ctx, config.poolSpec(), nil, overrides)
+	responseMemory := budget.New(config.responseBytes())
+	upstreamPool, err := pool.New(ctx, config.poolSpec(responseMemory), nil, overrides)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -51,6 +54,8 @@
 		router:   newPlatformRouter(config.Settings.Classes, upstreamPool),
 		cancel:   cancel,
 		previous: previous,
+
+		responseMemory: responseMemory,
 	}
 	if config.Coordination != nil {
 		started.sharedOverrides = newSharedOverrides(config.Name, config.Coordination)
@@ -60,6 +65,7 @@
 	started.server = frontend.New(started.router, listener, frontend.DefaultLimits(config.maxClientConns()))
 	started.server.SetKeepAliveLimit(config.keepAliveLimit())
 	started.server.SetSpoolBytes(config.spoolBytes())
+	started.server.SetUploadPlaces(config.maxUploads())
 	started.server.SetTransferLimit(transferLimit)
 	started.server.Drain(standby)
 	return started, nil
@@ -96,7 +102,7 @@
 // reload gives the pool a new configuration, and then the router its classes: a class must be known to the decision
 // module before clients may name it.
 func (b *Balancer) reload(config Config) {
-	b.pool.Reload(config.poolSpec(), func() { b.router.setClasses(config.Settings.Classes) })
+	b.pool.Reload(config.poolSpec(b.responseMemory), func() { b.router.setClasses(config.Settings.Classes) })
 }
 
 // stopServing returns once all accepted requests are answered. Client connections without a request are handed over to
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"olivearch/balancer"
+	"olivearch/internal/budget"
 	"olivearch/internal/config"
 	"olivearch/internal/discovery"
 	"olivearch/internal/pool"
@@ -135,8 +136,16 @@
 // spoolBytes returns how much memory request bodies that are read ahead may take, in bytes: an eighth of the process's.
 func (c *Config) spoolBytes() int64 { return int64(c.MemoryMB) << 20 / 8 }
 
-// poolSpec returns the configuration of the balancer's pool.
-func (c *Config) poolSpec() pool.Spec {
+// responseBytes returns how much memory the bodies of responses that are held may take, in bytes: a tenth of the
+// process's.
+func (c *Config) responseBytes() int64 { return int64(c.MemoryMB) << 20 / 10 }
+
+// maxUploads returns how many long request bodies may be streamed to upstreams at once, each of which takes a connection
+// there until its client has sent the last byte: a quarter of the client connections.
+func (c *Config) maxUploads() int { return max(1, c.maxClientConns()/4) }
+
+// poolSpec returns the configuration of the balancer's pool. responseMemory is for the responses that it holds, in bytes.
+func (c *Config) poolSpec(responseMemory *budget.Budget) pool.Spec {
 	return pool.Spec{
 		Name:               c.Name,
 		Settings:           c.Settings,
@@ -146,6 +155,7 @@
 		InitialEndpoints:   &c.InitialEndpoints,
 		MaxConnections:     c.maxUpstreamConns(),
 
+		ResponseMemory:      budget.Shared{Budget: responseMemory},
 		WholeResponseInTime: true,
 	}
 }
--- a/internal/proxy/streaming_test.go
+++ b/internal/proxy/streaming_test.go
@@ -55,6 +55,9 @@
 		}
 		free := b.server.FreeSpoolBytes()
 		want(t, "memory in use for bodies", int64(b.config.MemoryMB)<<20/8-free, int64(0))
+		memory, places := b.server.Budgets()
+		want(t, "memory reserved for bodies", memory.Used, int64(0))
+		want(t, "places for uploads", places.Used, int64(0))
 	}
 }
 
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -27,6 +27,7 @@
 type HTTP1 struct {
 	ConnectTimeout time.Duration // for opening a connection, and for a health check
 	FullResponses  bool          // passes on responses under 500 with their fields, not only the body of a 200
+	Memory         body.Reserve  // account of the bodies that are held; nil: they count nowhere
 	Recognition    *Recognition  // of the service's responses; nil: second responses are not recognised
 }
 
@@ -88,6 +89,7 @@
 		message:       attempt.Message,
 		fullResponses: d.FullResponses,
 		skipRepeated:  attempt.SkipRepeated,
+		memory:        d.Memory,
 		recognition:   d.Recognition,
 		observer:      attempt.Observer,
 	}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -26,6 +26,7 @@
 	message       *Message
 	fullResponses bool         // HTTP1.FullResponses
 	skipRepeated  bool         // Attempt.SkipRepeated
+	memory        body.Reserve // HTTP1.Memory
 	recognition   *Recognition // HTTP1.Recognition; nil: nothing is learnt from the response
 	observer      Observer     // nil: responses are not streamed, and a long one is an error
 }
@@ -222,15 +223,39 @@
 		return http1.ErrBodyTooLarge
 	case mayStream && (isLong || framing.Chunked || framing.UntilClose):
 		return r.streamBody(result, framing, limits)
-	default:
+	}
+	if !r.reserve(int64(framing.Length)) {
+		if mayStream {
+			return r.streamBody(result, framing, limits)
+		}
 		return r.readWholeBody(result, framing, limits)
 	}
+	defer r.release(int64(framing.Length))
+	return r.readWholeBody(result, framing, limits)
+}
+
+// countedLength is the length in bytes from which on a body of known length takes memory from the account.
+const countedLength = 4 << 10
+
+// reserve takes the memory for a body of known length from the account. It returns false if there is none.
+func (r responseReader) reserve(length int64) bool {
+	return r.memory == nil || length < countedLength || r.memory.TryReserve(length)
+}
+
+// release ends the use of what reserve has taken.
+func (r responseReader) release(length int64) {
+	if r.memory != nil && length >= countedLength {
+		r.memory.Release(length)
+	}
 }
 
 // streamBody notifies the observer once streaming starts, and returns at the end of the body. A short body that ends
 // before that is only put into result.
 func (r responseReader) streamBody(result *Result, framing http1.Framing, limits *body.Limits) (err error) {
 	download := body.NewDownload(r.conn, framing, limits)
+	if r.memory != nil {
+		download.Within(r.memory)
+	}
 	if r.skipRepeated {
 		download.HoldWhile(r.conn.openings.mayBegin)
 	}
