Metrics of the memory and the places that request bodies take

What was missing in the incident: nothing told how much of a process's memory bodies held, or how many requests were refused or ended for it.

Measured: go test ./internal/metrics passes.

--- a/internal/metrics/families.go
+++ b/internal/metrics/families.go
@@ -16,6 +16,7 @@
 	out.startFamily(counter, "reloads_total", "Configurations taken since the start.")
 	out.sample(float64(s.Reloads))
 	s.appendListeners(out)
+	s.appendBudgets(out)
 	s.appendSums(out)
 	s.appendPools(out)
 	if s.Coordination != nil {
@@ -36,6 +37,24 @@
 	}
 }
 
+// appendBudgets appends what the clients of each listener share.
+func (s *Snapshot) appendBudgets(out *familyWriter) {
+	forEachBudget := func(value func(b *Budget) int64) {
+		for i := range s.Budgets {
+			b := &s.Budgets[i]
+			out.sample(float64(value(b)), "listener", b.Listener, "resource", b.Resource)
+		}
+	}
+	out.startFamily(gauge, "listener_bodies_used", "Memory in bytes, or places, that request bodies take.")
+	forEachBudget(func(b *Budget) int64 { return b.Used })
+	out.startFamily(gauge, "listener_bodies_peak", "The most of it since the start.")
+	forEachBudget(func(b *Budget) int64 { return b.Peak })
+	out.startFamily(counter, "listener_bodies_refused_total", "Requests refused since it was used up.")
+	forEachBudget(func(b *Budget) int64 { return b.Refused })
+	out.startFamily(counter, "listener_bodies_evicted_total", "Requests ended for others since their clients were silent.")
+	forEachBudget(func(b *Budget) int64 { return b.Evicted })
+}
+
 // appendCoordination appends the state of the coordination cluster as this process knows it.
 func appendCoordination(out *familyWriter, p *live.Coordination) {
 	out.startFamily(gauge, "promises_voter_reached",
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,16 +8,25 @@
 import (
 	"time"
 
+	"olivearch/internal/budget"
 	"olivearch/internal/live"
 	"olivearch/internal/pool"
 )
 
+// Budget is what the clients of a listener share: memory for request bodies in bytes, or places for those that are
+// streamed to upstreams.
+type Budget struct {
+	Listener, Resource string
+	budget.Usage
+}
+
 // Snapshot has the values of all metrics at one point in time.
 type Snapshot struct {
 	Version      string
 	Started      time.Time
 	Reloads      int // configurations applied since the first
 	Listeners    []live.Listener
+	Budgets      []Budget // of the listeners
 	Pools        []Pool
 	Coordination *live.Coordination // nil: the process follows no coordination cluster
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
+	"olivearch/internal/budget"
 	"olivearch/internal/live"
 	"olivearch/internal/pool"
 )
@@ -66,6 +67,7 @@
 		Version:   "1.2",
 		Reloads:   3,
 		Listeners: []live.Listener{{Name: "in", Connections: 4, Limit: 500}},
+		Budgets:   []Budget{{"in", "memory", budget.Usage{Size: 100, Used: 7, Peak: 9, Refused: 2, Evicted: 1}}},
 		Pools: []Pool{
 			{"checkin", used},
 			{"never", pool.Stats{Active: 37}},
--- a/internal/service/client_listeners.go
+++ b/internal/service/client_listeners.go
@@ -10,6 +10,7 @@
 	"olivearch/internal/config"
 	"olivearch/internal/frontend"
 	"olivearch/internal/live"
+	"olivearch/internal/metrics"
 )
 
 // clientListener accepts clients' connections at one address.
@@ -98,3 +99,15 @@
 	slices.SortFunc(views, func(a, b live.Listener) int { return cmp.Compare(a.Name, b.Name) })
 	return views
 }
+
+// listenerBudgets returns what the clients of each listener share, in the order of the listeners' names.
+func (state *runtimeState) listenerBudgets() (budgets []metrics.Budget) {
+	for _, l := range state.listeners {
+		memory, places := l.Budgets()
+		budgets = append(budgets,
+			metrics.Budget{Listener: l.name, Resource: "memory", Usage: memory},
+			metrics.Budget{Listener: l.name, Resource: "places", Usage: places})
+	}
+	slices.SortStableFunc(budgets, func(a, b metrics.Budget) int { return cmp.Compare(a.Listener, b.Listener) })
+	return budgets
+}
--- a/internal/service/view.go
+++ b/internal/service/view.go
@@ -50,6 +50,7 @@
 		Started:      s.started,
 		Reloads:      current.reloads,
 		Listeners:    current.listenerViews(),
+		Budgets:      current.listenerBudgets(),
 		Coordination: s.sharedOverrides.view(),
 	}
 	for _, name := range slices.Sorted(maps.Keys(current.pools)) {
