An unsafe request whose client left does not run again under the same id

Cause: an id was free again once the outcomes of its attempts had been reported. An attempt that is abandoned is reported at once, while its upstream works on for up to 3 s. Afterwards nothing told that the request may have run.

Change: requestIDs owns the ids. A request that comes under a taken id gets 409, as before.

--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -77,6 +77,7 @@
 		return
 	}
 	endpoint.addOpenAttempt(attempt)
+	request.inFlight++
 	attempt.connection.noteUse(request.ClientRequestID, now)
 	l.traceRetry(attempt)
 	attempt.Conn = attempt.connection.transportConn
@@ -214,6 +215,7 @@
 	endpoint := attempt.endpoint
 	l.traceAttempt(attempt, &result)
 	delete(endpoint.openAttempts, attempt)
+	attempt.request.inFlight--
 	if attempt.tunnel != nil {
 		delete(l.tunnels, attempt)
 		endpoint.tunnelCount--
@@ -231,10 +233,23 @@
 	if leftUnserved && attempt.request.isOpen() {
 		l.abandonRequest(attempt.request)
 	}
+	l.noteUnansweredRun(attempt.request, result.Status)
 	l.reportOutcome(attempt, connectionReturned, result)
+	l.releaseID(attempt.request)
 	l.forgetIfUnused(endpoint)
 }
 
+// noteUnansweredRun records that an attempt may have run although its client left before the response.
+func (l *loop) noteUnansweredRun(request *Request, status balancer.Status) {
+	switch status {
+	case balancer.Rejected, balancer.ConnectFailed, balancer.NotSent:
+		return
+	}
+	if request.clientDeparted {
+		request.unansweredRun = true
+	}
+}
+
 // reportOutcome applies a change to an attempt's state. Only the first change reports an outcome: the balancer is
 // notified, and the client gets its response if the attempt succeeded or the request can't be sent again.
 func (l *loop) reportOutcome(attempt *attempt, change attemptChange, result upstream.Result) {
--- a/internal/pool/dormant.go
+++ b/internal/pool/dormant.go
@@ -86,7 +86,7 @@
 	l.endpoints = map[balancer.UpstreamID]*endpoint{}
 	l.names = discovery.NewNumbering()
 	l.requests = map[balancer.RequestID]*Request{}
-	l.clientRequestIDs = map[string]bool{}
+	l.clientRequestIDs.reset()
 	l.tunnels = map[*attempt]struct{}{}
 }
 
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -55,9 +55,9 @@
 
 	requests            map[balancer.RequestID]*Request
 	lastRequestID       uint64
-	clientRequestIDs    map[string]bool // ids that clients gave to requests that are not released
-	fullResponses       bool            // Spec.FullResponses
-	wholeResponseInTime bool            // Spec.WholeResponseInTime
+	clientRequestIDs    requestIDs
+	fullResponses       bool // Spec.FullResponses
+	wholeResponseInTime bool // Spec.WholeResponseInTime
 
 	connections  connectionPool
 	tunnels      map[*attempt]struct{}
@@ -72,7 +72,7 @@
 		suspension:       newSuspension(spec.Seed),
 		names:            discovery.NewNumbering(),
 		requests:         map[balancer.RequestID]*Request{},
-		clientRequestIDs: map[string]bool{},
+		clientRequestIDs: newRequestIDs(),
 		endpoints:        map[balancer.UpstreamID]*endpoint{},
 		tunnels:          map[*attempt]struct{}{},
 	}
--- a/internal/pool/loop_test.go
+++ b/internal/pool/loop_test.go
@@ -32,7 +32,7 @@
 	want(t, "endpoints", len(h.endpoints), 1)
 	want(t, "ids in the numbering", h.names.Len(), 1)
 	want(t, "requests", len(h.requests), 0)
-	want(t, "client request ids", len(h.clientRequestIDs), 0)
+	want(t, "client request ids", len(h.clientRequestIDs.open), 0)
 	want(t, "connections", h.connections.open, 1)
 	for deadline := h.now() + 50*time.Millisecond; h.now() < deadline; {
 		time.Sleep(time.Millisecond)
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -44,6 +44,9 @@
 	deadline           time.Duration
 	deadlineTimer      timer
 	attempts           []*attempt
+	inFlight           int         // number of attempts that hold a connection
+	clientDeparted     bool        // the client left before the response
+	unansweredRun      bool        // an attempt may have run although the client left before the response
 	unreportedOutcomes int         // number of attempts whose outcome has not been reported to the balancer
 	earlyHintsSent     bool        // an interim response was sent to the client
 	clientGone         atomic.Bool // the client has left; the loop may not have been told yet
@@ -133,9 +136,9 @@
 		request.state = request.state.after(clientDeparted)
 		return
 	}
-	if l.clientRequestIDs[request.ClientRequestID] {
+	if l.clientRequestIDs.isTaken(request.ClientRequestID, l.now()) {
 		// An endpoint could not distinguish two requests with the same id. The later one is refused; the
-		// earlier one continues.
+		// earlier one continues, or may have run although its client left.
 		request.state = request.state.after(finalResponseSent)
 		request.Responses <- Response{Status: http.StatusConflict}
 		return
@@ -154,7 +157,7 @@
 // register assigns a request its id and deadline.
 func (l *loop) register(request *Request, now time.Duration) {
 	l.suspension.unusedSince = 0
-	l.clientRequestIDs[request.ClientRequestID] = true
+	l.clientRequestIDs.begin(request.ClientRequestID)
 	l.lastRequestID++
 	request.ID = balancer.RequestID(l.lastRequestID) // the pool's own: clients' ids need not be unique
 	request.deadline = request.ReceivedAt + request.Budget
@@ -231,6 +234,7 @@
 // abandonRequest closes a request whose client has left. It also ends an upload that no attempt will begin: the
 // goroutine of the client waits for its end, and has not seen the client leave if an attempt's gate found it.
 func (l *loop) abandonRequest(request *Request) {
+	request.clientDeparted = true
 	l.closeRequest(request, clientDeparted)
 	request.Message.Upload.Cancel()
 	l.balancer.ClientLeft(l.now(), request.ID)
@@ -278,6 +282,28 @@
 		return
 	}
 	delete(l.requests, request.ID)
-	delete(l.clientRequestIDs, request.ClientRequestID)
 	l.timers.cancel(&request.deadlineTimer)
+	l.releaseID(request)
+}
+
+// releaseID ends the use of a request's id once the request is released and none of its attempts is in flight: an
+// endpoint may still work on an attempt whose outcome has been reported.
+func (l *loop) releaseID(request *Request) {
+	if request.state != requestReleased || request.inFlight > 0 {
+		return
+	}
+	l.clientRequestIDs.end(request.ClientRequestID)
+	if request.unansweredRun && l.isNonIdempotent(request.Class) {
+		l.clientRequestIDs.remember(request.ClientRequestID, l.now())
+	}
+}
+
+// isNonIdempotent reports whether requests of a class must never run twice.
+func (l *loop) isNonIdempotent(class string) bool {
+	for i := range l.settings.Classes {
+		if l.settings.Classes[i].Name == class {
+			return l.settings.Classes[i].Idempotency == balancer.NonIdempotent
+		}
+	}
+	return false
 }
--- a/internal/pool/unsent_attempt_test.go
+++ b/internal/pool/unsent_attempt_test.go
@@ -141,7 +141,7 @@
 	h.handleEvents()
 	want(t, "connections to the endpoint", s.Opened(), 0)
 	want(t, "requests", len(h.requests), 0)
-	want(t, "client request ids", len(h.clientRequestIDs), 0)
+	want(t, "client request ids", len(h.clientRequestIDs.open), 0)
 }
 
 // TestDeduplicationWindowEndsWhileConnecting: a request with an idempotency key may have run. Its second attempt is
