An upload gives its place back with its last byte

A place among the streamed uploads was held until the response, so that slow responses kept other uploads from beginning. Found while reading the change again; now it is released once the body has been sent or no more of it is.

--- a/cmd/olivearch/platform_process_test.go
+++ b/cmd/olivearch/platform_process_test.go
@@ -41,18 +41,19 @@
 	started := &platformProcess{loggedProcess: startLogged(t, command, processLimit), listen: listen}
 	waitUntil(t, processLimit, "healthy", func() bool { return isHealthy(listen) })
 	waitUntil(t, processLimit, "served", func() bool {
-		got, err := started.send(t, "ready", "X-Ready: 1\r\n", "")
+		got, err := started.send(t, "ready", "X-Ready: 1\r\n")
 		return err == nil && got.status == http.StatusOK
 	})
 	return started
 }
 
-// send sends a request of class c on a new connection and returns the response. fields are further lines of its head.
-func (p *platformProcess) send(t *testing.T, id, fields, body string) (answer, error) {
+// send sends a request of class c without a body on a new connection and returns the response. fields are further lines
+// of its head.
+func (p *platformProcess) send(t *testing.T, id, fields string) (answer, error) {
 	t.Helper()
 	conn := p.dial(t)
 	defer conn.Close()
-	if _, err := io.WriteString(conn, platformHead(id, fields, len(body))+body); err != nil {
+	if _, err := io.WriteString(conn, platformHead(id, fields, 0)); err != nil {
 		return answer{}, err
 	}
 	return readAnswer(bufio.NewReader(conn))
--- a/cmd/olivearch/repeated_id_test.go
+++ b/cmd/olivearch/repeated_id_test.go
@@ -45,7 +45,7 @@
 	if answersFirst {
 		close(release)
 		waitUntil(t, processLimit, "a request after it is served", func() bool {
-			got, err := process.send(t, "other", "", "")
+			got, err := process.send(t, "other", "")
 			return err == nil && got.status == http.StatusOK && <-began == "other"
 		})
 	}
@@ -69,7 +69,7 @@
 	}
 	done := make(chan result, 1)
 	go func() {
-		got, err := p.send(t, id, "", "")
+		got, err := p.send(t, id, "")
 		done <- result{got, err}
 	}()
 	select {
--- a/cmd/olivearch/slow_response_test.go
+++ b/cmd/olivearch/slow_response_test.go
@@ -93,7 +93,7 @@
 	for i, response := range responses {
 		t.Run(response.name, func(t *testing.T) {
 			t.Parallel()
-			got, err := process.send(t, strconv.Itoa(i), "", "")
+			got, err := process.send(t, strconv.Itoa(i), "")
 			if err != nil || len(got.body) != response.size() {
 				t.Errorf("got %d of %d bytes, %v", len(got.body), response.size(), err)
 			}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -177,7 +177,7 @@
 	return longest
 }
 
-// Holder is a client's part of a Budget. One goroutine at a time uses it.
+// Holder is a client's part of a Budget. One goroutine at a time reserves; any may call the other methods.
 type Holder struct {
 	budget *Budget
 	evict  func() // ends the use; the holder's goroutine then releases it
--- a/internal/frontend/holding.go
+++ b/internal/frontend/holding.go
@@ -73,6 +73,9 @@
 	h.ClientSent()
 }
 
+// releasePlace ends the use of the place, since the whole body has been sent or no more of it is.
+func (h *holding) releasePlace() { h.place.Release() }
+
 // release ends the use of both budgets. It does nothing for a nil holding.
 func (h *holding) release() {
 	if h != nil {
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -168,6 +168,7 @@
 	case staysOpen := <-client.responded: // answered before the body was complete
 		client.responded <- staysOpen
 	case err := <-upload.Done():
+		client.holding.releasePlace()
 		var failed body.ClientError
 		if errors.As(err, &failed) && client.claim(exchangeCanceled) {
 			client.cancelExchange()
