Responses that olivearch serve holds count in one account

Found on the way: the account of responses was the platform's alone, so that the pools of olivearch serve held up to 64 KiB and three blocks of each response uncounted.

Change: all pools of a service share an account of a tenth of limits.memory.

--- a/internal/service/apply.go
+++ b/internal/service/apply.go
@@ -13,6 +13,7 @@
 	if current.config == nil || current.config.Limits.NodeConnections != c.Limits.NodeConnections {
 		s.endpoints.SetConnectionLimit(c.Limits.NodeConnections)
 	}
+	s.responseMemory.SetSize(int64(c.Limits.Memory) / responseMemoryFraction)
 	s.sharedOverrides.configure(c.Promises)
 	if err := s.openPools(current, plan); err != nil {
 		return err
--- a/internal/service/memory.go
+++ b/internal/service/memory.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// responseMemoryFraction is the part of the configured memory that responses may take while they are held: a tenth.
+	responseMemoryFraction = 10
 	// heapHeadroom is how far the heap may grow beyond the live heap before a collection starts, in bytes. It
 	// equals the growth that a small configuration gets: maxGCPercent of Go's minimum heap of 4 MiB. The same
 	// percentage of a large live heap would use more memory than is needed to collect as infrequently.
--- a/internal/service/plan.go
+++ b/internal/service/plan.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 
+	"olivearch/internal/budget"
 	"olivearch/internal/config"
 	"olivearch/internal/pool"
 )
@@ -106,6 +107,7 @@
 		return spec, spec.Settings.Tenants == old.spec.Settings.Tenants
 	}
 	spec = newPoolSpec(pl.config, name)
+	spec.ResponseMemory = budget.Shared{Budget: pl.service.responseMemory}
 	return spec, old != nil && sameSpec(&old.spec, &spec)
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"olivearch/internal/budget"
 	"olivearch/internal/config"
 	"olivearch/internal/endpointlist"
 	"olivearch/internal/pool"
@@ -28,6 +29,7 @@
 	ctx             context.Context
 	cancel          context.CancelFunc
 	endpoints       *pool.EndpointRegistry
+	responseMemory  *budget.Budget // bytes of responses that all pools hold
 	listWatcher     *endpointlist.Watcher
 	routeTable      *proxy.RouteTable // nil until the first configuration is applied
 	state           atomic.Pointer[runtimeState]
@@ -59,6 +61,7 @@
 func Start(c *config.Loaded, version string) (*Service, error) {
 	s := &Service{version: version, started: time.Now(), failed: make(chan error, 1)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.responseMemory = budget.New(0)
 	s.endpoints = pool.NewEndpointRegistry(s.ctx, c.Limits.NodeConnections)
 	s.listWatcher = endpointlist.NewWatcher(s.ctx, listPollInterval, logWatchState)
 	s.state.Store(newRuntimeState(nil, -1)) // the first configuration does not count as a reload
