A tunnel's last byte is kept on the monotonic clock

Found in looking for other reasons to close what moves: the time of a tunnel's last byte was kept as Unix time. If the machine's clock is set ahead by more than the idle time, both directions see a silence that was none, and the tunnel is closed. The time of the last read of an unfinished request, new with the order of evictions, had the same form.

Change: clock.Moment, a monotonic time that several goroutines share, for both.

--- a/internal/body/tunnel.go
+++ b/internal/body/tunnel.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"olivearch/internal/clock"
 	"olivearch/internal/http1"
 )
 
@@ -39,7 +40,7 @@
 	onEnded []func() // called at the end of the tunnel; nil from then on
 	ended   bool
 
-	lastActivity    atomic.Int64 // time of the last byte received, in Unix nanoseconds
+	lastActivity    clock.Moment // when the last byte was received
 	endedDirections atomic.Int32
 	done            chan struct{}
 	end             func() // calls markEnded, once
@@ -50,7 +51,7 @@
 // upstream until the tunnel has ended.
 func NewTunnel(upstream *http1.Stream, limits *TunnelLimits) *Tunnel {
 	tunnel := &Tunnel{upstream: upstream, limits: limits, done: make(chan struct{})}
-	tunnel.lastActivity.Store(time.Now().UnixNano())
+	tunnel.lastActivity.Set(time.Now())
 	tunnel.end = sync.OnceFunc(tunnel.markEnded)
 	tunnel.startGrace = sync.OnceFunc(func() { time.AfterFunc(limits.Grace, tunnel.Close) })
 	return tunnel
@@ -157,14 +158,14 @@
 		case err != nil:
 			return err
 		}
-		t.lastActivity.Store(time.Now().UnixNano())
+		t.lastActivity.Set(time.Now())
 		if err := t.copyAvailable(target, src); err != nil {
 			return err
 		}
 	}
 }
 
-func (t *Tunnel) lastActive() time.Time { return time.Unix(0, t.lastActivity.Load()) }
+func (t *Tunnel) lastActive() time.Time { return t.lastActivity.Time() }
 
 // idleTimeout returns the longest time without a byte from either side.
 func (t *Tunnel) idleTimeout() time.Duration {
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,5 +1,5 @@
 // Package clock reads the machine's wall clock, for times that other machines compare with their own. Intervals and
-// timeouts are measured with the monotonic clock instead (time.Since), and do not use this package.
+// timeouts are measured with the monotonic clock instead (time.Since); a Moment is such a time for several goroutines.
 //
 // In a build with the tag "faultinject", fault tests (internal/faulttest) can add an offset to the clock. Other builds
 // contain no fault injection.
--- a/internal/frontend/deadlines.go
+++ b/internal/frontend/deadlines.go
@@ -3,8 +3,9 @@
 import (
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
+
+	"olivearch/internal/clock"
 )
 
 // expiredDeadline is a deadline in the past.
@@ -22,7 +23,7 @@
 
 	writeDeadline time.Time // used by the writer, and by the reader while no exchange is pending
 
-	lastRead atomic.Int64 // when bytes of a request were last read, in Unix nanoseconds; 0: never
+	lastRead clock.Moment // when bytes of a request were last read
 
 	mu           sync.Mutex
 	readDeadline time.Time // zero: none
@@ -111,7 +112,7 @@
 	}
 	_ = d.SetReadDeadline(deadline) // if it fails, so does the read
 	n, err := d.Conn.Read(b)
-	d.lastRead.Store(time.Now().UnixNano())
+	d.lastRead.Set(time.Now())
 	if d.onRead != nil && n > 0 {
 		d.onRead()
 	}
--- a/internal/frontend/stage.go
+++ b/internal/frontend/stage.go
@@ -191,7 +191,7 @@
 	if c.stage != stageReading || !c.readingRequest {
 		return c.stageSince
 	}
-	lastRead := time.Unix(0, c.conn.lastRead.Load())
+	lastRead := c.conn.lastRead.Time()
 	if lastRead.After(c.stageSince) {
 		return lastRead
 	}
--- a/internal/frontend/stage_test.go
+++ b/internal/frontend/stage_test.go
@@ -60,7 +60,7 @@
 		client.stage = stage
 		client.stageSince = time.Now().Add(-since)
 		client.readingRequest = stage == stageReading
-		client.conn.lastRead.Store(time.Now().Add(-lastRead).UnixNano())
+		client.conn.lastRead.Set(time.Now().Add(-lastRead))
 		server.clients[client] = struct{}{}
 		return client
 	}
--- a/internal/service/response_memory_test.go
+++ b/internal/service/response_memory_test.go
@@ -16,7 +16,8 @@
 	const part = 40 << 10
 	release := make(chan struct{})
 	node := scripted.Start(t, func(c net.Conn, _ *http.Request) bool {
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na000\r\n"+strings.Repeat("x", part)+"\r\n")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na000\r\n")
+		_, _ = io.WriteString(c, strings.Repeat("x", part)+"\r\n")
 		<-release
 		_, err := io.WriteString(c, "0\r\n\r\n")
 		return err == nil
