A response that is not streamed goes on while its client takes something of it

Found in looking for the class of the incident, a fixed time for a phase that moves: a response of up to 64 KiB had to be taken by its client's system within 5 to 10 s, however it moved.

Change: a write that times out goes on with the rest if the client's system has acknowledged something since the last timeout (TCP_INFO, asked at a timeout alone).

Measured: TestSlowClientGetsBufferedResponse fails without the check (EOF after 64 KiB of 256) and passes, three runs; a client that takes nothing still ends it.

--- a/internal/frontend/response.go
+++ b/internal/frontend/response.go
@@ -68,8 +68,7 @@
 	} else {
 		b.Write(response.Body)
 	}
-	c.conn.setWriteTimeout(responseWriteTimeout)
-	_, err := c.Write(b.Bytes())
+	err := c.writeMoving(b.Bytes(), responseWriteTimeout)
 	if err != nil || response.Stream == nil {
 		response.Stream.Abandon()
 		return err
@@ -81,6 +80,25 @@
 	return err
 }
 
+// writeMoving writes bytes to the client. It fails once the client has taken nothing for a time, or for twice as long,
+// and goes on as long as the client takes something.
+func (c *clientConn) writeMoving(content []byte, timeout time.Duration) error {
+	var acknowledged uint64 // at the last timeout
+	for {
+		c.conn.setWriteTimeout(timeout)
+		written, err := c.Write(content)
+		if err == nil || !isTimeout(err) {
+			return err
+		}
+		content = content[written:]
+		now, stateErr := http1.Acknowledged(c.conn)
+		if stateErr != nil || now == acknowledged {
+			return err
+		}
+		acknowledged = now
+	}
+}
+
 // writeHead writes a response's status line and fields to a buffer.
 func (c *clientConn) writeHead(buffer *bytes.Buffer, response pool.Response, closes bool) {
 	writeField(buffer, "HTTP/1.1 ", strconv.Itoa(response.Status)+" "+http.StatusText(response.Status))
--- a/internal/frontend/timing.go
+++ b/internal/frontend/timing.go
@@ -12,7 +12,7 @@
 	// requestTimeout bounds the time to receive a request from a client that never stalls but may have a slow
 	// network.
 	requestTimeout = 10 * time.Second
-	// responseWriteTimeout bounds the writing of a response, except the streamed part of its body.
+	// responseWriteTimeout is how long a client may take nothing of a response, except the streamed part of its body.
 	responseWriteTimeout = 5 * time.Second
 	// keepAliveTimeout is the longest time that a connection may be idle between requests.
 	keepAliveTimeout = 2 * time.Minute
