--- a/internal/conventions/logs_test.go
+++ b/internal/conventions/logs_test.go
@@ -19,9 +19,9 @@
 
 // logKeys are the keys of log attributes. docs/operate/on-call.md describes them.
 var logKeys = []string{
-	"address", "after", "age", "answer", "attempt", "attempts", "class", "classes", "cluster", "code", "config",
+	"address", "after", "age", "answer", "arrived", "attempt", "attempts", "class", "classes", "cluster", "code", "config",
 	"connection", "count", "endpoint", "endpoints", "err", "event", "failed_reads", "id", "idle", "kept", "kind",
-	"line", "lingers", "listen", "name", "newest", "overrides", "path", "pool", "pools", "previous", "reason",
+	"late", "line", "lingers", "listen", "name", "newest", "overrides", "path", "pool", "pools", "previous", "reason",
 	"received", "replaced", "reported", "request", "revision", "routes", "signal", "stack", "status", "suppressed", "term",
 	"type",
 	"unsolicited", "upstream", "use", "voters",
--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -358,7 +358,8 @@
 		until = time.Now().Add(lingerTimeout)
 	}
 	l.trace(&l.tracing.attempts, "attempt abandoned", "request", attempt.request.ClientRequestID,
-		"attempt", attempt.number, "endpoint", endpoint.name, "after", l.now()-attempt.sentAt, "lingers", linger)
+		"attempt", attempt.number, "endpoint", endpoint.name, "after", l.now()-attempt.sentAt, "lingers", linger,
+		"arrived", attempt.HasUnreadResponse())
 	if attempt.GiveUp(until) && linger {
 		attempt.lingering = true
 		endpoint.lingeringAttempts++
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,17 +32,25 @@
 	Gate          Gate          // nil: always open
 	Observer      Observer      // nil: responses are not streamed
 
-	stage  atomic.Int32       // an attemptStage
-	giveUp func(at time.Time) // set by Claim
+	stage  atomic.Int32   // an attemptStage
+	waiter ResponseWaiter // set by Claim
+}
+
+// ResponseWaiter is a connection on which an attempt waits for its response. Any goroutine may call its methods.
+type ResponseWaiter interface {
+	// GiveUp limits the wait to the time at.
+	GiveUp(at time.Time)
+	// HasUnread reports whether bytes have arrived that were not read. It does not wait.
+	HasUnread() bool
 }
 
 // Drop prevents the request from being written. It returns false if the attempt was claimed or dropped before.
 func (a *Attempt) Drop() bool { return a.leaveConnecting(stageDropped) }
 
 // Claim marks an attempt as about to be written. It returns false if the attempt was claimed or dropped before. Only a
-// Transport calls it. From then on GiveUp calls giveUp, which limits the wait for the response.
-func (a *Attempt) Claim(giveUp func(at time.Time)) bool {
-	a.giveUp = giveUp
+// Transport calls it. From then on waiter is asked about the wait for the response.
+func (a *Attempt) Claim(waiter ResponseWaiter) bool {
+	a.waiter = waiter
 	return a.leaveConnecting(stageClaimed)
 }
 
@@ -80,6 +88,12 @@
 	if attemptStage(a.stage.Load()) != stageClaimed {
 		return false
 	}
-	a.giveUp(at)
+	a.waiter.GiveUp(at)
 	return true
 }
+
+// HasUnreadResponse reports whether bytes of the response to a claimed attempt have arrived that the transport has not
+// read. It does not wait.
+func (a *Attempt) HasUnreadResponse() bool {
+	return attemptStage(a.stage.Load()) == stageClaimed && a.waiter.HasUnread()
+}
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -8,7 +8,7 @@
 // An attempt leaves its first stage once. Whether a later call succeeds depends on the stage that was entered.
 func TestAttemptStages(t *testing.T) {
 	drop := func(a *Attempt) bool { return a.Drop() }
-	claim := func(a *Attempt) bool { return a.Claim(func(time.Time) {}) }
+	claim := func(a *Attempt) bool { return a.Claim(new(recordingWaiter)) }
 	giveUp := func(a *Attempt) bool { return a.GiveUp(longAgo) }
 	for _, c := range []struct {
 		name     string
@@ -34,11 +34,20 @@
 	}
 }
 
-// GiveUp passes its time to the function that the transport has passed to Claim.
+// recordingWaiter is a ResponseWaiter that records until when it shall wait.
+type recordingWaiter struct{ until time.Time }
+
+func (w *recordingWaiter) GiveUp(at time.Time) { w.until = at }
+
+func (w *recordingWaiter) HasUnread() bool { return true }
+
+// GiveUp passes its time to the waiter that the transport has passed to Claim.
 func TestGiveUpReachesTheTransport(t *testing.T) {
 	attempt := new(Attempt)
-	var until time.Time
-	attempt.Claim(func(at time.Time) { until = at })
+	waiter := new(recordingWaiter)
+	want(t, "unread before the claim", attempt.HasUnreadResponse(), false)
+	attempt.Claim(waiter)
 	attempt.GiveUp(longAgo)
-	want(t, "time", until, longAgo)
+	want(t, "time", waiter.until, longAgo)
+	want(t, "unread", attempt.HasUnreadResponse(), true)
 }
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -25,13 +25,13 @@
 	errStale = errors.New("idle connection closed, or unsolicited bytes received")
 )
 
-// conn is a connection to an upstream. It is owned by the goroutine that makes its attempt. Only giveUp is called from
-// other goroutines.
+// conn is a connection to an upstream. It is owned by the goroutine that makes its attempt. Only GiveUp and HasUnread
+// are called from other goroutines.
 type conn struct {
 	*http1.Stream
 	address         string
 	rawConn         syscall.RawConn
-	giveUp          func(at time.Time) // see newGiveUp
+	socket          net.Conn // the connection below Stream
 	readDeadlineSet atomic.Bool
 	writeClosed     atomic.Bool // the write side was closed
 	writeDeadline   time.Time
@@ -46,9 +46,8 @@
 }
 
 func newConn(socket net.Conn, address string) *conn {
-	c := &conn{Stream: http1.NewStream(socket, readBufferSize), address: address}
+	c := &conn{Stream: http1.NewStream(socket, readBufferSize), socket: socket, address: address}
 	c.rawConn, c.readErr = socket.(syscall.Conn).SyscallConn()
-	c.giveUp = c.newGiveUp(socket)
 	c.readByte = func(fd uintptr) bool {
 		var buffer [1]byte
 		c.readCount, c.readErr = syscall.Read(int(fd), buffer[:])
@@ -57,19 +56,19 @@
 	return c
 }
 
-// newGiveUp returns the function that limits the wait for a response. If the time has passed, the function closes the
-// write side at once. If the goroutine of the connection did that later, the upstream could still consider the attempt
-// open when the next one is written.
-func (c *conn) newGiveUp(socket net.Conn) func(at time.Time) {
-	return func(at time.Time) {
-		if !at.After(time.Now()) {
-			c.writeClosed.Store(true)
-			endSending(socket)
-		}
-		_ = c.SetReadDeadline(at) // fails only on a closed connection
+// GiveUp implements ResponseWaiter. If the time has passed, it closes the write side at once. If the goroutine of the
+// connection did that later, the upstream could still consider the attempt open when the next one is written.
+func (c *conn) GiveUp(at time.Time) {
+	if !at.After(time.Now()) {
+		c.writeClosed.Store(true)
+		endSending(c.socket)
 	}
+	_ = c.SetReadDeadline(at) // fails only on a closed connection
 }
 
+// HasUnread implements ResponseWaiter.
+func (c *conn) HasUnread() bool { return http1.Peek(c.socket).HasUnread() }
+
 // endWriting closes the write side. A write that is waiting fails, and the connection can't be reused. Any goroutine
 // may call it.
 func (c *conn) endWriting() {
@@ -81,7 +80,7 @@
 
 func (c *conn) Address() string { return c.address }
 
-// Reuse removes the read deadline, if one was set. It returns errGivenUp if giveUp has closed the write side.
+// Reuse removes the read deadline, if one was set. It returns errGivenUp if GiveUp has closed the write side.
 func (c *conn) Reuse() error {
 	if c.writeClosed.Load() {
 		return errGivenUp
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -64,7 +64,7 @@
 
 // send writes the attempt's message on a connection and reads the response.
 func (d HTTP1) send(attempt *Attempt, connection *conn) Result {
-	if !attempt.MaySend() || !attempt.Claim(connection.giveUp) {
+	if !attempt.MaySend() || !attempt.Claim(connection) {
 		return Result{Status: balancer.NotSent, Conn: connection}
 	}
 	writeEnd := attempt.writeEnd()
--- a/internal/upstream/undelivered_test.go
+++ b/internal/upstream/undelivered_test.go
@@ -57,7 +57,7 @@
 	if complete, err := connection.writeMessage(newBufferedMessage(), time.Minute); !complete {
 		t.Fatalf("the system has not accepted the request: %v", err)
 	}
-	connection.giveUp(longAgo)
+	connection.GiveUp(longAgo)
 	connection.Close()
 	close(upstream.readOn)
 	if err := <-upstream.received; err == nil {
