--- a/cmd/olivearch/unfinished_requests_test.go
+++ b/cmd/olivearch/unfinished_requests_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -135,55 +136,96 @@
 	stalledResponse = 60_000
 	mebibyte        = 1 << 20
 
-	honestClients  = 4
-	honestPause    = 20 * time.Millisecond
-	honestTime     = 250 * time.Millisecond
 	hostileTime    = 3 * time.Second
 	wantedInTime   = 0.9 // of the honest requests
 	hostileFleet   = 4   // upstreams
 	upstreamsDelay = 5 * time.Millisecond
 )
 
+// patientClients are honest clients beside those that take memory.
+var patientClients = honestLoad{clients: 4, pause: 20 * time.Millisecond, limit: 250 * time.Millisecond}
+
 // honestOutcomes are the outcomes of requests of clients that behave well.
-type honestOutcomes struct{ inTime, late, failed atomic.Int64 }
+type honestOutcomes struct {
+	inTime, late, failed atomic.Int64
+
+	mu        sync.Mutex
+	latencies []time.Duration
+}
 
 func (o *honestOutcomes) String() string {
-	return fmt.Sprintf("%d in time, %d late, %d not served", o.inTime.Load(), o.late.Load(), o.failed.Load())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	slices.Sort(o.latencies)
+	return fmt.Sprintf("%d in time, %d late, %d not served; half within %v, 99 of 100 within %v",
+		o.inTime.Load(), o.late.Load(), o.failed.Load(), o.quantile(50), o.quantile(99))
+}
+
+// quantile returns the latency that percent of the sorted latencies don't exceed.
+func (o *honestOutcomes) quantile(percent int) time.Duration {
+	if len(o.latencies) == 0 {
+		return 0
+	}
+	return o.latencies[(len(o.latencies)-1)*percent/100].Round(time.Millisecond)
+}
+
+// note counts a request that has ended.
+func (o *honestOutcomes) note(served bool, latency, limit time.Duration) {
+	o.mu.Lock()
+	o.latencies = append(o.latencies, latency)
+	o.mu.Unlock()
+	switch {
+	case !served:
+		o.failed.Add(1)
+	case latency > limit:
+		o.late.Add(1)
+	default:
+		o.inTime.Add(1)
+	}
+}
+
+// areInTime reports whether enough of the requests were served in time.
+func (o *honestOutcomes) areInTime() bool {
+	inTime := float64(o.inTime.Load())
+	all := inTime + float64(o.late.Load()+o.failed.Load())
+	return inTime > 0 && inTime >= wantedInTime*all
 }
 
-// sendHonestRequests sends requests of honest clients until ctx ends. Each client keeps its connection.
-func sendHonestRequests(ctx context.Context, address string, outcomes *honestOutcomes) {
-	transport := &http.Transport{MaxIdleConnsPerHost: honestClients}
+// honestLoad are clients that behave well.
+type honestLoad struct {
+	clients        int
+	pause          time.Duration // between two requests of a client
+	limit          time.Duration // by which a response is in time
+	newConnections bool          // a connection for each request; else each client keeps its own
+}
+
+// run sends requests until ctx ends.
+func (h honestLoad) run(ctx context.Context, address string, outcomes *honestOutcomes) {
+	transport := &http.Transport{MaxIdleConnsPerHost: h.clients, DisableKeepAlives: h.newConnections}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: 2 * time.Second}
 	var clients sync.WaitGroup
 	var serial atomic.Int64
-	for range honestClients {
+	for range h.clients {
 		clients.Go(func() {
 			for ctx.Err() == nil {
 				began := time.Now()
-				served := sendHonestRequest(client, address, serial.Add(1))
-				switch {
-				case !served:
-					outcomes.failed.Add(1)
-				case time.Since(began) > honestTime:
-					outcomes.late.Add(1)
-				default:
-					outcomes.inTime.Add(1)
-				}
-				<-time.After(honestPause)
+				served := h.send(client, address, serial.Add(1))
+				outcomes.note(served, time.Since(began), h.limit)
+				<-time.After(h.pause)
 			}
 		})
 	}
 	clients.Wait()
 }
 
-func sendHonestRequest(client *http.Client, address string, serial int64) (served bool) {
+func (h honestLoad) send(client *http.Client, address string, serial int64) (served bool) {
 	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/c", strings.NewReader("abc"))
 	if err != nil {
 		return false
 	}
 	request.Header.Set("X-Class", "c")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(h.limit.Milliseconds(), 10))
 	request.Header.Set("X-Request-Id", fmt.Sprintf("%016x", serial))
 	response, err := client.Do(request)
 	if err != nil {
@@ -239,7 +281,7 @@
 	var outcomes honestOutcomes
 	var running sync.WaitGroup
 	running.Go(func() { hostile.run(ctx, process.listen) })
-	running.Go(func() { sendHonestRequests(ctx, process.listen, &outcomes) })
+	running.Go(func() { patientClients.run(ctx, process.listen, &outcomes) })
 	running.Wait()
 	usage, err := procstat.Of(process.cmd.Process.Pid)
 	if err != nil {
@@ -253,8 +295,7 @@
 	if hostile.upstreamsBusy {
 		return
 	}
-	served := float64(outcomes.inTime.Load())
-	if all := served + float64(outcomes.late.Load()+outcomes.failed.Load()); served < wantedInTime*all {
+	if !outcomes.areInTime() {
 		t.Errorf("honest requests: %v", &outcomes)
 	}
 }
