Work that one peer causes without a pause takes turns on the processor

What callers saw: beside clients that send at full speed on one connection, requests of others were answered after their time or with 503 and 504.

Cause: on one core the runtime polls the network only when no goroutine can run, or every 10 ms. A reader whose next bytes are always there never waits, so each step of any other request (client's reader, pool, upstream's reader, writer) waited behind all hot readers, 10 ms each. Class: work that one peer's bytes cause, without a wait, a price or an end.

Change: internal/cpushare is the owner of the processor. The bytes of one peer are a flow, whose time between two reads is counted; 1/64 of a core is free. A flow beyond that waits for a turn of 250 us before its next read; one turn is given for each poll of the network, so all who became ready run first. If nobody is ready the next turn comes at once: the core is never idle while a flow waits. Newcomers get every second turn. It holds for client connections (heads, bodies, tunnels, lingering closes), upstreams' connections, the operators' port, the admin listener and the coordination servers. The poll is asked for by an eventfd; where that can't be polled, a timer of 1 ms replaces it.

Checks and bounds are the same.

--- a/cmd/olivearch-coordinator/main.go
+++ b/cmd/olivearch-coordinator/main.go
@@ -19,6 +19,7 @@
 
 	"olivearch/internal/config"
 	"olivearch/internal/coordination/server"
+	"olivearch/internal/cpushare"
 )
 
 //go:embed usage.txt
@@ -149,7 +150,7 @@
 		Folder:       settings.Folder,
 		WriteQuorum:  settings.Copies,
 		ReplaceAfter: time.Duration(settings.ReplaceAfter),
-	}, listener)
+	}, cpushare.NewListener(listener))
 	if err != nil {
 		listener.Close()
 		return err
--- a/cmd/olivearch/platform.go
+++ b/cmd/olivearch/platform.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"olivearch/internal/admincmd"
+	"olivearch/internal/cpushare"
 	"olivearch/internal/proxy"
 )
 
@@ -48,7 +49,7 @@
 		}
 		// Serve runs until the process ends, since operators may send commands while the last requests are answered. It
 		// never returns an error.
-		go func() { _ = admincmd.Serve(context.Background(), operators, balancer) }()
+		go func() { _ = admincmd.Serve(context.Background(), cpushare.NewListener(operators), balancer) }()
 	}
 	reloads := make(chan proxy.Config, 1)
 	go forwardReloads(hangups, configuration, reloads)
--- a/internal/frontend/client.go
+++ b/internal/frontend/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"olivearch/internal/body"
+	"olivearch/internal/cpushare"
 	"olivearch/internal/http1"
 	"olivearch/internal/pool"
 )
@@ -59,6 +60,7 @@
 // newClientConn returns a connection in stageReading.
 func newClientConn(raw net.Conn) *clientConn {
 	conn := &deadlineConn{Conn: raw}
+	conn.flow.StartAsNewcomer()
 	return &clientConn{
 		Stream:     http1.NewStream(conn, readBufferBytes),
 		conn:       conn,
@@ -164,5 +166,6 @@
 	}
 	_ = halfCloser.CloseWrite()
 	_ = halfCloser.SetReadDeadline(time.Now().Add(timeout))
-	_, _ = io.CopyN(io.Discard, halfCloser, maxBytes)
+	unread := cpushare.Reader{Flow: &c.conn.flow, Peer: halfCloser}
+	_, _ = io.CopyN(io.Discard, unread, maxBytes)
 }
--- a/internal/frontend/deadlines.go
+++ b/internal/frontend/deadlines.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"olivearch/internal/clock"
+	"olivearch/internal/cpushare"
 )
 
 // expiredDeadline is a deadline in the past.
@@ -20,6 +21,7 @@
 	requestDeadline time.Time // by which the current request must be read; zero: no request is being read
 	minBodyRate     int       // minimum rate of a request body, in bytes per second
 	onRead          func()    // see setOnRead; nil: nobody is notified
+	flow            cpushare.Flow
 
 	writeDeadline time.Time // used by the writer, and by the reader while no exchange is pending
 
@@ -103,7 +105,7 @@
 // Read implements io.Reader. Each read of a request times out after ReadStallTimeout and at the request deadline.
 func (d *deadlineConn) Read(b []byte) (int, error) {
 	if d.requestDeadline.IsZero() {
-		return d.Conn.Read(b)
+		return d.flow.Read(d.Conn, b)
 	}
 	now := time.Now()
 	deadline := now.Add(ReadStallTimeout)
@@ -111,7 +113,7 @@
 		deadline = d.requestDeadline
 	}
 	_ = d.SetReadDeadline(deadline) // if it fails, so does the read
-	n, err := d.Conn.Read(b)
+	n, err := d.flow.Read(d.Conn, b)
 	d.lastRead.Set(time.Now())
 	if d.onRead != nil && n > 0 {
 		d.onRead()
--- a/internal/frontend/reader.go
+++ b/internal/frontend/reader.go
@@ -17,6 +17,7 @@
 	go s.writeResponses(client, quit)
 	pending := false
 	for {
+		client.conn.flow.Step()
 		client.Limit(int64(s.limits.Load().MaxHeadBytes))
 		err := client.Wait()
 		if pending {
@@ -55,7 +56,9 @@
 		}
 		return false
 	}
-	if !<-client.responded {
+	staysOpen := <-client.responded
+	client.conn.flow.Restart()
+	if !staysOpen {
 		client.closeBeforeBodyEnd()
 		return false
 	}
@@ -177,6 +180,7 @@
 			return false
 		}
 	}
+	client.conn.flow.Restart()
 	if upload.Unread() { // the response closes the connection, and the body is no longer needed
 		<-client.responded
 		client.closeBeforeBodyEnd()
--- a/internal/service/admin.go
+++ b/internal/service/admin.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"olivearch/internal/cpushare"
 	"olivearch/internal/live"
 	"olivearch/internal/metrics"
 )
@@ -47,7 +48,7 @@
 		MaxHeaderBytes:    adminMaxHeaderBytes,
 	}
 	go func() {
-		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(cpushare.NewListener(socket)); !errors.Is(err, http.ErrServerClosed) {
 			slog.Error("admin listener failed", "err", err)
 		}
 	}()
--- a/internal/standin/scripted/atrest.go
+++ b/internal/standin/scripted/atrest.go
@@ -4,6 +4,8 @@
 	"os"
 	"runtime"
 	"time"
+
+	"olivearch/internal/cpushare"
 )
 
 // restTimeout bounds the wait until a test's goroutines and descriptors have ended.
@@ -13,6 +15,7 @@
 // now. It is called first in a test that does not run in parallel with others.
 func AtRest(t TB) {
 	t.Helper()
+	cpushare.Start() // its goroutine and its descriptor stay for good
 	goroutines, descriptors := runtime.NumGoroutine(), openDescriptors(t)
 	t.Cleanup(func() {
 		t.Helper()
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"olivearch/internal/cpushare"
 	"olivearch/internal/http1"
 )
 
@@ -31,7 +32,7 @@
 	*http1.Stream
 	address         string
 	rawConn         syscall.RawConn
-	socket          net.Conn // the connection below Stream
+	socket          *cpushare.Conn // the connection below Stream
 	readDeadlineSet atomic.Bool
 	writeClosed     atomic.Bool // the write side was closed
 	writeDeadline   time.Time
@@ -46,7 +47,8 @@
 }
 
 func newConn(socket net.Conn, address string) *conn {
-	c := &conn{Stream: http1.NewStream(socket, readBufferSize), socket: socket, address: address}
+	shared := cpushare.NewConn(socket)
+	c := &conn{Stream: http1.NewStream(shared, readBufferSize), socket: shared, address: address}
 	c.rawConn, c.readErr = socket.(syscall.Conn).SyscallConn()
 	c.readByte = func(fd uintptr) bool {
 		var buffer [1]byte
@@ -61,7 +63,7 @@
 func (c *conn) GiveUp(at time.Time) {
 	if !at.After(time.Now()) {
 		c.writeClosed.Store(true)
-		endSending(c.socket)
+		endSending(c.socket.Conn)
 	}
 	_ = c.SetReadDeadline(at) // fails only on a closed connection
 }
--- a/internal/upstream/http1.go
+++ b/internal/upstream/http1.go
@@ -76,6 +76,7 @@
 		}
 		defer upload.Release()
 	}
+	connection.socket.Restart()
 	complete, err := connection.writeMessage(attempt.Message, attempt.Timeout)
 	if err != nil {
 		connection.Close()
