Newcomers wait for no pace that others have used up

What callers saw: honest clients that open a connection for each request were late by 1 to 2 s beside a few clients that connect and close, on a core that idled.

Cause: paced accepts (2,000 a second), evictions (1 ms apart) and rejections (200 a second) for all together, first come first served: who connects most often got the turns. A price per process punishes the honest first.

Change: the three paces are gone. The accept loop is a flow of newcomers, whose turns come as fast as the core allows and leave every second one to the others.

--- a/internal/frontend/limits.go
+++ b/internal/frontend/limits.go
@@ -13,10 +13,6 @@
 	readBufferBytes = 4 << 10
 	// bufferedBodyBytes is the part of a request body that is buffered without taking memory from the spool.
 	bufferedBodyBytes = 64 << 10
-	// rejectionRate is how many requests that can't be served are answered at once in a second, of all clients together,
-	// and rejectionBurst how many of them without a pause. More are held back for up to maxRejectionDelay.
-	rejectionRate  = 200
-	rejectionBurst = 100
 	// defaultMinBodyRate is the default minimum rate of a request body, in bytes per second.
 	defaultMinBodyRate = 8 << 10
 )
--- a/internal/frontend/rejection.go
+++ b/internal/frontend/rejection.go
@@ -60,21 +60,6 @@
 	}
 }
 
-// paceRejection holds back the answer to a request that can't be served while there are very many of them: clients that
-// come again at once must cost less than the others. A refusal of a sound request is not held back.
-func (s *Server) paceRejection(client *clientConn, rejection *Rejection) {
-	if rejection.Status == http.StatusServiceUnavailable || time.Since(client.requestBegan) > maxDelayedAge {
-		return
-	}
-	reservation := s.rejections.Reserve()
-	delay := reservation.Delay()
-	if delay > maxRejectionDelay {
-		reservation.Cancel()
-		delay = maxRejectionDelay
-	}
-	time.Sleep(delay)
-}
-
 // logRejection logs a request that never reaches a pool.
 func (s *Server) logRejection(client *clientConn, rejection *Rejection) {
 	suppressed, ok := s.rejectionLog.Admit()
@@ -96,7 +81,6 @@
 		return
 	}
 	s.logRejection(client, rejection)
-	s.paceRejection(client, rejection)
 	response := pool.Response{
 		Status:      rejection.Status,
 		Body:        []byte(rejection.Reason + "\n"),
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -5,15 +5,13 @@
 	"log/slog"
 	"math"
 	"net"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/time/rate"
-
 	"olivearch/internal/body"
 	"olivearch/internal/budget"
+	"olivearch/internal/cpushare"
 	"olivearch/internal/hotrestart"
 	"olivearch/internal/loglimit"
 )
@@ -33,8 +31,6 @@
 
 	transferLimit time.Duration // see SetTransferLimit
 
-	accepts                   *rate.Limiter // paces the accepting of connections
-	rejections                *rate.Limiter // paces the answers to requests that can't be served
 	rejectionLog, evictionLog loglimit.Shared
 
 	mu             sync.Mutex
@@ -58,8 +54,6 @@
 		acceptEnded: make(chan struct{}),
 		memory:      budget.New(0),
 		places:      budget.New(math.MaxInt64),
-		accepts:     rate.NewLimiter(rate.Inf, 0),
-		rejections:  rate.NewLimiter(rejectionRate, rejectionBurst),
 	}
 	created.limits.Store(&limits)
 	created.spool.Within(readAheadMemory{created.memory})
@@ -82,13 +76,6 @@
 // called before Serve.
 func (s *Server) SetUploadPlaces(places int) { s.places.SetSize(int64(places)) }
 
-// SetAcceptRate sets how many connections are accepted in a second, and how many without a pause; without it any
-// number. It is called before Serve.
-func (s *Server) SetAcceptRate(perSecond, burst int) {
-	s.accepts.SetLimit(rate.Limit(perSecond))
-	s.accepts.SetBurst(burst)
-}
-
 // Budgets returns the usage of the memory for request bodies, in bytes, and of the places for those that are streamed.
 func (s *Server) Budgets() (memory, places budget.Usage) { return s.memory.Usage(), s.places.Usage() }
 
@@ -124,13 +111,16 @@
 // Serve accepts connections until Stop or HandOver has closed the listener.
 func (s *Server) Serve() error {
 	defer close(s.acceptEnded)
+	cpushare.Start()
+	var flow cpushare.Flow // of all clients that connect
+	flow.ServeNewcomers()
 	for {
-		time.Sleep(s.accepts.Reserve().Delay())
+		flow.BeginWait()
 		conn, err := s.listener.Accept()
+		flow.EndWait()
 		switch {
 		case err == nil:
 			s.ServeConn(conn)
-			runtime.Gosched() // a full accept queue must not delay those that are accepted
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		default: // out of file descriptors, or a connection that broke in the accept queue: neither ends Serve
@@ -160,17 +150,9 @@
 	s.connections.Go(func() { s.runConnection(client) })
 }
 
-// awaitRoom waits until there is room for a connection. Clients that come again as soon as they are evicted must not
-// take the time of the others, so evictions are paced.
+// awaitRoom waits until there is room for a connection.
 func (s *Server) awaitRoom() {
-	for {
-		hasRoom, evicted := s.makeRoom()
-		if evicted {
-			time.Sleep(evictionPause)
-		}
-		if hasRoom {
-			return
-		}
+	for !s.makeRoom() {
 		time.Sleep(acceptRetryPause)
 	}
 }
--- a/internal/frontend/stage.go
+++ b/internal/frontend/stage.go
@@ -81,21 +81,21 @@
 
 // makeRoom reports whether there is room for one more connection. At the limit it evicts a connection, but never an
 // active one. The limit keeps file descriptors available for upstreams and discovery.
-func (s *Server) makeRoom() (hasRoom, evicted bool) {
+func (s *Server) makeRoom() (hasRoom bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.clients) < s.limits.Load().Connections {
-		return true, false
+		return true
 	}
 	candidate := s.evictionCandidate(stageClosing)
 	if candidate == nil || (candidate.stage == stageIdle && s.mayEndUnserved()) {
-		return false, false
+		return false
 	}
 	s.logEviction(candidate)
 	s.setStage(candidate, stageEvicted) // without a lingering close, since its file descriptor is needed now
 	candidate.Close()
 	s.remove(candidate)
-	return true, true
+	return true
 }
 
 // mayEndUnserved reports whether a connection is so new that its client may have gone already, so that it need not be
--- a/internal/frontend/timing.go
+++ b/internal/frontend/timing.go
@@ -16,13 +16,6 @@
 	responseWriteTimeout = 5 * time.Second
 	// keepAliveTimeout is the longest time that a connection may be idle between requests.
 	keepAliveTimeout = 2 * time.Minute
-	// evictionPause is the pause after a connection was evicted.
-	evictionPause = time.Millisecond
-	// maxRejectionDelay is the longest time for which the answer to a request that can't be served is held back. The
-	// platform wants it within 3 s of the client's connecting.
-	maxRejectionDelay = 500 * time.Millisecond
-	// maxDelayedAge is the longest time since the beginning of such a request after which its answer is held back.
-	maxDelayedAge = time.Second
 	// acceptRetryPause is the pause before the next try to accept a connection or to make room for it.
 	acceptRetryPause = firstByteGrace / 10
 )
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -17,10 +17,6 @@
 // SIGTERM, of which the server's first steps take 0.65 s.
 const transferLimit = 3 * time.Second
 
-// acceptRate is how many connections are accepted in a second, beyond as many at once as may be open. On the one core
-// of a platform's balancer clients that connect without end would take the time of all others.
-const acceptRate = 2000
-
 // Balancer is a platform's balancer: one frontend server and one pool. The methods for operators' commands may be
 // called from any goroutine.
 type Balancer struct {
@@ -70,7 +66,6 @@
 	started.server.SetKeepAliveLimit(config.keepAliveLimit())
 	started.server.SetSpoolBytes(config.spoolBytes())
 	started.server.SetUploadPlaces(config.maxUploads())
-	started.server.SetAcceptRate(acceptRate, config.maxClientConns())
 	started.server.SetTransferLimit(transferLimit)
 	started.server.Drain(standby)
 	return started, nil
