A client that the balancer lets wait is not evicted as silent

Cause: a client that waits for memory (up to 0.5 s), for a place or for a turn sends nothing that is read, and was taken for silent after 50 ms. It was evicted, came again, and left its goroutine waiting: up to 3,114 goroutines at a limit of 512 connections. The balancer's own wait was blamed on the client. Beside it, each body that grows to 64 KiB left 56 KiB of garbage.

Change: while the balancer lets a client wait, it does not count as silent. Buffers of bodies that grow or never come whole are used again.

Test: TestClientThatWaitsForMemoryIsNotSilent.

--- a/internal/frontend/deadlines.go
+++ b/internal/frontend/deadlines.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"olivearch/internal/clock"
@@ -25,7 +26,8 @@
 
 	writeDeadline time.Time // used by the writer, and by the reader while no exchange is pending
 
-	lastRead clock.Moment // when bytes of a request were last read
+	lastRead      clock.Moment // when bytes of a request were last read
+	awaitsReserve atomic.Bool  // the request waits for memory or for a place
 
 	mu           sync.Mutex
 	readDeadline time.Time // zero: none
@@ -95,6 +97,10 @@
 	d.requestDeadline = d.requestDeadline.Add(time.Duration(bytes) * time.Second / time.Duration(d.minBodyRate))
 }
 
+// isHeldUp reports whether the balancer lets the client wait, so that its silence says nothing. Any goroutine may call
+// it.
+func (d *deadlineConn) isHeldUp() bool { return d.flow.AwaitsTurn() || d.awaitsReserve.Load() }
+
 // setOnRead sets who is notified when bytes of a request's body have been read. It does nothing for a nil deadlineConn.
 func (d *deadlineConn) setOnRead(notify func()) {
 	if d != nil {
--- a/internal/frontend/holding.go
+++ b/internal/frontend/holding.go
@@ -93,20 +93,26 @@
 	}
 	for err == nil && !source.Ended() && len(content) < limit {
 		size := min(max(2*len(content), 2*freeBodyBytes), limit)
-		if h.memory.Reserve(int64(size-cap(content)), budgetPatience) != nil {
+		if h.reserve(h.memory, int64(size-cap(content))) != nil {
+			recycleBodyBuffer(content)
 			return nil, errNoMemory
 		}
 		content, err = h.readMore(source, content, size)
 	}
-	return content, err
+	if err != nil {
+		recycleBodyBuffer(content)
+		return nil, err
+	}
+	return content, nil
 }
 
 // readMore reads on until a body has a size or has ended.
 func (h *holding) readMore(source *http1.Body, content []byte, size int) ([]byte, error) {
 	h.beginReading()
 	defer h.endReading()
-	grown := make([]byte, size)
+	grown := newBodyBuffer(size)
 	copy(grown, content)
+	recycleBodyBuffer(content)
 	received, err := io.ReadFull(source, grown[len(content):])
 	if errors.Is(err, io.EOF) || (errors.Is(err, io.ErrUnexpectedEOF) && source.Ended()) {
 		err = nil
@@ -116,8 +122,19 @@
 
 // reservePlace takes a place for a body that is to be streamed.
 func (h *holding) reservePlace() error {
-	if h.place.Reserve(1, budgetPatience) != nil {
+	if h.reserve(h.place, 1) != nil {
 		return errNoPlace
 	}
 	return nil
 }
+
+// reserve reserves a part of a budget, for which the request may have to wait.
+func (h *holding) reserve(from *budget.Holder, amount int64) error {
+	if h.conn == nil {
+		return from.Reserve(amount, budgetPatience)
+	}
+	h.conn.awaitsReserve.Store(true)
+	defer h.conn.awaitsReserve.Store(false)
+	defer h.conn.flow.Restart()
+	return from.Reserve(amount, budgetPatience)
+}
--- a/internal/frontend/stage.go
+++ b/internal/frontend/stage.go
@@ -185,9 +185,12 @@
 	}
 }
 
-// silentSince returns when the client last sent bytes of a request, or when its connection entered its stage. The
-// caller holds the Server's lock.
+// silentSince returns when the client last sent bytes of a request, or when its connection entered its stage. A client
+// that the balancer itself lets wait is not silent. The caller holds the Server's lock.
 func (c *clientConn) silentSince() time.Time {
+	if c.conn.isHeldUp() {
+		return time.Now()
+	}
 	if c.stage != stageReading || !c.readingRequest {
 		return c.stageSince
 	}
--- a/internal/frontend/stage_test.go
+++ b/internal/frontend/stage_test.go
@@ -81,3 +81,21 @@
 		t.Error("an idle connection is evicted although a new one may end unserved")
 	}
 }
+
+// TestClientThatWaitsForMemoryIsNotSilent guards against clients that are closed as silent while the balancer lets them
+// wait, come again and leave ever more waiting goroutines.
+func TestClientThatWaitsForMemoryIsNotSilent(t *testing.T) {
+	server := New(nil, nil, DefaultLimits(1))
+	client := newClientConn(nil)
+	client.stage = stageReading
+	client.stageSince = time.Now().Add(-time.Minute)
+	server.clients[client] = struct{}{}
+	client.conn.awaitsReserve.Store(true)
+	if server.evictionCandidate(stageClosing) != nil {
+		t.Error("a client that waits for memory is evicted")
+	}
+	client.conn.awaitsReserve.Store(false)
+	if server.evictionCandidate(stageClosing) != client {
+		t.Error("a silent client is not evicted")
+	}
+}
