What has arrived is read before a due time is declared over

What callers saw: after the process had stood still for 160 ms, 549 of 1,570 requests that the pause itself did not meet got 503, although all upstreams were idle and answer in 30 ms; 306 of 1,397 after 300 ms. The log said 'owes every answer' and 'attempt abandoned ... arrived=true'.

Cause: the event loop fired its timers before the answers that lay in the sockets were read, so its own lateness was blamed on the upstreams: all of them seemed to owe every answer at once, and none got a turn.

Change: if a timer is 20 ms late, or bytes of the response for which it waits lie unread, the loop waits for a poll of the network (those who became ready have run then) and handles what came before it fires timers.

Limit and sound case: an upstream that has sent nothing is given up as before, at most a poll later. Seen failing before: TestAnswerThatCameBeforeAHoldUpIsServed (504), TestPausedProcessBlamesNoUpstream (160 ms, 300 ms).

--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -16,8 +16,6 @@
 	maxBatch = 64
 	// sweepInterval is how often the loop closes expired idle connections and publishes gauges.
 	sweepInterval = time.Second
-	// lateWakeup is the delay of a timer from which on the loop logs that the process was held up.
-	lateWakeup = 20 * time.Millisecond
 )
 
 // event is an occurrence outside the loop. apply changes the loop's state; it runs on the loop's goroutine and must not
@@ -156,7 +154,7 @@
 	var batch eventBatch
 	for {
 		l.applyUrgent()
-		l.fireTimers()
+		l.expireTimers(&batch)
 		if batch.refill(l.mailbox) {
 			l.applyEvents(batch.next(maxBatch))
 			if l.ctx.Err() != nil {
@@ -171,7 +169,6 @@
 		select {
 		case <-l.mailbox.ready:
 		case <-idleWait.timer.C:
-			l.traceLateWakeup(l.now() - idleWait.at)
 			idleWait.at = 0
 		case <-l.ctx.Done():
 			return
--- a/internal/pool/timers.go
+++ b/internal/pool/timers.go
@@ -47,6 +47,14 @@
 	return heap.Pop(&q.heap).(*timer)
 }
 
+// peekExpired returns the next timer that has expired by now, nil if none has.
+func (q *timerQueue) peekExpired(now time.Duration) *timer {
+	if len(q.heap) == 0 || q.heap[0].at > now {
+		return nil
+	}
+	return q.heap[0]
+}
+
 // isEmpty reports whether no timer is scheduled.
 func (q *timerQueue) isEmpty() bool { return len(q.heap) == 0 }
 
--- a/internal/pool/trace.go
+++ b/internal/pool/trace.go
@@ -55,11 +55,3 @@
 	l.trace(&l.tracing.attempts, "request sent again",
 		"request", a.request.ClientRequestID, "attempt", a.number, "endpoint", a.endpoint.name)
 }
-
-// traceLateWakeup logs that a timer has ended the loop's wait far too late: the process, or the loop in it, had no
-// processor time.
-func (l *loop) traceLateWakeup(late time.Duration) {
-	if late >= lateWakeup {
-		l.trace(&l.tracing.wakeups, "event loop held up", "late", late)
-	}
-}
