Streamed responses leave connections to upstreams free for others

What callers saw: beside 500 clients that read long responses slowly, half of the honest requests got 503. Their connections to upstreams (448 of 1,024 descriptors) were all held by streamed responses.

Seen only since newcomers are served as fast as the core allows: before, most of the 500 were refused in their first burst and asked for nothing more.

Change: on a platform streamed responses hold at most seven eighths of the connections to upstreams. The request of a longer response beyond that fails with 502 (it has run), and the log says 'response not streamed'. It counts as success of its endpoint.

Limit and sound case: more than 392 long responses at once through one platform process; before, no request of anybody was served then. 'olivearch serve' has no such bound.

Test: TestStreamsLeaveConnectionsToOthers (a second long response got 200 without the bound, and a short one nothing). Still red: a request that finds no connection fails at once.

--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -32,6 +32,7 @@
 	sentAt     time.Duration
 	timer      timer        // scheduled if the attempt's time-out expires before the request's deadline
 	tunnel     *body.Tunnel // set once the connection has become a tunnel
+	streams    bool         // the response is streamed
 	lingering  bool         // the connection waits for the late response of the abandoned attempt
 }
 
@@ -162,6 +163,9 @@
 	if response.Tunnel != nil {
 		l.addTunnel(attempt, response.Tunnel)
 	}
+	if response.Download != nil && !l.addStream(attempt) {
+		l.refuseStream(attempt, response.Download)
+	}
 	if response.Download != nil {
 		response.Download.SetOrigin(body.Origin{Request: attempt.request.ClientRequestID, Endpoint: endpoint.name})
 	}
@@ -174,6 +178,26 @@
 	l.adjustAbandoned(endpoint, 1) // the connection is in use until the last byte
 }
 
+// addStream counts an attempt whose response is to be streamed. It returns false if there are too many.
+func (l *loop) addStream(attempt *attempt) bool {
+	if l.maxStreams > 0 && l.streams >= l.maxStreams {
+		return false
+	}
+	l.streams++
+	attempt.streams = true
+	return true
+}
+
+// refuseStream fails the request of a response that is not streamed, since others hold too many connections. That says
+// nothing about its endpoint.
+func (l *loop) refuseStream(attempt *attempt, download *body.Download) {
+	request := attempt.request
+	l.trace(&l.tracing.attempts, "response not streamed", "request", request.ClientRequestID,
+		"endpoint", attempt.endpoint.name, "reason", "too many streamed responses")
+	l.respond(request, Response{Status: http.StatusBadGateway})
+	download.Abandon()
+}
+
 // addTunnel adds a tunnel that an attempt has established. The endpoint may have begun to drain meanwhile; then the
 // tunnel ends as those that were established before.
 func (l *loop) addTunnel(attempt *attempt, tunnel *body.Tunnel) {
@@ -220,6 +244,9 @@
 		delete(l.tunnels, attempt)
 		endpoint.tunnelCount--
 	}
+	if attempt.streams {
+		l.streams--
+	}
 	if attempt.lingering {
 		endpoint.lingeringAttempts--
 	}
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -60,6 +60,8 @@
 	wholeResponseInTime bool // Spec.WholeResponseInTime
 
 	connections  connectionPool
+	streams      int // number of attempts whose response is streamed
+	maxStreams   int // Spec.MaxStreams
 	tunnels      map[*attempt]struct{}
 	tunnelLimits TunnelLimits
 }
@@ -94,6 +96,7 @@
 	l.fullResponses = spec.FullResponses
 	l.wholeResponseInTime = spec.WholeResponseInTime
 	l.tunnelLimits = spec.Tunnels
+	l.maxStreams = spec.MaxStreams
 	l.connections.transport = upstream.HTTP1{
 		ConnectTimeout: spec.ConnectionSettings.ConnectTimeout,
 		FullResponses:  spec.FullResponses,
--- a/internal/pool/spec.go
+++ b/internal/pool/spec.go
@@ -27,6 +27,9 @@
 
 	// MaxConnections bounds the number of connections to all endpoints together.
 	MaxConnections int
+	// MaxStreams bounds the number of connections that streamed responses hold, so that some stay free for others; 0: no
+	// bound. The request of a longer response beyond it fails.
+	MaxStreams int
 	// MaxRequests bounds the number of requests in the pool, in flight or queued.
 	MaxRequests int
 	// SharedWeight is the pool's weight when endpoints that other pools list too are divided.
--- a/internal/pool/streamed_response_test.go
+++ b/internal/pool/streamed_response_test.go
@@ -49,6 +49,46 @@
 	want(t, "connections", h.connections.open, 0)
 }
 
+// TestStreamsLeaveConnectionsToOthers guards against long responses that hold all connections to the endpoints.
+func TestStreamsLeaveConnectionsToOthers(t *testing.T) {
+	scripted.AtRest(t)
+	release := make(chan struct{})
+	server := scripted.Start(t, func(c net.Conn, r *http.Request) bool {
+		if r.Header.Get("X-Request-Id") == "short" {
+			return scripted.Own(c, r)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+		<-release
+		return false
+	})
+	spec := testSpec()
+	spec.MaxConnections = 2
+	spec.MaxStreams = 1
+	h := newManualLoop(t, spec)
+	h.updateEndpoints(20, upMember("s-00000001", server))
+	send := func(id string) Response {
+		request := newRequest(id, h.now(), eventTimeout)
+		request.Message.Header = requestIDHeader(id)
+		h.accept(request)
+		<-server.Arrivals
+		for len(request.Responses) == 0 {
+			h.handleEvents()
+		}
+		return <-request.Responses
+	}
+	first := send("long")
+	want(t, "status of a long response", first.Status, http.StatusOK)
+	want(t, "status of another long response", send("long too").Status, http.StatusBadGateway)
+	for h.connections.open > 1 { // until the refused one has been closed
+		h.handleEvents()
+	}
+	want(t, "status of a short response", send("short").Status, http.StatusOK)
+	close(release)
+	first.Stream.Abandon()
+	h.finishAttempts()
+	want(t, "streams", h.streams, 0)
+}
+
 // TestTunnelOpenedDuringDrainEnds guards against a tunnel that a drain does not end, because it was being opened when
 // its endpoint began to drain.
 func TestTunnelOpenedDuringDrainEnds(t *testing.T) {
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -133,6 +133,9 @@
 // maxUpstreamConns returns how many connections to all upstreams together may be open.
 func (c *Config) maxUpstreamConns() int { return c.Sockets/2 - max(c.Sockets/16, minReservedSockets) }
 
+// maxStreams returns how many connections to upstreams streamed responses may hold: seven eighths of them.
+func (c *Config) maxStreams() int { return c.maxUpstreamConns() * 7 / 8 }
+
 // spoolBytes returns how much memory request bodies that are read ahead may take, in bytes: an eighth of the process's.
 func (c *Config) spoolBytes() int64 { return int64(c.MemoryMB) << 20 / 8 }
 
@@ -155,6 +158,7 @@
 		Discovery:          c.Discovery,
 		InitialEndpoints:   &c.InitialEndpoints,
 		MaxConnections:     c.maxUpstreamConns(),
+		MaxStreams:         c.maxStreams(),
 
 		ResponseMemory:      budget.Shared{Budget: responseMemory},
 		WholeResponseInTime: true,
