A request waits up to 0.2 s for a connection to an upstream

What callers saw: while all connections to upstreams were in use, honest requests got 503 within 20 us, after three attempts that found no connection, although short requests free one every few milliseconds.

Cause: an attempt without a connection ended as not sent at once, and so did its two retries.

Change: it waits for a connection in the order of the attempts, up to 0.2 s and within its time; the wait counts in the time that its upstream is told, and not in its latency. A drain, a removal, the end of its request or its write deadline ends the wait unsent.

Limit and sound case: a request that would have got 503 at once gets it after 0.2 s at the latest.

--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -31,6 +31,7 @@
 	state      attemptState
 	sentAt     time.Duration
 	timer      timer        // scheduled if the attempt's time-out expires before the request's deadline
+	patience   timer        // ends the wait for a connection; scheduled if there is none
 	tunnel     *body.Tunnel // set once the connection has become a tunnel
 	streams    bool         // the response is streamed
 	lingering  bool         // the connection waits for the late response of the abandoned attempt
@@ -66,24 +67,40 @@
 	}
 	now := l.now()
 	attempt := l.newAttempt(request, endpoint, timeout, now)
-	if l.mayConnect(attempt) {
-		attempt.connection, attempt.ReplaceConn = l.acquireConnection(endpoint, now)
-	}
 	if request.Message.Upload.Streaming() {
 		attempt.Timeout = min(attempt.Timeout, request.Budget) // counted from the body's last byte
 	}
-	if attempt.connection == nil { // must not count as a failure of the endpoint
-		attempt.Drop()
-		l.deferOutcome(attempt, balancer.NotSent)
-		return
+	mayConnect := l.mayConnect(attempt)
+	switch {
+	case mayConnect && l.startAttempt(attempt):
+	case mayConnect && l.connections.isFull():
+		l.awaitConnection(attempt)
+	default:
+		l.denyConnection(attempt)
 	}
-	endpoint.addOpenAttempt(attempt)
-	request.inFlight++
-	attempt.connection.noteUse(request.ClientRequestID, now)
+}
+
+// startAttempt starts an attempt on a connection. It returns false if there is none.
+func (l *loop) startAttempt(attempt *attempt) bool {
+	now := l.now()
+	attempt.connection, attempt.ReplaceConn = l.acquireConnection(attempt.endpoint, now)
+	if attempt.connection == nil {
+		return false
+	}
+	attempt.endpoint.addOpenAttempt(attempt)
+	attempt.request.inFlight++
+	attempt.connection.noteUse(attempt.request.ClientRequestID, now)
 	l.traceRetry(attempt)
 	attempt.Conn = attempt.connection.transportConn
 	attempt.SkipRepeated = attempt.connection.skipRepeated
 	attempt.connection.start(l, attempt)
+	return true
+}
+
+// denyConnection ends an attempt that gets no connection, which must not count as a failure of its endpoint.
+func (l *loop) denyConnection(attempt *attempt) {
+	attempt.Drop()
+	l.deferOutcome(attempt, balancer.NotSent)
 }
 
 // newAttempt creates an attempt and schedules its time-out. timeout is set by the balancer; with 0, only the request's
@@ -286,6 +303,7 @@
 		return
 	}
 	l.timers.cancel(&attempt.timer)
+	l.timers.cancel(&attempt.patience)
 	request := attempt.request
 	now := l.now()
 	if request.isOpen() {
@@ -343,8 +361,10 @@
 	l.pendingOutcomes = append(l.pendingOutcomes, pendingOutcome{a, status})
 }
 
-// reportPendingOutcomes reports the queued outcomes, including those that are queued while it runs.
+// reportPendingOutcomes starts attempts for which there is a connection now, and reports the queued outcomes, including
+// those that are queued while it runs.
 func (l *loop) reportPendingOutcomes() {
+	l.startWaiting()
 	for len(l.pendingOutcomes) > 0 {
 		next := l.pendingOutcomes[0]
 		l.pendingOutcomes = l.pendingOutcomes[1:]
--- a/internal/pool/connection_pool.go
+++ b/internal/pool/connection_pool.go
@@ -20,6 +20,7 @@
 	open        int           // number of connections that are open or being opened
 	opened      uint64        // number of connections that were opened since the start
 	max         int           // Spec.MaxConnections
+	waiting     []*attempt    // that wait for a connection, the first one first
 	idleTimeout time.Duration // after which an idle connection is closed
 	nextSweepAt time.Duration // when fireTimers next closes expired idle connections
 	reuse       reusePolicy
--- a/internal/pool/endpoint.go
+++ b/internal/pool/endpoint.go
@@ -179,6 +179,7 @@
 	if endpoint.state == balancer.Active {
 		return
 	}
+	l.dropWaiting(endpoint)
 	for attempt := range endpoint.openAttempts {
 		if attempt.Drop() {
 			l.deferOutcome(attempt, balancer.NotSent)
