--- a/internal/pool/connection_wait_test.go
+++ b/internal/pool/connection_wait_test.go
@@ -61,8 +61,8 @@
 	want(t, "further requests that arrived", len(server.Arrivals), 0)
 }
 
-// TestNothingWaitsForADrainingEndpoint guards against requests that are sent to an endpoint after the pool was told that
-// it drains, because they waited for a connection.
+// TestNothingWaitsForADrainingEndpoint guards against requests that are sent to an endpoint after the pool was told
+// that it drains, because they waited for a connection.
 func TestNothingWaitsForADrainingEndpoint(t *testing.T) {
 	scripted.AtRest(t)
 	h, server, release := oneConnection(t)
