--- a/cmd/olivearch/platform_process_test.go
+++ b/cmd/olivearch/platform_process_test.go
@@ -30,6 +30,14 @@
 // startPlatform starts a balancer with a number of upstreams and with platformConfig, in which replaced pairs of texts
 // are exchanged. It waits until the balancer serves.
 func startPlatform(t testing.TB, upstreams int, respond http.HandlerFunc, replaced ...string) *platformProcess {
+	t.Helper()
+	return startPlatformFor(t, processLimit, upstreams, respond, replaced...)
+}
+
+// startPlatformFor is startPlatform for a process that is killed after a limit.
+func startPlatformFor(
+	t testing.TB, limit time.Duration, upstreams int, respond http.HandlerFunc, replaced ...string,
+) *platformProcess {
 	t.Helper()
 	discovery := startDiscovery(t, upstreams, func(_ int, w http.ResponseWriter, r *http.Request) { respond(w, r) })
 	listen := scripted.FreeAddress(t)
@@ -38,7 +46,7 @@
 	writeFile(t, path, strings.NewReplacer(replaced...).Replace(text))
 	command := program(t)
 	command.Env = append(os.Environ(), "RELAY_CONFIG="+path, "TMPDIR="+t.TempDir())
-	started := &platformProcess{loggedProcess: startLogged(t, command, processLimit), listen: listen}
+	started := &platformProcess{loggedProcess: startLogged(t, command, limit), listen: listen}
 	waitUntil(t, processLimit, "healthy", func() bool { return isHealthy(listen) })
 	waitUntil(t, processLimit, "served", func() bool {
 		got, err := started.send(t, "ready", "X-Ready: 1\r\n")
--- a/cmd/olivearch/slow_response_test.go
+++ b/cmd/olivearch/slow_response_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -166,3 +167,31 @@
 		})
 	}
 }
+
+// TestMovingResponseOutlastsSIGTERM guards against a response that is cut at SIGTERM although its upstream still writes
+// it and the platform would wait.
+func TestMovingResponseOutlastsSIGTERM(t *testing.T) {
+	const known = "Content-Length: SIZE\r\n"
+	response := pacedResponse{"steady", known, evenly(26, 100*time.Millisecond)} // 2.6 s of the platform's 3.7
+	began := make(chan struct{})
+	process := startPlatform(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if !isReadyCheck(r) {
+			close(began)
+			response.write(hijack(t, w))
+		}
+	})
+	got := make(chan answer, 1)
+	go func() {
+		received, err := process.send(t, "1", "")
+		if err != nil {
+			t.Error(err)
+		}
+		got <- received
+	}()
+	<-began
+	sendSignal(t, process.cmd, syscall.SIGTERM)
+	if received := <-got; len(received.body) != response.size() {
+		t.Errorf("got %d of %d bytes", len(received.body), response.size())
+	}
+	process.awaitEnd(t)
+}
--- a/cmd/olivearch/unfinished_requests_test.go
+++ b/cmd/olivearch/unfinished_requests_test.go
@@ -258,24 +258,29 @@
 	}
 }
 
+// respondUnfinished answers the requests of unfinishedRequests and those of honest clients.
+func respondUnfinished(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, bufio.NewReader(r.Body)); err != nil {
+		return // the client has left
+	}
+	<-time.After(upstreamsDelay)
+	switch {
+	case r.Header.Get("X-Stalled") != "":
+		_, _ = w.Write(longText[:stalledResponse])
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	case r.Header.Get("X-Long") != "":
+		_, _ = w.Write(longText) // the honest clients' side is checked
+	default:
+		_, _ = fmt.Fprintf(w, "the response to request %s", r.Header.Get("X-Request-Id"))
+	}
+}
+
+var longText = make([]byte, longResponse)
+
 func playHostile(t *testing.T, hostile hostileClients) {
-	text := make([]byte, longResponse)
-	process := startPlatform(t, hostileFleet, func(w http.ResponseWriter, r *http.Request) {
-		if _, err := io.Copy(io.Discard, bufio.NewReader(r.Body)); err != nil {
-			return // the client has left
-		}
-		<-time.After(upstreamsDelay)
-		switch {
-		case r.Header.Get("X-Stalled") != "":
-			_, _ = w.Write(text[:stalledResponse])
-			_ = http.NewResponseController(w).Flush()
-			<-r.Context().Done()
-		case r.Header.Get("X-Long") != "":
-			_, _ = w.Write(text) // the honest clients' side is checked
-		default:
-			_, _ = fmt.Fprintf(w, "the response to request %s", r.Header.Get("X-Request-Id"))
-		}
-	}, `"memory_mb":192`, `"memory_mb":`+strconv.Itoa(hostile.limitMB))
+	process := startPlatform(t, hostileFleet, respondUnfinished,
+		`"memory_mb":192`, `"memory_mb":`+strconv.Itoa(hostile.limitMB))
 	outcomes := playBeside(t, hostile, patientClients, process.listen)
 	usage, err := procstat.Of(process.cmd.Process.Pid)
 	if err != nil {
