Both processes of an upgrade know which request ids are in flight

Cause: the ids in flight and those without an answer were known to one process alone.

Change: when a process takes over, each tells the other all ids that are in flight or must not run again (FNV-1a hashes), and then each change. Such an id gets 409, as in one process. When the link ends, what must not run again is remembered for 10 to 20 s, and what may is free again: an upgrade that fails half way gives it back. Both say first that they share ids, so that an older version gets no message that it does not know.

Not covered: one id sent to both processes at the same moment, before the message (some 0.1 ms) has arrived.

Keyed ids go the way of the safe ones. internal/proxy, pool, hotrestart and TestUpgrade pass.

--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -34,6 +34,10 @@
 		{Kind: KindSnapshotRequest},
 		{Kind: KindSnapshot, Snapshot: &snapshot},
 		{Kind: KindClientConnection},
+		{Kind: KindTakeOver, Listen: "127.0.0.1:8080", SharesIDs: true},
+		{Kind: KindRequestIDs, RequestIDs: &RequestIDs{
+			Begun: []uint64{1}, BegunOnce: []uint64{2}, Unanswered: []uint64{3}, Ended: []uint64{1<<64 - 1},
+		}},
 	} {
 		encoded, err := json.Marshal(message)
 		if err != nil {
--- a/internal/hotrestart/message.go
+++ b/internal/hotrestart/message.go
@@ -31,12 +31,16 @@
 	KindSnapshot Kind = "memory"
 	// KindClientConnection carries the descriptor of a client connection that is between two requests.
 	KindClientConnection Kind = "client"
+	// KindRequestIDs carries changes of the ids of requests that must not be sent again. It is sent only to a process
+	// that has said that it shares them.
+	KindRequestIDs Kind = "ids"
 )
 
 // known reports whether this version knows the kind.
 func (k Kind) known() bool {
 	switch k {
-	case KindTakeOver, KindState, KindAck, KindReady, KindSnapshotRequest, KindSnapshot, KindClientConnection:
+	case KindTakeOver, KindState, KindAck, KindReady, KindSnapshotRequest, KindSnapshot, KindClientConnection,
+		KindRequestIDs:
 		return true
 	}
 	return false
@@ -50,6 +54,17 @@
 	Overrides map[string]override.Entry `json:"held,omitempty"`   // local overrides by upstream id
 	Standby   bool                      `json:"standby,omitempty"`
 	Snapshot  *balancer.Snapshot        `json:"memory,omitempty"`
+	// SharesIDs says in a KindTakeOver and in the KindState that answers it that the sender knows KindRequestIDs.
+	SharesIDs  bool        `json:"shares_ids,omitempty"`
+	RequestIDs *RequestIDs `json:"ids,omitempty"`
+}
+
+// RequestIDs are changes of the ids that clients gave to requests, by their hashes (FNV-1a, 64 bits).
+type RequestIDs struct {
+	Begun      []uint64 `json:"begun,omitempty"`      // of requests that may run again once they have ended
+	BegunOnce  []uint64 `json:"begun_once,omitempty"` // of requests that must never run again
+	Unanswered []uint64 `json:"unanswered,omitempty"` // of such requests that may have run and have no response
+	Ended      []uint64 `json:"ended,omitempty"`      // of requests that are not in flight any more
 }
 
 // Decode reads the JSON form of a message. A kind that this version does not know is an error.
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -157,7 +157,7 @@
 // register assigns a request its id and deadline.
 func (l *loop) register(request *Request, now time.Duration) {
 	l.suspension.unusedSince = 0
-	l.clientRequestIDs.begin(request.ClientRequestID)
+	l.clientRequestIDs.begin(request.ClientRequestID, idReuse(!l.isNonIdempotent(request.Class)))
 	l.lastRequestID++
 	request.ID = balancer.RequestID(l.lastRequestID) // the pool's own: clients' ids need not be unique
 	request.deadline = request.ReceivedAt + request.Budget
@@ -292,10 +292,10 @@
 	if request.state != requestReleased || request.inFlight > 0 {
 		return
 	}
-	l.clientRequestIDs.end(request.ClientRequestID)
 	if request.unansweredRun && l.isNonIdempotent(request.Class) {
 		l.clientRequestIDs.remember(request.ClientRequestID, l.now())
 	}
+	l.clientRequestIDs.end(request.ClientRequestID)
 }
 
 // isNonIdempotent reports whether requests of a class must never run twice.
--- a/internal/pool/request_ids_test.go
+++ b/internal/pool/request_ids_test.go
@@ -21,7 +21,7 @@
 	ids.remember("late", 2*unansweredPeriod)
 	want(t, "an id after a long pause", ids.isTaken("late", 10*unansweredPeriod), false)
 	want(t, "remembered ids after it", len(ids.unanswered)+len(ids.older), 0)
-	ids.begin("open")
+	ids.begin("open", runsOnce)
 	want(t, "an open id", ids.isTaken("open", 20*unansweredPeriod), true)
 	ids.end("open")
 	want(t, "an id that has ended", ids.isTaken("open", 20*unansweredPeriod), false)
--- a/internal/proxy/hotrestart.go
+++ b/internal/proxy/hotrestart.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"olivearch/internal/hotrestart"
+	"olivearch/internal/pool"
 )
 
 // Hot restart: a new process takes over from an old one while both run. For clients, upstreams and operators the two
@@ -62,7 +63,7 @@
 
 // requestListener requests a takeover, and sets state and Listener from the answer.
 func (p *PreviousProcess) requestListener(listen string) error {
-	request := hotrestart.Message{Kind: hotrestart.KindTakeOver, Listen: listen}
+	request := hotrestart.Message{Kind: hotrestart.KindTakeOver, Listen: listen, SharesIDs: true}
 	if err := p.link.Send(request, nil); err != nil {
 		return err
 	}
@@ -128,6 +129,9 @@
 	// state, which has no listener attached, for the answer to its request. notifyPeer covers commands that were
 	// executed in the meantime.
 	b.peer.Store(peer)
+	if request.SharesIDs {
+		b.shareRequestIDs(peer)
+	}
 	go b.notifyPeer()
 	b.followPeer(peer)
 }
@@ -137,6 +141,9 @@
 	peer := newPeerProcess(previous.link, peerServing)
 	b.peer.Store(peer)
 	go b.followPeer(peer)
+	if previous.state.SharesIDs {
+		b.shareRequestIDs(peer)
+	}
 	if !b.waitForEndpoints(ctx) {
 		return
 	}
@@ -162,7 +169,10 @@
 func (b *Balancer) followPeer(peer *peerProcess) {
 	defer func() {
 		peer.handleLinkEnd()
-		b.peer.CompareAndSwap(peer, nil)
+		if b.peer.CompareAndSwap(peer, nil) {
+			b.pool.ShareRequestIDs(nil)
+			b.pool.PeerProcessEnded()
+		}
 		peer.link.Close()
 	}()
 	for {
@@ -191,6 +201,10 @@
 		_ = peer.link.Send(ack, nil) // if it fails, so does the next Receive
 	case hotrestart.KindClientConnection:
 		b.takeClientConnection(file)
+	case hotrestart.KindRequestIDs:
+		if message.RequestIDs != nil {
+			b.pool.AdoptRequestIDs(pool.RequestIDChanges(*message.RequestIDs))
+		}
 	case hotrestart.KindSnapshotRequest:
 		b.sendSnapshot(peer)
 	case hotrestart.KindSnapshot:
@@ -230,6 +244,7 @@
 		Kind:      hotrestart.KindState,
 		Listen:    b.config.Listen,
 		Standby:   b.server.Drained(),
+		SharesIDs: true,
 		Overrides: b.pool.LocalOverrides(),
 	}
 }
