The first answer of discovery decides about a stored list's revision

Cause: the revision of 'known' was taken for one of the service that the configuration names, although revisions of different services can't be compared.

Change: a stored revision is an assumption until the first answer. A complete list then counts whatever its revision; changes with a lower one are refused, and the next call asks for the complete list.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -31,6 +31,7 @@
 	ctx      context.Context // of all calls; Close cancels it
 	cancel   context.CancelFunc
 	revision atomic.Pointer[uint64] // of the newest listing that was posted; nil before the first
+	assumed  atomic.Bool            // revision is that of a stored list, which may be another service's
 	post     func(Event)
 }
 
@@ -133,6 +134,40 @@
 	}
 }
 
+// AssumeRevision sets the revision of a list that was stored by an earlier process. The service may be another one, with
+// revisions of its own: the first answer tells.
+func (c *Client) AssumeRevision(revision uint64) {
+	c.assumed.Store(true)
+	c.SetRevision(revision)
+}
+
+// Errors of an answer that has only changes.
+var (
+	errNoCompleteList = errors.New("discovery: answer has only changes, but no complete list came before")
+	errOtherService   = errors.New("discovery: answer has only changes, and a lower revision than the stored list")
+)
+
+// checkRevision returns an error for changes to a list that this Client does not have. After errOtherService the next
+// call asks for the complete list.
+func (c *Client) checkRevision(listing *Listing) error {
+	newest := c.revision.Load()
+	if !listing.Complete && newest == nil {
+		return errNoCompleteList
+	}
+	if !c.assumed.Swap(false) {
+		return nil
+	}
+	if listing.Complete {
+		c.revision.Store(&listing.Revision)
+		return nil
+	}
+	if listing.Revision < *newest {
+		c.revision.Store(nil)
+		return errOtherService
+	}
+	return nil
+}
+
 // call fetches a listing, checks it and sorts its members by id.
 func (c *Client) call(ctx context.Context, url string, timeout time.Duration) (Listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -150,8 +185,8 @@
 			return listing, fmt.Errorf("discovery: %w", err)
 		}
 	}
-	if !listing.Complete && c.revision.Load() == nil {
-		return listing, errors.New("discovery: answer has only changes, but no complete list came before")
+	if err := c.checkRevision(&listing); err != nil {
+		return listing, err
 	}
 	slices.SortFunc(listing.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	return listing, nil
--- a/internal/pool/endpoint_list.go
+++ b/internal/pool/endpoint_list.go
@@ -15,7 +15,7 @@
 		return
 	case e.Err != nil:
 		l.recordSourceError(e.Err)
-	case e.Revision < l.source.revision: // a newer list was received before
+	case e.Revision < l.source.revision && !(e.Complete && l.source.isStored): // a newer list was received before
 		l.logInfo("endpoint list ignored", "revision", e.Revision, "newest", l.source.revision)
 	default:
 		l.acceptList(e.Complete, e.Listing)
@@ -37,6 +37,7 @@
 func (l *loop) acceptList(complete bool, list discovery.Listing) {
 	l.source.receivedAt = l.now()
 	l.source.lastError = ""
+	l.source.isStored = false
 	l.source.received.Store(true)
 	mode := balancer.ListDelta
 	if complete {
--- a/internal/pool/list_source.go
+++ b/internal/pool/list_source.go
@@ -15,6 +15,7 @@
 	stopWatch  context.CancelFunc // nil: the client is not watching
 	hasList    bool               // a list has been applied, possibly only the initial one
 	revision   uint64             // of the last list that was applied
+	isStored   bool               // that list was stored by an earlier process, perhaps from another service
 	maxAge     time.Duration      // how long a list is used without a response from its source; 0: without limit
 	receivedAt time.Duration      // when the last list arrived
 	lastError  string             // of the source, since the last list; empty: none
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -127,13 +127,14 @@
 	// refuses the watches queued behind these calls. Revision 0 is a valid revision.
 	hasRevision := known != nil && (known.Revision > 0 || len(known.Members) > 0)
 	if hasRevision && l.source.client != nil {
-		l.source.client.SetRevision(known.Revision)
+		l.source.client.AssumeRevision(known.Revision)
 	}
 	if err := l.createOrValidate(); err != nil {
 		return err
 	}
 	if known != nil {
 		l.applyListing(balancer.ListCached, *known)
+		l.source.isStored = true
 	}
 	if !l.settings.PollDiscovery { // the balancer does not ask for a pushed list
 		l.WatchEndpoints(true)
--- a/internal/pool/loop_test.go
+++ b/internal/pool/loop_test.go
@@ -206,3 +206,17 @@
 	want(t, "endpoints after the new list", len(h.endpoints), 0)
 	want(t, "revision after the new list", h.source.revision, uint64(2))
 }
+
+// TestListOfAnotherServiceIsTaken guards against a pool that ignores all lists after a restart, because its stored list
+// came from a service with higher revisions.
+func TestListOfAnotherServiceIsTaken(t *testing.T) {
+	spec := testSpec()
+	member := unreachableMember("s-00000001", "127.0.0.1:9")
+	spec.InitialEndpoints = &discovery.Listing{Revision: 41, Complete: true, Members: []discovery.Member{member}}
+	h := newManualLoop(t, spec)
+	h.updateEndpoints(7, drainingMember(member))
+	want(t, "state after the first list", h.endpointByName("s-00000001").state, balancer.Draining)
+	want(t, "revision", h.source.revision, uint64(7))
+	h.updateEndpoints(6, member)
+	want(t, "state after an older list", h.endpointByName("s-00000001").state, balancer.Draining)
+}
