Idle connections to the process before are closed when a list tells a later start

What callers would see: a request that is written on a connection to the process which had the address before ends as a reset and counts as one that may have run, although nobody has seen it. A machine that vanished says nothing, so the check of an idle connection can't tell.

Cause: idle connections belonged to an endpoint's id and address alone.

Change: when the list tells a later start of an endpoint, its idle connections that were created before it are closed.

Limit and sound case: with a clock of the list that is ahead by d, connections of up to d after a restart are opened once more. TestNewProcessInheritsNoConnection has the same start, an earlier one, a later one (kept before the change) and another id.

--- a/internal/pool/connection.go
+++ b/internal/pool/connection.go
@@ -19,6 +19,7 @@
 	last          responseKind  // of the last response on it
 	skipRepeated  bool          // reuseRules.skipRepeated at the start of its use
 	attempts      chan *attempt // input of the goroutine; closed with the connection
+	createdAt     time.Duration // on the loop's clock
 
 	// The fields below are for the log.
 	number          uint64        // of the connection, in the pool
@@ -30,8 +31,8 @@
 	hasGoroutine bool // false as long as only health checks have used the connection
 }
 
-func newConnection(number uint64) *connection {
-	return &connection{attempts: make(chan *attempt, 1), number: number}
+func newConnection(number uint64, now time.Duration) *connection {
+	return &connection{attempts: make(chan *attempt, 1), number: number, createdAt: now}
 }
 
 // noteUse records for the log that an attempt uses the connection from now on.
--- a/internal/pool/connection_pool.go
+++ b/internal/pool/connection_pool.go
@@ -46,7 +46,7 @@
 	l.connections.open++
 	l.connections.opened++
 	endpoint.connections++
-	return newConnection(l.connections.opened), false
+	return newConnection(l.connections.opened, now), false
 }
 
 // evictLongestIdle closes the connection that has been idle longest, to whichever endpoint. It returns false if none is
--- a/internal/pool/endpoint_list.go
+++ b/internal/pool/endpoint_list.go
@@ -98,6 +98,9 @@
 			l.CloseIdle(listed.ID)
 		}
 		endpoint.address = member.HostPort
+		if listed.StartedAt > endpoint.upstream.StartedAt { // a new process at the old address
+			l.closeConnections(endpoint, "endpoint restarted", endpoint.idle.takeCreatedBefore(listed.StartedAt)...)
+		}
 	}
 	endpoint.member = *member
 	endpoint.listedState = listed.State
--- a/internal/pool/idle_connections.go
+++ b/internal/pool/idle_connections.go
@@ -61,6 +61,21 @@
 	return expired
 }
 
+// takeCreatedBefore removes and returns the connections that were created before a time.
+func (i *idleConnections) takeCreatedBefore(at time.Duration) (older []*connection) {
+	kept := i.list[:0]
+	for _, candidate := range i.list {
+		if candidate.createdAt < at {
+			older = append(older, candidate)
+			continue
+		}
+		kept = append(kept, candidate)
+	}
+	clear(i.list[len(kept):]) // so that the removed connections can be freed
+	i.list = kept
+	return older
+}
+
 // takeAll removes and returns all connections.
 func (i *idleConnections) takeAll() []*connection {
 	all := i.list
--- a/internal/pool/loop_test.go
+++ b/internal/pool/loop_test.go
@@ -220,3 +220,32 @@
 	h.updateEndpoints(6, member)
 	want(t, "state after an older list", h.endpointByName("s-00000001").state, balancer.Draining)
 }
+
+// TestNewProcessInheritsNoConnection guards against a request that is written on a connection to the process that had an
+// endpoint's address before, and which may count as run although nobody has seen it.
+func TestNewProcessInheritsNoConnection(t *testing.T) {
+	for name, entry := range map[string]struct {
+		id    string
+		kept  int
+		start func(h *manualLoop) time.Duration
+	}{
+		"the same id and start": {"s-00000001", 1, func(*manualLoop) time.Duration { return 0 }},
+		"the same id, a start before the connection": {"s-00000001", 1, func(h *manualLoop) time.Duration {
+			return h.now() - time.Hour
+		}},
+		"the same id, a later start": {"s-00000001", 0, func(h *manualLoop) time.Duration { return h.now() + time.Second }},
+		"another id":                 {"s-00000002", 0, func(*manualLoop) time.Duration { return 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := startServer(t)
+			h := newManualLoop(t, testSpec())
+			h.connections.reuse.onlyAfterUnsolicited = true
+			h.updateEndpoints(20, upMember("s-00000001", server))
+			want(t, "status", h.request("1", time.Second).Status, http.StatusOK)
+			member := upMember(entry.id, server)
+			member.UpSinceMS = entry.start(h).Milliseconds()
+			h.updateEndpoints(21, member)
+			want(t, "connections that are kept", h.connections.open, entry.kept)
+		})
+	}
+}
--- a/internal/pool/states_test.go
+++ b/internal/pool/states_test.go
@@ -213,7 +213,7 @@
 	delay := restTimes{anonymous: 2 * time.Millisecond}
 	connectionsSince := func(times ...time.Duration) (idle idleConnections, added []*connection) {
 		for _, since := range times {
-			c := newConnection(0)
+			c := newConnection(0, 0)
 			c.last = anonymous
 			idle.add(c, since)
 			added = append(added, c)
