--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -134,8 +134,8 @@
 	}
 }
 
-// AssumeRevision sets the revision of a list that was stored by an earlier process. The service may be another one, with
-// revisions of its own: the first answer tells.
+// AssumeRevision sets the revision of a list that was stored by an earlier process. The service may be another one,
+// with revisions of its own: the first answer tells.
 func (c *Client) AssumeRevision(revision uint64) {
 	c.assumed.Store(true)
 	c.SetRevision(revision)
--- a/internal/pool/endpoint_list.go
+++ b/internal/pool/endpoint_list.go
@@ -15,7 +15,7 @@
 		return
 	case e.Err != nil:
 		l.recordSourceError(e.Err)
-	case e.Revision < l.source.revision && !(e.Complete && l.source.isStored): // a newer list was received before
+	case l.source.isOutdated(&e.Listing):
 		l.logInfo("endpoint list ignored", "revision", e.Revision, "newest", l.source.revision)
 	default:
 		l.acceptList(e.Complete, e.Listing)
--- a/internal/pool/list_source.go
+++ b/internal/pool/list_source.go
@@ -24,6 +24,15 @@
 	confirmedAt atomic.Int64 // time.Duration: when the source last confirmed that the list is unchanged
 }
 
+// isOutdated reports whether a newer list was received before. Of a stored list that is unknown: it may have come from
+// another service.
+func (s *listSource) isOutdated(list *discovery.Listing) bool {
+	if list.Complete && s.isStored {
+		return false
+	}
+	return list.Revision < s.revision
+}
+
 // endClient closes the client of discovery, if there is one. s.client is kept, so that late responses of the closed
 // client are not taken for lists from Pool.UpdateEndpoints.
 func (s *listSource) endClient() {
--- a/internal/pool/request_ids.go
+++ b/internal/pool/request_ids.go
@@ -15,8 +15,8 @@
 )
 
 // requestIDs holds the ids that clients gave to requests which must not be sent again under the same id: those that are
-// open or have an attempt in flight, here or at the peer process of a hot restart, and non-idempotent ones that may have
-// run although their client left before the response. The loop owns it.
+// open or have an attempt in flight, here or at the peer process of a hot restart, and non-idempotent ones that may
+// have run although their client left before the response. The loop owns it.
 type requestIDs struct {
 	open       map[string]idReuse
 	peer       map[uint64]idReuse  // hashes of the ids that are open at the peer process
--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -11,8 +11,8 @@
 // maxQueuedIDs bounds the changes that wait to be sent to a peer process that hangs.
 const maxQueuedIDs = 64 << 10
 
-// requestIDSender sends the changes of request ids to the peer process, in their order, from a goroutine of its own that
-// runs only while changes wait. Any goroutine may add changes.
+// requestIDSender sends the changes of request ids to the peer process, in their order, from a goroutine of its own
+// that runs only while changes wait. Any goroutine may add changes.
 type requestIDSender struct {
 	link *hotrestart.Link
 
