Take back the search for a chunked upload's last chunk

Cause: while the system's buffers are full, the last chunk of a body that its client has written whole waits in the client's system. It can't be told from a client that pauses, and the reverted change took it for one.

--- a/internal/body/arrival.go
+++ b/internal/body/arrival.go
@@ -22,7 +22,6 @@
 	timer    *time.Timer // nil: the watch has ended
 	late     bool
 	arrived  uint64    // bytes, at the last check
-	endSeen  bool      // the last chunk is among them
 	awaiting time.Time // when something last arrived, or the client was awaited
 }
 
@@ -63,8 +62,9 @@
 	w.timer.Reset(w.limit / arrivalChecks)
 }
 
-// arrivalTime returns when the last byte of the body arrived, or a time that is not over: it has not, as far as is
-// known. A chunked body has arrived once its last chunk stands at the end of the bytes that wait for the upstream.
+// arrivalTime returns when the last byte of the body arrived; zero: it has not, as far as is known. The end of a
+// chunked body can't be seen before it is read: if bytes wait for the upstream and none follows them, they count as the
+// last.
 func (w *ArrivalWatch) arrivalTime() time.Time {
 	if at := w.upload.ArrivedAt(); !at.IsZero() {
 		return at
@@ -81,28 +81,11 @@
 	}
 	if arrived != w.arrived || !http1.Peek(w.upload.conn).HasUnread() {
 		w.arrived = arrived
-		w.endSeen = false
-		w.awaiting = time.Now()
-		return w.awaiting
-	}
-	if !w.endSeen {
-		w.endSeen = endsChunked(http1.UnreadTail(w.upload.conn, len(chunkedEnd)))
-	}
-	if !w.endSeen { // the client pauses
 		w.awaiting = time.Now()
 	}
 	return w.awaiting
 }
 
-// chunkedEnd ends a chunked body, with or without a trailer (RFC 9112, section 7.1).
-const chunkedEnd = "\r\n\r\n"
-
-// endsChunked reports whether the last unread bytes of a chunked body may be its end. It is true if there are too few,
-// since a part of the end may have been read.
-func endsChunked(tail []byte) bool {
-	return len(tail) < len(chunkedEnd) || string(tail) == chunkedEnd
-}
-
 // Late reports whether the function was called.
 func (w *ArrivalWatch) Late() bool {
 	w.mu.Lock()
