With several processors a busy flow only yields, and the wait for a poll has an end

Cause: in a process with several processors the thread that polls the network is another one, so each turn, a newcomer's first as well, waited until the system ran that thread. And the event loop waited for its two polls without an end.

Change: turns are for a process with one processor, as a platform's balancer and a coordination server are. Elsewhere a flow beyond its share lets others run and goes on; idle processors poll there. The accept loop yields after each connection again, as before. The wait for a poll ends after 10 ms.

So 'olivearch serve' has less protection than a platform: each hot connection gives way after 0.25 ms of work, and the network is polled every 10 ms at worst if all processors are busy.

Tests: TestYieldsOnSeveralProcessors, TestAwaitPollsEnds (both hang without the change).

--- a/internal/cpushare/flow.go
+++ b/internal/cpushare/flow.go
@@ -2,11 +2,12 @@
 // one peer cause, such as the requests of one client connection.
 //
 // The runtime polls the network only when no goroutine can run, or every 10 ms. A goroutine whose next bytes are always
-// there already never waits, so that all others wait for the runtime to interrupt it, at each of their steps. A Flow
-// therefore counts the processor time of its work. Up to a small share of a processor is free. A flow beyond it waits
-// for its turn before it goes on. There is one turn for each poll of the network, in the order of the requests, so that
-// whoever became ready meanwhile runs before the next turn. If nobody else has work, the next turn comes at once: a
-// processor is never idle while a flow waits.
+// there already never waits, so that on one processor all others wait for the runtime to interrupt it, at each of their
+// steps. A Flow therefore counts the processor time of its work. Up to a small share of a processor is free. A flow
+// beyond it waits for its turn before it goes on. There is one turn for each poll of the network, so that whoever
+// became ready meanwhile runs before the next turn. Every second turn is for a peer that comes for the first time,
+// which would wait behind all that the others take otherwise. If nobody else has work, the next turn comes at once: the
+// processor is never idle while a flow waits. In a process with several processors a flow only lets others run first.
 package cpushare
 
 import (
@@ -22,8 +23,8 @@
 	freeShareDivisor = 64
 	// maxDebt is how far ahead of time a flow may be charged before it needs a turn.
 	maxDebt = quantum * freeShareDivisor
-	// maxStep bounds the charge for one step: a longer one has waited for something else than its peer. It is so low that
-	// a single step never uses up the free share.
+	// maxStep bounds the charge for one step: a longer one has waited for something else than its peer. It is so low
+	// that a single step never uses up the free share.
 	maxStep = quantum
 	// shortestWait is the shortest time of a read that counts as waiting and not as work.
 	shortestWait = 50 * time.Microsecond
--- a/internal/cpushare/scheduler.go
+++ b/internal/cpushare/scheduler.go
@@ -1,8 +1,10 @@
 package cpushare
 
 import (
+	"runtime"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // kind says to which flows a turn is given.
@@ -17,7 +19,10 @@
 // scheduler gives turns to flows, one for each poll of the network.
 type scheduler struct {
 	poller poller
-	turns  atomic.Uint64 // number of turns so far
+	// yieldsOnly is set in a process with several processors: an idle one polls the network there, and to wake another
+	// thread for each turn would cost more than the turn.
+	yieldsOnly bool
+	turns      atomic.Uint64 // number of turns so far
 
 	mu        sync.Mutex
 	waiting   [kinds][]chan struct{} // of the flows that wait for a turn, the first one first
@@ -27,7 +32,11 @@
 }
 
 // process returns the scheduler of the process.
-var process = sync.OnceValue(func() *scheduler { return newScheduler(newPoller()) })
+var process = sync.OnceValue(func() *scheduler {
+	created := newScheduler(newPoller())
+	created.yieldsOnly = runtime.GOMAXPROCS(0) > 1
+	return created
+})
 
 // newScheduler returns a scheduler and starts its goroutine, which never ends.
 func newScheduler(p poller) *scheduler {
@@ -37,32 +46,40 @@
 }
 
 // Start makes the scheduler of the process, which needs a descriptor. Otherwise the first flow that needs a turn does.
+// It is called after the number of processors has been set.
 func Start() { process() }
 
-// Turns returns how many turns flows have waited for in this process.
-func Turns() uint64 { return process().turns.Load() }
-
-// AwaitPoll waits until the network has been polled and those who became ready have run: bytes that had arrived before
-// the call have been read then, if somebody waited for them.
-func AwaitPoll() { process().awaitPolls() }
+// AwaitPoll waits until the network has been polled and those who became ready have run, or until a limit: bytes that
+// had arrived before the call have been read then, if somebody waited for them.
+func AwaitPoll(limit time.Duration) { process().awaitPolls(limit) }
 
 // pollsUntilRead is the number of polls until those whom the first one made ready have run: the network is polled
 // again when nobody can run.
 const pollsUntilRead = 2
 
-func (s *scheduler) awaitPolls() {
+func (s *scheduler) awaitPolls(limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
 	polled := make(chan struct{}, 1)
 	for range pollsUntilRead {
 		s.mu.Lock()
 		s.observers = append(s.observers, polled)
 		s.signal()
 		s.mu.Unlock()
-		<-polled
+		select {
+		case <-polled:
+		case <-timer.C:
+			return
+		}
 	}
 }
 
 // awaitTurn waits for a turn of the flow that receives from turn, and lets the next one be prepared.
 func (s *scheduler) awaitTurn(of kind, turn chan struct{}) {
+	if s.yieldsOnly {
+		runtime.Gosched()
+		return
+	}
 	s.mu.Lock()
 	s.waiting[of] = append(s.waiting[of], turn)
 	s.signal()
--- a/internal/cpushare/scheduler_test.go
+++ b/internal/cpushare/scheduler_test.go
@@ -83,15 +83,15 @@
 func TestOneCoreServesBesideHotFlows(t *testing.T) {
 	const hotFlows, exchanges, turnsEach = 6, 100, 8
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
-	Start()
+	s := newScheduler(newPoller())
 	client, server := connect(t)
 	go func() { _, _ = io.Copy(server, server) }()
 	stop := make(chan struct{})
 	defer close(stop)
 	for range hotFlows {
-		go work(stop)
+		go work(stop, s)
 	}
-	before := Turns()
+	before := s.turns.Load()
 	buffer := make([]byte, 1)
 	for range exchanges {
 		if _, err := client.Write(buffer); err != nil {
@@ -101,14 +101,14 @@
 			t.Fatal(err)
 		}
 	}
-	if turns := Turns() - before; turns > exchanges*turnsEach {
+	if turns := s.turns.Load() - before; turns > exchanges*turnsEach {
 		t.Errorf("hot flows had %d turns beside %d exchanges", turns, exchanges)
 	}
 }
 
 // work keeps a core busy until stop is closed, in short steps of a flow.
-func work(stop <-chan struct{}) {
-	var flow Flow
+func work(stop <-chan struct{}, s *scheduler) {
+	flow := Flow{scheduler: s}
 	for {
 		select {
 		case <-stop:
@@ -148,5 +148,32 @@
 	if got := <-turns; got != "a" {
 		t.Errorf("%s has the turn of a", got)
 	}
-	s.awaitPolls()
+	s.awaitPolls(time.Minute)
+}
+
+// TestAwaitPollsEnds guards against an event loop that waits for a poll while its timers are due.
+func TestAwaitPollsEnds(t *testing.T) {
+	s := newScheduler(newScriptedPoller()) // which the test never lets poll
+	ended := make(chan struct{})
+	go func() {
+		s.awaitPolls(time.Millisecond)
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("the wait for a poll has no end")
+	}
+}
+
+// TestYieldsOnSeveralProcessors guards against flows that wait for another thread at each turn although idle processors
+// poll the network.
+func TestYieldsOnSeveralProcessors(t *testing.T) {
+	s := newScheduler(newScriptedPoller()) // which the test never lets poll
+	s.yieldsOnly = true
+	flow := Flow{scheduler: s}
+	flow.StartAsNewcomer()
+	flow.Restart()
+	flow.stepBegan -= quantum
+	flow.Step() // would wait for ever otherwise
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,6 +125,7 @@
 			conn.Close() // the client has left without a byte: it must not take the time of those behind it
 		case err == nil:
 			s.ServeConn(conn)
+			runtime.Gosched() // a full accept queue must not delay those that are accepted
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		default: // out of file descriptors, or a connection that broke in the accept queue: neither ends Serve
--- a/internal/pool/late_timers.go
+++ b/internal/pool/late_timers.go
@@ -6,6 +6,9 @@
 	"olivearch/internal/cpushare"
 )
 
+// longestRead bounds the wait until what has arrived is read.
+const longestRead = 10 * time.Millisecond
+
 // lateTimer is the delay of a timer from which on the process counts as held up, by its machine or by other work in it.
 const lateTimer = 20 * time.Millisecond
 
@@ -16,8 +19,8 @@
 }
 
 // readArrived is called before timers expire. If the process was held up, or the response to the attempt that is due
-// lies unread in its socket, it waits until what has arrived is read, and handles these events first: an endpoint that
-// has answered in time must not be taken for one that has not.
+// lies unread in its socket, it waits until what has arrived is read, and handles the events that came before: an
+// endpoint that has answered in time must not be taken for one that has not.
 func (l *loop) readArrived(batch *eventBatch) {
 	next := l.timers.peekExpired(l.now())
 	if next == nil {
@@ -30,9 +33,10 @@
 	if late >= lateTimer {
 		l.trace(&l.tracing.wakeups, "event loop held up", "late", late)
 	}
-	cpushare.AwaitPoll()
-	for batch.refill(l.mailbox) && l.ctx.Err() == nil {
-		l.applyEvents(batch.next(maxBatch))
+	cpushare.AwaitPoll(longestRead)
+	l.applyEvents(batch.next(len(batch.pending)))
+	if batch.refill(l.mailbox) {
+		l.applyEvents(batch.next(len(batch.pending)))
 	}
 }
 
