Attempts that wait for a connection get it in their order

Found while reading the change again, not seen by callers: an attempt that came while a connection was free, before those that waited were looked at, took it, so that these could wait until they were rejected. Each event tried to start them, with a look at all endpoints (up to 3,200), although nothing had become free. And one whose endpoint's allotment was used up held up those behind it.

Change: a later attempt lets those before it go first; they are looked at only after a connection was given back; one that its endpoint's allotment denies ends as it would have ended at once.

Test: TestLaterRequestTakesNoAwaitedConnection (the third arrives first without the change).

--- a/internal/pool/attempt.go
+++ b/internal/pool/attempt.go
@@ -72,7 +72,7 @@
 	}
 	mayConnect := l.mayConnect(attempt)
 	switch {
-	case mayConnect && l.startAttempt(attempt):
+	case mayConnect && !l.hasWaiting() && l.startAttempt(attempt):
 	case mayConnect && l.connections.isFull():
 		l.awaitConnection(attempt)
 	default:
--- a/internal/pool/connection_pool.go
+++ b/internal/pool/connection_pool.go
@@ -21,6 +21,7 @@
 	opened      uint64        // number of connections that were opened since the start
 	max         int           // Spec.MaxConnections
 	waiting     []*attempt    // that wait for a connection, the first one first
+	mayBeFree   bool          // a connection was given back since the attempts that wait were looked at
 	idleTimeout time.Duration // after which an idle connection is closed
 	nextSweepAt time.Duration // when fireTimers next closes expired idle connections
 	reuse       reusePolicy
@@ -78,6 +79,7 @@
 // returnConnection takes back a connection after use. result.Conn is nil if the transport has closed it.
 func (l *loop) returnConnection(endpoint *endpoint, used *connection, result *upstream.Result) {
 	now := l.now()
+	l.connections.mayBeFree = true
 	used.transportConn = result.Conn
 	used.last = used.last.after(result)
 	if result.Unsolicited {
@@ -105,6 +107,7 @@
 		return
 	}
 	l.traceClose(endpoint, len(connections), reason)
+	l.connections.mayBeFree = true
 	l.connections.open -= len(connections)
 	endpoint.connections -= len(connections)
 	go func() {
--- a/internal/pool/connection_wait.go
+++ b/internal/pool/connection_wait.go
@@ -9,6 +9,16 @@
 // isFull reports whether the pool has as many connections as it may have, so that one may become free.
 func (p *connectionPool) isFull() bool { return p.max > 0 && p.open >= p.max }
 
+// hasWaiting reports whether attempts wait for a connection, so that a later one must not take it before them.
+func (l *loop) hasWaiting() bool {
+	if len(l.connections.waiting) == 0 {
+		return false
+	}
+	l.connections.mayBeFree = true
+	l.startWaiting()
+	return len(l.connections.waiting) > 0
+}
+
 // awaitConnection makes an attempt wait for a connection.
 func (l *loop) awaitConnection(attempt *attempt) {
 	l.connections.waiting = append(l.connections.waiting, attempt)
@@ -18,6 +28,10 @@
 
 // startWaiting starts the attempts that wait for a connection, in their order, as far as there are connections now.
 func (l *loop) startWaiting() {
+	if !l.connections.mayBeFree {
+		return
+	}
+	l.connections.mayBeFree = false
 	for len(l.connections.waiting) > 0 {
 		next := l.connections.waiting[0]
 		if !next.state.reported() && !l.startLate(next) {
@@ -41,10 +55,14 @@
 		l.denyConnection(attempt)
 		return true
 	}
-	if !l.startAttempt(attempt) {
+	started := l.startAttempt(attempt)
+	if !started && l.connections.isFull() {
 		return false
 	}
 	l.timers.cancel(&attempt.patience)
+	if !started { // the endpoint's allotment is used up: others need not wait behind it
+		l.denyConnection(attempt)
+	}
 	return true
 }
 
--- a/internal/pool/connection_wait_test.go
+++ b/internal/pool/connection_wait_test.go
@@ -35,13 +35,16 @@
 	scripted.AtRest(t)
 	h, server, release := oneConnection(t)
 	second := h.submit("second", "checkin", nil)
-	want(t, "responses before a connection is free", len(second.Responses), 0)
+	third := h.submit("third", "checkin", nil)
+	want(t, "responses before a connection is free", len(second.Responses)+len(third.Responses), 0)
 	close(release)
-	for len(second.Responses) == 0 {
+	for len(third.Responses) == 0 {
 		h.handleEvents()
 	}
 	want(t, "status", (<-second.Responses).Status, http.StatusOK)
+	want(t, "status", (<-third.Responses).Status, http.StatusOK)
 	want(t, "id that arrived", requestID(<-server.Arrivals), "second")
+	want(t, "id that arrived", requestID(<-server.Arrivals), "third")
 	h.finishAttempts()
 }
 
@@ -76,3 +79,23 @@
 	want(t, "status", (<-second.Responses).Status, http.StatusServiceUnavailable)
 	want(t, "further requests that arrived", len(server.Arrivals), 0)
 }
+
+// TestLaterRequestTakesNoAwaitedConnection guards against requests that wait for a connection until they are rejected,
+// because each later one takes what has become free.
+func TestLaterRequestTakesNoAwaitedConnection(t *testing.T) {
+	scripted.AtRest(t)
+	h, server, release := oneConnection(t)
+	h.submit("second", "checkin", nil)
+	close(release)
+	<-h.mailbox.ready
+	for _, e := range h.mailbox.takeNormal(nil) {
+		e.apply(h.loop) // the connection is free, and nobody has looked at those that wait
+	}
+	third := h.submit("third", "checkin", nil)
+	want(t, "id that arrived", requestID(<-server.Arrivals), "second")
+	for len(third.Responses) == 0 {
+		h.handleEvents()
+	}
+	want(t, "id that arrived", requestID(<-server.Arrivals), "third")
+	h.finishAttempts()
+}
--- a/internal/pool/loop.go
+++ b/internal/pool/loop.go
@@ -104,6 +104,7 @@
 		Recognition:    l.connections.reuse.recognition,
 	}
 	l.connections.max = spec.MaxConnections
+	l.connections.mayBeFree = true
 	l.connections.idleTimeout = max(spec.ConnectionSettings.KeepAlive-idleMargin, spec.ConnectionSettings.KeepAlive/2)
 	l.connections.reuse.onlyAfterUnsolicited = spec.ReuseDelayOnlyAfterUnsolicited
 }
