The wait for a turn is no part of a client's read time-out

Found while reading the change again: the deadline of a read, 2.3 s after the last byte, was set before the client's connection waited for its turn, so a client could get 408 for the balancer's own wait.

Change: the turn comes first, then the deadline.

--- a/internal/frontend/deadlines.go
+++ b/internal/frontend/deadlines.go
@@ -110,8 +110,10 @@
 
 // Read implements io.Reader. Each read of a request times out after ReadStallTimeout and at the request deadline.
 func (d *deadlineConn) Read(b []byte) (int, error) {
+	d.flow.BeginWait() // before the deadline is set: the time in which the balancer lets the client wait is not its own
+	defer d.flow.EndWait()
 	if d.requestDeadline.IsZero() {
-		return d.flow.Read(d.Conn, b)
+		return d.Conn.Read(b)
 	}
 	now := time.Now()
 	deadline := now.Add(ReadStallTimeout)
@@ -119,7 +121,7 @@
 		deadline = d.requestDeadline
 	}
 	_ = d.SetReadDeadline(deadline) // if it fails, so does the read
-	n, err := d.flow.Read(d.Conn, b)
+	n, err := d.Conn.Read(b)
 	d.lastRead.Set(time.Now())
 	if d.onRead != nil && n > 0 {
 		d.onRead()
