A peer process that takes no request ids is logged

Found while reading the change again: up to 65,536 changes of ids waited for a peer process that hangs, some 8 MB that no account knew, and beyond them changes were dropped without a word. Now 16,384 (2 MB), and 'request ids not sent' says so once. internal/proxy passes (TestUnsafeRequestRunsOnceAcrossUpgrade too).

--- a/internal/proxy/request_ids.go
+++ b/internal/proxy/request_ids.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"log/slog"
 	"sync"
 
@@ -9,7 +10,9 @@
 )
 
 // maxQueuedIDs bounds the changes that wait to be sent to a peer process that hangs.
-const maxQueuedIDs = 64 << 10
+const maxQueuedIDs = 16 << 10
+
+var errTooManyIDs = errors.New("the peer process does not take them")
 
 // requestIDSender sends the changes of request ids to the peer process, in their order, from a goroutine of its own
 // that runs only while changes wait. Any goroutine may add changes.
@@ -19,6 +22,7 @@
 	mu      sync.Mutex
 	queued  []pool.RequestIDChanges
 	sending bool
+	dropped bool // a change was not queued
 }
 
 // add queues a change. It does not block.
@@ -26,6 +30,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.queued) >= maxQueuedIDs {
+		if !s.dropped {
+			slog.Warn("request ids not sent", "err", errTooManyIDs)
+		}
+		s.dropped = true
 		return
 	}
 	s.queued = append(s.queued, change)
