--- a/internal/frontend/accept_queue_test.go
+++ b/internal/frontend/accept_queue_test.go
@@ -5,7 +5,10 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
+
+	"olivearch/internal/http1"
 )
 
 // busyListener is a listener whose Accept does not come to its queue before it is closed.
@@ -51,3 +54,27 @@
 		t.Errorf("status %d, want %d", response.StatusCode, http.StatusServiceUnavailable)
 	}
 }
+
+// TestConnectionThatWasLeftIsNotServed guards against newcomers that wait behind clients which connect and close
+// without a pause: a connection without a byte is closed before the next one is accepted.
+func TestConnectionThatWasLeftIsNotServed(t *testing.T) {
+	_, listener, router := newHookedServer(t)
+	client, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := <-listener.accepted
+	client.Close()
+	for !http1.Peek(left).AtEnd() {
+		runtime.Gosched() // until the end has arrived; the test's time limit bounds it
+	}
+	listener.accepted <- left
+	next, _ := listener.dial(t, func(*hookedConn) {
+		if http1.Peek(left) != http1.PeerBroken { // which is also said of a connection that is closed on this side
+			t.Error("the connection that was left is open although the next one has been accepted")
+		}
+	})
+	next.send(t, getRequest)
+	router.reply(t)
+	next.expectStatus(t, http.StatusOK, false)
+}
